--- /dev/null
+++ b/cmd/notchmux/main.go
@@ -0,0 +1,121 @@
+// Command notchmux is a cluster scheduler: it runs a controller, checks
+// settings, and speaks to a running service as a user.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"notchmux.dev/notchmux/internal/config"
+	"notchmux.dev/notchmux/internal/controller"
+)
+
+// version is set by release builds.
+var version = "0.1.0-dev"
+
+type cli struct {
+	Serve   serveCmd   `cmd:"" help:"Run a controller until it is killed."`
+	Check   checkCmd   `cmd:"" help:"Check a settings file and the properties, and say what they amount to."`
+	Job     jobCmd     `cmd:"" help:"Submit, show or withdraw a job."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+type settings struct {
+	Config     string `required:"" placeholder:"FILE" help:"The platform's settings file (TOML)."`
+	Properties string `placeholder:"FILE" env:"NOTCHMUX_PROPERTIES" help:"The operators' properties."`
+}
+
+func (s settings) load() (*config.Config, error) { return config.Load(s.Config, s.Properties) }
+
+type serveCmd struct {
+	settings
+}
+
+// Run starts the controller.
+func (c *serveCmd) Run(stderr io.Writer) error {
+	cfg, err := c.load()
+	if err != nil {
+		return err
+	}
+	level, err := logLevel(os.Getenv("LOG_LEVEL"))
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: level}))
+	limit(cfg)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return controller.New(cfg, log).Run(ctx)
+}
+
+// limit keeps the process within its quota.
+func limit(cfg *config.Config) {
+	if os.Getenv("GOMAXPROCS") == "" {
+		runtime.GOMAXPROCS(max(1, int(cfg.Facts.Quota.CoreShare+0.5)))
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(cfg.Facts.Quota.RAMMB*0.6) << 20)
+	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(400) // processor time is scarcer than memory
+	}
+}
+
+func logLevel(s string) (slog.Level, error) {
+	switch s {
+	case "error":
+		return slog.LevelError, nil
+	case "", "info":
+		return slog.LevelInfo, nil
+	case "debug":
+		return slog.LevelDebug, nil
+	}
+	return 0, fmt.Errorf("environment: key %q: %q is not error, info or debug", "LOG_LEVEL", s)
+}
+
+type checkCmd struct {
+	settings
+}
+
+// Run checks the settings.
+func (c *checkCmd) Run(_ io.Writer) error {
+	cfg, err := c.load()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("node %s in %s: %d peers, %d teams, %d objectives\n", cfg.Node, cfg.Zone, len(cfg.Peers), len(cfg.Facts.Teams), len(cfg.Facts.Objectives))
+	config.Describe(func(key string, def, least, most float64, help string) {
+		fmt.Printf("%-22s default %g, %g to %g: %s\n", key, def, least, most, help)
+	})
+	return nil
+}
+
+type versionCmd struct{}
+
+// Run prints the version.
+func (versionCmd) Run(_ io.Writer) error {
+	fmt.Println("notchmux", version, runtime.Version())
+	return nil
+}
+
+func main() {
+	var c cli
+	parser := kong.Must(&c, kong.Name("notchmux"), kong.Description("A cluster scheduler."), kong.UsageOnError(),
+		kong.BindTo(os.Stderr, (*io.Writer)(nil)))
+	ctx, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
+	if err := ctx.Run(); err != nil && !errors.Is(err, context.Canceled) {
+		fmt.Fprintf(os.Stderr, "notchmux: %v\n", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,201 @@
+// Package config reads and checks what a node is told: the platform's settings
+// file (TOML) and the operators' own properties (Java style).
+package config
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+
+	"github.com/BurntSushi/toml"
+
+	"notchmux.dev/notchmux/internal/micro"
+)
+
+// Peer is another controller node.
+type Peer struct {
+	Node string `toml:"node"`
+	Zone string `toml:"area"`
+	Addr string `toml:"addr"`
+}
+
+// Team is a team's guarantee and limit; a limit of 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is what is expected for a class of jobs.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"`
+}
+
+// Platform is the settings file that the platform hands over.
+type Platform struct {
+	Node       string `toml:"node"`
+	Zone       string `toml:"area"`
+	PublicAddr string `toml:"public_addr"`
+	PeerListen string `toml:"peer_listen"`
+	Peers      []Peer `toml:"known"`
+	External   struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"external"`
+	Facts struct {
+		Nodes      int         `toml:"nodes"`
+		Zones      []string    `toml:"zones"`
+		ClockOffMs float64     `toml:"clock_off_ms"`
+		Teams      []Team      `toml:"teams"`
+		Objectives []Objective `toml:"objectives"`
+		Workers    struct {
+			ReportS   float64 `toml:"report_s"`
+			LeaseS    float64 `toml:"lease_s"`
+			GangWaitS float64 `toml:"gang_wait_s"`
+			GangPeerS float64 `toml:"gang_peer_s"`
+			CancelS   float64 `toml:"cancel_s"`
+		} `toml:"workers"`
+		State struct {
+			RPS      float64 `toml:"rps"`
+			WriteRPS float64 `toml:"write_rps"`
+			ValueKB  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"state"`
+		Cloud struct {
+			RPS      float64 `toml:"rps"`
+			ListLagS float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		Quota struct {
+			CoreShare  float64 `toml:"core_share"`
+			RAMMB      float64 `toml:"ram_mb"`
+			MaxSockets int     `toml:"max_sockets"`
+		} `toml:"quota"`
+	} `toml:"facts"`
+}
+
+// Config is everything a node runs by.
+type Config struct {
+	Platform
+	Properties
+}
+
+// LeaseSpan is the workers' lease.
+func (c *Config) LeaseSpan() micro.Time { return micro.Of(c.Facts.Workers.LeaseS) }
+
+// Team finds a team by name.
+func (c *Config) Team(name string) *Team {
+	for i := range c.Facts.Teams {
+		if c.Facts.Teams[i].Name == name {
+			return &c.Facts.Teams[i]
+		}
+	}
+	return nil
+}
+
+// Load reads and checks the platform's file and the properties. An empty
+// propertiesPath means defaults. Errors name file, key and reason in one line.
+func Load(path, propertiesPath string) (*Config, error) {
+	c := &Config{}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := parsePlatform(string(raw), &c.Platform); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if c.Properties, err = loadProperties(propertiesPath); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func parsePlatform(text string, p *Platform) error {
+	if _, err := toml.Decode(text, p); err != nil {
+		var perr toml.ParseError
+		if errors.As(err, &perr) {
+			return fmt.Errorf("key %q: %s", perr.LastKey, perr.Message)
+		}
+		return err
+	}
+	return p.check()
+}
+
+func (p *Platform) check() error {
+	bad := func(key, why string) error { return fmt.Errorf("key %q: %s", key, why) }
+	if p.Node == "" {
+		return bad("node", "is missing")
+	}
+	for _, a := range []struct{ key, addr string }{
+		{"public_addr", p.PublicAddr}, {"peer_listen", p.PeerListen},
+		{"external.cloud", p.External.Cloud}, {"external.state", p.External.State},
+	} {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return bad(a.key, "is not an address of the form host:port")
+		}
+	}
+	names := map[string]bool{p.Node: true}
+	for _, k := range p.Peers {
+		if k.Node == "" || names[k.Node] {
+			return bad("known.node", "is missing or given twice")
+		}
+		names[k.Node] = true
+		if _, _, err := net.SplitHostPort(k.Addr); err != nil {
+			return bad("known.addr", "is not an address of the form host:port")
+		}
+	}
+	if len(p.Facts.Zones) == 0 {
+		return bad("facts.zones", "is missing")
+	}
+	f := &p.Facts
+	for _, n := range []struct {
+		key  string
+		v    float64
+		zero bool
+	}{
+		{"facts.workers.report_s", f.Workers.ReportS, false},
+		{"facts.workers.lease_s", f.Workers.LeaseS, false},
+		{"facts.workers.gang_wait_s", f.Workers.GangWaitS, true},
+		{"facts.workers.gang_peer_s", f.Workers.GangPeerS, true},
+		{"facts.workers.cancel_s", f.Workers.CancelS, false},
+		{"facts.state.rps", f.State.RPS, false},
+		{"facts.state.write_rps", f.State.WriteRPS, false},
+		{"facts.state.value_kb", f.State.ValueKB, false},
+		{"facts.state.txn_ops", float64(f.State.TxnOps), false},
+		{"facts.cloud.rps", f.Cloud.RPS, false},
+		{"facts.cloud.list_lag_s", f.Cloud.ListLagS, true},
+		{"facts.quota.core_share", f.Quota.CoreShare, false},
+		{"facts.quota.ram_mb", f.Quota.RAMMB, false},
+		{"facts.quota.max_sockets", float64(f.Quota.MaxSockets), false},
+		{"facts.clock_off_ms", f.ClockOffMs, true},
+	} {
+		if math.IsNaN(n.v) || math.IsInf(n.v, 0) || n.v < 0 || n.v == 0 && !n.zero {
+			return bad(n.key, "is missing or out of range")
+		}
+	}
+	seen := map[string]bool{}
+	for _, t := range f.Teams {
+		if t.Name == "" || seen[t.Name] {
+			return bad("facts.teams.name", "is missing or given twice")
+		}
+		seen[t.Name] = true
+		for _, v := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
+			if math.IsNaN(v) || v < 0 {
+				return bad("facts.teams", "amounts of "+t.Name+" are out of range")
+			}
+		}
+	}
+	for _, o := range f.Objectives {
+		if math.IsNaN(o.WithinS) || o.WithinS < 0 || o.Times < 0 {
+			return bad("facts.objectives", "within_s or times is out of range")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controller/fleet.go
@@ -0,0 +1,395 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sort"
+	"time"
+
+	"notchmux.dev/notchmux/internal/cloud"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
+	"notchmux.dev/notchmux/internal/scale"
+	"notchmux.dev/notchmux/wire"
+)
+
+// hireRecord is a rental as the store keeps it: written before the request is
+// sent, so that a lost answer is asked for again under the same name.
+type hireRecord struct {
+	Rental   wire.Rental `msgpack:"r" json:"r"`
+	Machines []string    `msgpack:"m" json:"m"`
+	Answered bool        `msgpack:"a" json:"a"`
+	At       int64       `msgpack:"at" json:"at"` // wall clock
+}
+
+// HireState is the state of a rental.
+type HireState uint8
+
+// The states of a rental.
+const (
+	HireWriting HireState = iota // its record is being written
+	HireAsking                   // the request is out
+	HireHeld                     // machines were rented
+	HireOver                     // refused, or all its machines are gone
+)
+
+func (s HireState) String() string { return [...]string{"writing", "asking", "held", "over"}[s] }
+
+type hire struct {
+	state HireState
+	rec   hireRecord
+	asked micro.Time
+	cell  *cell
+}
+
+// become is the one place where a rental's state changes.
+func (l *Lead) become(h *hire, to HireState) {
+	if to <= h.state && !(h.state == HireWriting && to == HireWriting) {
+		return
+	}
+	h.state = to
+	switch to {
+	case HireAsking:
+		h.asked = l.n.Now()
+		go l.rent(h, h.rec.Rental)
+	case HireHeld:
+		delete(l.planner.Asked, h.rec.Rental.Request)
+		h.cell.touch(l.n.Now(), false)
+	case HireOver:
+		delete(l.planner.Asked, h.rec.Rental.Request)
+		delete(l.hires, h.rec.Rental.Request)
+		h.cell.touch(l.n.Now(), false)
+	}
+}
+
+func (l *Lead) hireCell(h *hire) *cell {
+	c := l.w.cell("hire/" + h.rec.Rental.Request)
+	c.build = func() (any, uint64) {
+		if h.state == HireOver {
+			return nil, 0
+		}
+		return h.rec, 0
+	}
+	c.saved = func(uint64) {
+		if h.state == HireWriting {
+			l.become(h, HireAsking)
+		}
+	}
+	h.cell = c
+	return c
+}
+
+func (l *Lead) restoreHire(it wire.Item, now, wall micro.Time) {
+	var rec hireRecord
+	if wire.Unmarshal(it.Value, &rec) != nil {
+		return
+	}
+	h := &hire{rec: rec}
+	l.hires[rec.Rental.Request] = h
+	l.hireCell(h).stamp = uint64(it.Version)
+	if !rec.Answered {
+		l.planner.Asked[rec.Rental.Request] = scale.Ask{Offer: scale.Offer{Type: rec.Rental.Type, Zone: rec.Rental.Zone, Spot: rec.Rental.Spot}, Count: rec.Rental.Count}
+		l.become(h, HireAsking)
+		return
+	}
+	h.state = HireHeld
+	age := max(wall-micro.Time(rec.At), 0)
+	for _, name := range rec.Machines {
+		l.hired(h, name, now-age, now)
+	}
+}
+
+// hired adds a machine that a rental brought.
+func (l *Lead) hired(h *hire, name string, at, now micro.Time) {
+	if l.c.Gone[name] {
+		return
+	}
+	m := l.c.Machine(name, now)
+	m.Hire = h.rec.Rental.Request
+	m.Rented = at
+	l.c.Describe(m, h.rec.Rental.Type, h.rec.Rental.Zone, h.rec.Rental.Spot)
+}
+
+// plan rents what is missing and returns what is idle.
+func (l *Lead) plan(now micro.Time) {
+	asks, idle := l.planner.Plan(now)
+	for _, a := range asks {
+		l.hireN++
+		h := &hire{rec: hireRecord{At: int64(l.n.Wall()), Rental: wire.Rental{
+			Request: fmt.Sprintf("r-%d-%d", l.term.Stamp, l.hireN), Type: a.Type, Zone: a.Zone, Spot: a.Spot, Count: min(a.Count, 50)}}}
+		l.hires[h.rec.Rental.Request] = h
+		l.planner.Asked[h.rec.Rental.Request] = a
+		l.hireCell(h).touch(now, true)
+		l.log.Info("rent", "request", h.rec.Rental.Request, "type", a.Type, "zone", a.Zone, "spot", a.Spot, "count", a.Count)
+	}
+	for _, m := range idle {
+		l.giveBack(m, "idle")
+	}
+	l.sendReturns()
+}
+
+// rent sends a rental until it is answered for good.
+func (l *Lead) rent(h *hire, r wire.Rental) {
+	refusals := 0
+	for {
+		if !l.valid() {
+			// If the right comes back, the request goes on under its name.
+			if !l.sleep(200 * micro.Millisecond) {
+				return
+			}
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		names, err := l.n.Cloud.Rent(ctx, r)
+		cancel()
+		switch {
+		case err == nil:
+			l.post(func() { l.rented(h, names) })
+			return
+		case errors.Is(err, cloud.ErrNoCapacity), errors.Is(err, cloud.ErrBad):
+			l.post(func() { l.rented(h, nil) })
+			return
+		}
+		refusals++
+		l.log.Info("rental not answered", "request", r.Request, "err", err)
+		if !l.sleep(micro.Second * micro.Time(min(refusals, 5))) {
+			return
+		}
+	}
+}
+
+// refusedFor is how long an offer that was refused is not asked for again.
+const refusedFor = 15 * micro.Second
+
+func (l *Lead) rented(h *hire, names []string) {
+	now := l.n.Now()
+	r := h.rec.Rental
+	l.log.Info("rented", "request", r.Request, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(names))
+	if len(names) < r.Count {
+		l.planner.Refused[scale.Offer{Type: r.Type, Zone: r.Zone, Spot: r.Spot}] = now + refusedFor
+	}
+	h.rec.Machines, h.rec.Answered = names, true
+	if len(names) == 0 {
+		l.become(h, HireOver)
+		return
+	}
+	l.become(h, HireHeld)
+	for _, name := range names {
+		l.hired(h, name, h.asked, now)
+	}
+}
+
+// giveBack marks a machine to be returned.
+func (l *Lead) giveBack(m *model.Machine, why string) {
+	if l.c.Become(m, model.Returning, why) {
+		l.returns[m] = true
+	}
+}
+
+// sendReturns returns the marked machines, many in one call.
+func (l *Lead) sendReturns() {
+	if len(l.returns) == 0 {
+		return
+	}
+	var ms []*model.Machine
+	for m := range l.returns {
+		ms = append(ms, m)
+	}
+	sort.Slice(ms, func(a, b int) bool { return ms[a].Name < ms[b].Name })
+	ms = ms[:min(len(ms), cloud.MaxReturn)]
+	names := make([]string, len(ms))
+	for i, m := range ms {
+		names[i] = m.Name
+		delete(l.returns, m)
+	}
+	go func() {
+		if !l.valid() {
+			l.post(func() { l.returnAgain(ms) })
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+		defer cancel()
+		err := l.n.Cloud.Return(ctx, names)
+		l.post(func() {
+			if err != nil {
+				l.log.Info("return not answered", "machines", len(names), "err", err)
+				l.returnAgain(ms)
+				return
+			}
+			for _, m := range ms {
+				l.depart(m)
+			}
+		})
+	}()
+}
+
+func (l *Lead) returnAgain(ms []*model.Machine) {
+	for _, m := range ms {
+		if m.State == model.Returning {
+			l.returns[m] = true
+		}
+	}
+}
+
+func (l *Lead) depart(m *model.Machine) {
+	l.c.Depart(m, l.n.Now())
+	if h := l.hires[m.Hire]; h != nil {
+		for i, name := range h.rec.Machines {
+			if name == m.Name {
+				h.rec.Machines = append(h.rec.Machines[:i:i], h.rec.Machines[i+1:]...)
+				break
+			}
+		}
+		if len(h.rec.Machines) == 0 {
+			l.become(h, HireOver)
+		}
+	}
+}
+
+// listLoop reads the cloud's list.
+func (l *Lead) listLoop(ctx context.Context) {
+	for {
+		if l.valid() {
+			asked := l.n.Now()
+			var rows []wire.ListedMachine
+			after, ok := "", true
+			for {
+				cctx, cancel := context.WithTimeout(ctx, 6*time.Second)
+				page, err := l.n.Cloud.List(cctx, after)
+				cancel()
+				if err != nil {
+					ok = false
+					break
+				}
+				rows = append(rows, page.Machines...)
+				if !page.More || len(page.Machines) == 0 {
+					break
+				}
+				after = page.Machines[len(page.Machines)-1].Name
+			}
+			if ok {
+				l.post(func() { l.listed(rows, asked) })
+			}
+		}
+		if !l.sleep(4 * micro.Second) {
+			return
+		}
+	}
+}
+
+func (l *Lead) listed(rows []wire.ListedMachine, asked micro.Time) {
+	now, wall := l.n.Now(), l.n.Wall()
+	l.listAt = asked
+	for i := range rows {
+		r := &rows[i]
+		if l.c.Gone[r.Name] {
+			continue // the list lags
+		}
+		m := l.c.Machine(r.Name, now)
+		if m.Type == nil {
+			l.c.Describe(m, r.Type, r.Zone, r.Spot)
+		}
+		if m.Addr == "" {
+			m.Addr = r.Addr
+		}
+		age := micro.Of(r.AgeS)
+		m.Rented = min(m.Rented, now-age)
+		if wall-age < l.since {
+			m.Base = true // older than the service: the operators' own
+		}
+		m.Listed, m.ListState = asked, r.State
+		if r.State == wire.MachineFailed {
+			l.giveBack(m, "failed")
+		}
+	}
+}
+
+// scan watches over the machines.
+func (l *Lead) scan(now micro.Time) {
+	cfg := l.n.Cfg
+	lag := micro.Of(cfg.Facts.Cloud.ListLagS)
+	type zone struct{ all, silent int }
+	zones := map[string]*zone{}
+	up, silent := 0, 0
+	for _, m := range l.c.List() {
+		z := zones[m.Zone]
+		if z == nil {
+			z = &zone{}
+			zones[m.Zone] = z
+		}
+		if m.State == model.Up && now-m.Heard > cfg.SilentAfter {
+			l.c.Become(m, model.Silent, "no reports")
+		}
+		switch m.State {
+		case model.Up:
+			z.all++
+			up++
+		case model.Silent, model.Lost:
+			z.all++
+			if now-m.Heard < l.c.Lease+20*micro.Second {
+				z.silent++
+				silent++
+			}
+		}
+	}
+	l.hearing(up, silent, now)
+	for _, m := range l.c.List() {
+		if len(m.Places) > 0 && m.State != model.Up && l.c.LeaseOut(m, now) {
+			l.c.Lose(m, now)
+		}
+		unlisted := m.Listed > 0 && l.listAt-m.Listed > 2*lag
+		z := zones[m.Zone]
+		switch m.State {
+		case model.Unheard:
+			age := now - max(m.Rented, l.c.Began-micro.Of(3600))
+			boot := 60 * micro.Second
+			if m.Type != nil {
+				boot = micro.Of(m.Type.BootS)
+			}
+			waited := now - l.c.Began
+			switch {
+			case unlisted && waited > cfg.SilentAfter:
+				l.giveBack(m, "no longer listed, never heard")
+			case m.ListState == wire.MachineRunning && waited > 15*micro.Second && age > 3*boot && now-m.Listed < micro.Minute && l.trust(z.silent, z.all):
+				l.giveBack(m, "listed as running, never heard")
+			case len(m.Places) > 0 && waited > cfg.SilentAfter+4*micro.Second && l.trust(z.silent, z.all):
+				l.giveBack(m, "silent since the takeover")
+			case m.ListState != wire.MachineRunning && age > micro.Time(float64(boot)*cfg.BootPatience) && !m.Base:
+				l.giveBack(m, "did not come up")
+			}
+		case model.Silent:
+			gone := m.NoticeAt != 0 && now > m.NoticeAt+2*micro.Second
+			if unlisted || gone || l.trust(z.silent, z.all) {
+				l.giveBack(m, "silent")
+			}
+		case model.Lost:
+			if unlisted || now-m.Heard > 2*l.c.Lease {
+				l.giveBack(m, "lost")
+			}
+		}
+	}
+	l.sendReturns()
+}
+
+// trust reports whether a zone's silence looks like machines that died rather
+// than like a cut: few are silent against those that report.
+func (l *Lead) trust(silent, all int) bool {
+	return silent <= 1 && all > 1 || silent*3 <= all
+}
+
+// hearing gives the lead to another node if no worker reaches this one: it may
+// be cut off from them, and their leases run.
+func (l *Lead) hearing(up, silent int, now micro.Time) {
+	if up > 0 || silent < 3 || len(l.n.Cfg.Peers) == 0 {
+		l.deaf = 0
+		return
+	}
+	if l.deaf == 0 {
+		l.deaf = now
+	}
+	if now-l.deaf > micro.Second {
+		l.deaf = 0
+		l.resign("no worker reaches this node")
+	}
+}
--- /dev/null
+++ b/internal/controller/users.go
@@ -0,0 +1,355 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"notchmux.dev/notchmux/internal/front"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
+	"notchmux.dev/notchmux/internal/peer"
+	"notchmux.dev/notchmux/internal/sched"
+	"notchmux.dev/notchmux/internal/store"
+	"notchmux.dev/notchmux/wire"
+)
+
+// How long a node waits for a peer before it helps itself.
+const (
+	askWait   = 500 * micro.Millisecond
+	relayWait = 900 * micro.Millisecond
+	badPeer   = 2 * micro.Second
+)
+
+func specKey(id string) string { return "job/" + id + "/spec" }
+func endKey(id string) string  { return "job/" + id + "/end" }
+
+// Submit accepts a job: 201 only after its description is in the store.
+func (n *Node) Submit(body []byte) front.Reply { return n.submit(body, true) }
+
+func (n *Node) submit(body []byte, relay bool) front.Reply {
+	job, err := wire.DecodeJob(body)
+	if err != nil {
+		return front.Fail(400, err.Error())
+	}
+	cat := n.catalog.Load()
+	if cat == nil {
+		return front.Later(503, 1)
+	}
+	if wire.JSONSize(job) > int(n.Cfg.Facts.State.ValueKB*1024)-64 {
+		return front.Fail(400, "the description is too large to keep")
+	}
+	if why := n.impossible(job, cat); why != "" {
+		return front.Fail(422, why)
+	}
+	if l := n.leading(); l != nil && int(l.pendingTasks.Load()) > n.Cfg.MaxPending {
+		if _, ok := l.known.Load(job.ID); !ok {
+			return front.Later(429, 5)
+		}
+	}
+	job.SubmittedAt = int64(n.Wall())
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	_, err = n.Store.Commit(ctx, store.Urgent, wire.Txn{
+		If:   []wire.Guard{{Key: specKey(job.ID)}},
+		Then: []wire.Change{{Put: specKey(job.ID), Value: job}},
+	})
+	switch {
+	case err == nil:
+		n.accepted(job)
+		return front.Reply{Status: 201, Body: wire.JobStatus{ID: job.ID, State: wire.JobPending}}
+	case errors.Is(err, store.ErrConflict):
+		// Known already: a repeat, or a write whose answer was lost.
+		return n.Show(job.ID)
+	case errors.Is(err, store.ErrBad):
+		return front.Later(503, 2)
+	}
+	n.Log.Debug("submission not stored", "job", job.ID, "err", err)
+	if relay {
+		// The store may refuse this node alone: another may reach it.
+		if r, ok := n.relay(peer.Submit, body); ok {
+			return r
+		}
+	}
+	if errors.Is(err, store.ErrBudget) || errors.Is(err, store.ErrBusy) {
+		return front.Later(429, 1)
+	}
+	return front.Later(503, 1)
+}
+
+// accepted tells the leader of a new job; its watch would find it as well.
+func (n *Node) accepted(job *wire.Job) {
+	if l := n.leading(); l != nil {
+		l.post(func() { l.addJob(*job) })
+		return
+	}
+	leader := n.election.Leader()
+	if leader == "" || leader == n.Cfg.Node {
+		return
+	}
+	go func() { _, _, _ = n.ask(leader, peer.Notify, wire.MustMarshal(job), relayWait) }()
+}
+
+// impossible says why a job can never run, "" if it can.
+func (n *Node) impossible(job *wire.Job, cat *wire.Catalog) string {
+	team := n.Cfg.Team(job.Team)
+	if team == nil {
+		return "unknown team"
+	}
+	fits := false
+	for i := range cat.Types {
+		t := &model.Type{MachineType: cat.Types[i]}
+		for _, z := range t.Zones {
+			fits = fits || sched.Allowed(job, t, z, false)
+		}
+	}
+	if !fits {
+		return "a task fits no allowed machine type"
+	}
+	tasks := float64(job.Tasks)
+	if job.Kind == wire.Array {
+		tasks = 1
+	}
+	const eps = 1e-9
+	if team.CPUsMax > 0 && tasks*job.CPUs > team.CPUsMax+eps || team.GPUsMax > 0 && tasks*job.GPUs > team.GPUsMax+eps {
+		return "needs more than the team's limit"
+	}
+	return ""
+}
+
+// ask calls a peer, and leaves one alone for a while that did not answer.
+func (n *Node) ask(node, call string, body []byte, wait micro.Time) (int, []byte, error) {
+	if until, ok := n.badPeer.Load(node); ok && n.Now() < until.(micro.Time) {
+		return 0, nil, peer.ErrUnreachable
+	}
+	status, out, err := n.Peers.Call(context.Background(), node, call, body, wait)
+	if err != nil {
+		n.badPeer.Store(node, n.Now()+badPeer)
+	}
+	return status, out, err
+}
+
+// relay hands a request to another node, the leader first.
+func (n *Node) relay(call string, body []byte) (front.Reply, bool) {
+	leader := n.election.Leader()
+	nodes := []string{}
+	if leader != "" && leader != n.Cfg.Node {
+		nodes = append(nodes, leader)
+	}
+	for _, p := range n.Cfg.Peers {
+		if p.Node != leader {
+			nodes = append(nodes, p.Node)
+		}
+	}
+	for _, node := range nodes {
+		status, out, err := n.ask(node, call, body, askWait)
+		if err != nil || status >= 500 || status == 429 || status == 421 {
+			continue
+		}
+		if r, ok := decodeReply(status, out); ok {
+			return r, true
+		}
+	}
+	return front.Reply{}, false
+}
+
+func decodeReply(status int, out []byte) (front.Reply, bool) {
+	if status != 200 && status != 201 {
+		return front.Fail(status, "refused"), status == 400 || status == 404 || status == 422
+	}
+	var s wire.JobStatus
+	if wire.Unmarshal(out, &s) != nil {
+		return front.Reply{}, false
+	}
+	return front.Reply{Status: status, Body: s}, true
+}
+
+// Show answers a poll: the leader from its memory, else the store's truth.
+func (n *Node) Show(id string) front.Reply {
+	if s, ok := n.finals.get(id); ok {
+		return front.Reply{Status: 200, Body: s}
+	}
+	if l := n.leading(); l != nil {
+		if s, ok := l.show(id); ok {
+			n.finals.put(s)
+			return front.Reply{Status: 200, Body: s}
+		}
+	} else if leader := n.election.Leader(); leader != "" && leader != n.Cfg.Node {
+		if status, out, err := n.ask(leader, peer.Show, []byte(id), askWait); err == nil && status == 200 {
+			if r, ok := decodeReply(status, out); ok {
+				n.finals.put(r.Body.(wire.JobStatus))
+				return r
+			}
+		}
+	}
+	r, err := n.read(id)
+	if err != nil {
+		if r, ok := n.relay(peer.Read, []byte(id)); ok {
+			if s, ok := r.Body.(wire.JobStatus); ok {
+				n.finals.put(s)
+			}
+			return r
+		}
+		return front.Later(503, 1)
+	}
+	return r
+}
+
+// read answers from the store, by one read of the job's keys.
+func (n *Node) read(id string) (front.Reply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
+	defer cancel()
+	prefix := "job/" + id + "/"
+	page, err := n.Store.Range(ctx, store.Routine, prefix, "", 1000)
+	if err != nil {
+		return front.Reply{}, err
+	}
+	s := wire.JobStatus{ID: id, State: wire.JobPending}
+	var spec *wire.Job
+	for _, it := range page.Items {
+		switch rest := strings.TrimPrefix(it.Key, prefix); {
+		case rest == "end":
+			var e model.EndRecord
+			if err := wire.Unmarshal(it.Value, &e); err != nil {
+				return front.Reply{}, err
+			}
+			s.State = e.State
+		case rest == "spec":
+			spec = &wire.Job{}
+			if err := wire.Unmarshal(it.Value, spec); err != nil {
+				return front.Reply{}, err
+			}
+		case strings.HasPrefix(rest, "run/"):
+			var rec model.ChunkRecord
+			if err := wire.Unmarshal(it.Value, &rec); err != nil {
+				return front.Reply{}, err
+			}
+			for _, d := range rec.Done {
+				s.Done += d[1] - d[0] + 1
+			}
+			s.Running += len(rec.Places)
+		}
+	}
+	switch {
+	case spec == nil && !s.State.Final():
+		return front.Fail(404, "no such job"), nil
+	case s.State == wire.JobDone:
+		if spec != nil {
+			s.Done = spec.Tasks
+		}
+		s.Running = 0
+	case s.State == wire.JobAborted:
+		s.Running = 0
+	case s.Running > 0:
+		s.State = wire.JobRunning
+	}
+	n.finals.put(s)
+	return front.Reply{Status: 200, Body: s}, nil
+}
+
+// Withdraw cancels a job; only the leader can.
+func (n *Node) Withdraw(id string) front.Reply {
+	if s, ok := n.finals.get(id); ok {
+		return front.Reply{Status: 200, Body: s}
+	}
+	if l := n.leading(); l != nil {
+		return n.withdrawHere(l, id)
+	}
+	leader := n.election.Leader()
+	if leader != "" && leader != n.Cfg.Node {
+		if status, out, err := n.ask(leader, peer.Withdraw, []byte(id), relayWait); err == nil {
+			if r, ok := decodeReply(status, out); ok {
+				if s, ok := r.Body.(wire.JobStatus); ok {
+					n.finals.put(s)
+				}
+				return r
+			}
+		}
+	}
+	return front.Later(503, 1)
+}
+
+func (n *Node) withdrawHere(l *Lead, id string) front.Reply {
+	r := l.withdraw(id)
+	if r.Status == 404 {
+		// Not in memory yet, perhaps: the store decides.
+		got, err := n.read(id)
+		if err != nil {
+			return front.Later(503, 1)
+		}
+		if s, ok := got.Body.(wire.JobStatus); ok && got.Status == 200 && s.State.Final() || got.Status == 404 {
+			return got
+		}
+		return front.Later(503, 1)
+	}
+	if s, ok := r.Body.(wire.JobStatus); ok {
+		n.finals.put(s)
+	}
+	return r
+}
+
+// peerCall answers another node.
+func (n *Node) peerCall(_ context.Context, call string, body []byte) (int, []byte) {
+	var r front.Reply
+	switch call {
+	case peer.Submit:
+		r = n.submit(body, false)
+	case peer.Read:
+		got, err := n.read(string(body))
+		if err != nil {
+			return 503, nil
+		}
+		r = got
+	case peer.Show, peer.Withdraw, peer.Notify:
+		l := n.leading()
+		if l == nil {
+			return 421, nil
+		}
+		switch call {
+		case peer.Show:
+			s, ok := l.show(string(body))
+			if !ok {
+				return 503, nil // the asker reads the store
+			}
+			r = front.Reply{Status: 200, Body: s}
+		case peer.Withdraw:
+			if !wire.ValidJobID(string(body)) {
+				return 400, nil
+			}
+			r = n.withdrawHere(l, string(body))
+		case peer.Notify:
+			var job wire.Job
+			if wire.Unmarshal(body, &job) != nil || !wire.ValidJobID(job.ID) || job.Tasks < 1 {
+				return 400, nil
+			}
+			l.post(func() { l.addJob(job) })
+			return 200, nil
+		}
+	}
+	out, err := wire.Marshal(r.Body)
+	if err != nil {
+		return 500, nil
+	}
+	return r.Status, out
+}
+
+// Beat answers a worker's report. Only the leader may; the others say who leads.
+func (n *Node) Beat(body []byte) front.Reply {
+	l := n.leading()
+	if l == nil {
+		leader := n.election.Leader()
+		if leader == "" || leader == n.Cfg.Node {
+			return front.Later(503, 1)
+		}
+		return front.Reply{Status: 421, Body: wire.Redirect{Leader: leader}}
+	}
+	if len(body) > wire.MaxBody {
+		return front.Fail(400, "too large")
+	}
+	r, err := wire.DecodeReport(body)
+	if err != nil {
+		return front.Fail(400, err.Error())
+	}
+	return l.beat(r)
+}
--- /dev/null
+++ b/internal/model/job.go
@@ -0,0 +1,303 @@
+package model
+
+import (
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/wire"
+)
+
+// ChunkTasks is how many tasks share one record in the store.
+const ChunkTasks = 64
+
+// JobState is a job's state in the leader's picture.
+type JobState uint8
+
+// The states of a job.
+const (
+	Active    JobState = iota
+	Finishing          // all tasks are done, its end is being written
+	Aborting           // its withdrawal is being written
+	Done
+	Aborted
+)
+
+func (s JobState) String() string {
+	return [...]string{"active", "finishing", "aborting", "done", "aborted"}[s]
+}
+
+var jobMoves = map[[2]JobState]bool{
+	{Active, Finishing}: true, {Active, Aborting}: true, {Finishing, Done}: true,
+	{Finishing, Aborted}: true, {Aborting, Aborted}: true, {Aborting, Done}: true,
+	{Active, Done}: true, {Active, Aborted}: true,
+}
+
+// Task is one task of a job.
+type Task struct {
+	Attempt   uint32 // the highest attempt number used
+	Held      uint8  // places not proven free
+	Done      bool
+	Queued    bool
+	Fails     uint8
+	NotBefore micro.Time
+}
+
+// Chunk is the record of some of a job's tasks.
+type Chunk struct {
+	Job      *Job
+	N        int
+	Places   []*Place
+	Ver      uint64 // version of what is in memory
+	Saved    uint64 // version known to be in the store
+	Flight   uint64 // version being written, 0: none
+	Stamp    uint64 // the key's version in the store
+	Verify   bool   // an uncertain write: the key must be read again
+	Pressing bool   // a start waits for it
+}
+
+// Job is a job with its tasks.
+type Job struct {
+	Spec      wire.Job
+	State     JobState
+	Tasks     []Task
+	Chunks    []*Chunk
+	Team      *Team
+	Class     *Class
+	Submitted micro.Time // on the steady clock
+	DoneN     int
+	RunningN  int
+	HeldN     int
+	ZoneHeld  map[string]int
+	GangTry   uint32
+	GangStop  bool // the gang's attempt is being wound up
+	FailedOn  map[string]bool
+	NotBefore micro.Time
+	Level     int
+	EndStamp  uint64
+	Saved     micro.Time // progress kept in checkpoints, of the longest task
+	Started   bool
+
+	fresh int     // tasks from here on were never queued
+	queue []int32 // tasks to place again
+}
+
+// become is the one place where a job's state changes.
+func (c *Cluster) become(j *Job, to JobState) {
+	if j.State == to {
+		return
+	}
+	if !jobMoves[[2]JobState{j.State, to}] {
+		c.Log("job state refused", "job", j.Spec.ID, "from", j.State.String(), "to", to.String())
+		return
+	}
+	j.State = to
+	if to != Active {
+		delete(c.Pending, j)
+		delete(c.Live, j)
+		c.leaveTeam(j)
+	}
+}
+
+func (c *Cluster) leaveTeam(j *Job) {
+	if j.Team == nil {
+		return
+	}
+	u := j.Team.unfinished
+	for i, x := range u {
+		if x == j {
+			j.Team.unfinished = append(u[:i], u[i+1:]...)
+			break
+		}
+	}
+}
+
+// AddJob takes in a job; a known one is returned as it is.
+func (c *Cluster) AddJob(spec wire.Job, submitted micro.Time) *Job {
+	if j := c.Jobs[spec.ID]; j != nil {
+		return j
+	}
+	j := &Job{
+		Spec: spec, Tasks: make([]Task, spec.Tasks), Submitted: submitted,
+		Team: c.Teams[spec.Team], Class: c.Class(spec.Class), Level: spec.Priority.Level(),
+		ZoneHeld: map[string]int{},
+	}
+	for n := 0; n*ChunkTasks < spec.Tasks; n++ {
+		j.Chunks = append(j.Chunks, &Chunk{Job: j, N: n})
+	}
+	c.Jobs[spec.ID] = j
+	c.Live[j] = true
+	c.Pending[j] = true
+	if j.Team != nil {
+		// Kept in the order of submission, for guarantees.
+		u := append(j.Team.unfinished, j)
+		for i := len(u) - 1; i > 0 && u[i-1].Submitted > u[i].Submitted; i-- {
+			u[i-1], u[i] = u[i], u[i-1]
+		}
+		j.Team.unfinished = u
+	}
+	j.Class.Last = &j.Spec
+	for range min(spec.Tasks, 50) {
+		j.Class.Arrivals = append(j.Class.Arrivals, submitted)
+	}
+	if n := len(j.Class.Arrivals); n > 400 {
+		j.Class.Arrivals = append([]micro.Time(nil), j.Class.Arrivals[n-200:]...)
+	}
+	c.Changed()
+	return j
+}
+
+// Guaranteed reports whether the job fits its team's guarantee together with
+// the team's earlier unfinished jobs. An amount of 0 guarantees nothing of that
+// kind, and a team without any guarantee has none.
+func (j *Job) Guaranteed() bool {
+	t := j.Team
+	if t == nil || t.CPUs <= 0 && t.GPUs <= 0 {
+		return false
+	}
+	var cpus, gpus float64
+	for _, x := range t.unfinished {
+		n := float64(len(x.Tasks) - x.DoneN)
+		cpus += n * x.Spec.CPUs
+		gpus += n * x.Spec.GPUs
+		if x == j {
+			break
+		}
+	}
+	return (t.CPUs <= 0 || cpus <= t.CPUs) && (t.GPUs <= 0 || gpus <= t.GPUs)
+}
+
+// Chunk is the record that holds a task.
+func (j *Job) Chunk(index int) *Chunk { return j.Chunks[index/ChunkTasks] }
+
+// touch notes that a task's record changed.
+func (c *Cluster) touch(j *Job, index int) *Chunk {
+	ch := j.Chunk(index)
+	ch.Ver++
+	c.Touch(ch)
+	return ch
+}
+
+// Waiting is how many tasks wait for a place.
+func (j *Job) Waiting() int {
+	if j.State != Active {
+		return 0
+	}
+	return len(j.queue) + len(j.Tasks) - j.fresh
+}
+
+// requeue puts a task back in line.
+func (c *Cluster) requeue(j *Job, index int) {
+	t := &j.Tasks[index]
+	if j.State != Active || t.Done || t.Queued || t.Held > 0 || index >= j.fresh {
+		return
+	}
+	t.Queued = true
+	j.queue = append(j.queue, int32(index))
+	c.Pending[j] = true
+	c.Changed()
+}
+
+// Next gives up to n tasks that may be placed now, without taking them.
+func (j *Job) Next(now micro.Time, n int) []int {
+	if j.State != Active || j.NotBefore > now {
+		return nil
+	}
+	var out []int
+	for _, i := range j.queue {
+		if len(out) == n {
+			return out
+		}
+		t := &j.Tasks[i]
+		if t.NotBefore <= now && t.Held == 0 && !t.Done {
+			out = append(out, int(i))
+		}
+	}
+	for i := j.fresh; i < len(j.Tasks) && len(out) < n; i++ {
+		if t := &j.Tasks[i]; t.Held == 0 && !t.Done {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// take removes a task from the line.
+func (c *Cluster) take(j *Job, index int) {
+	if index >= j.fresh {
+		for i := j.fresh; i < index; i++ { // skipped ones go to the queue
+			if t := &j.Tasks[i]; !t.Done && t.Held == 0 && !t.Queued {
+				t.Queued = true
+				j.queue = append(j.queue, int32(i))
+			}
+		}
+		j.fresh = index + 1
+	} else {
+		for k, i := range j.queue {
+			if int(i) == index {
+				j.queue = append(j.queue[:k], j.queue[k+1:]...)
+				break
+			}
+		}
+		j.Tasks[index].Queued = false
+	}
+	for j.fresh < len(j.Tasks) && (j.Tasks[j.fresh].Done || j.Tasks[j.fresh].Held > 0) {
+		j.fresh++
+	}
+	if j.Waiting() == 0 {
+		delete(c.Pending, j)
+	}
+}
+
+// finishTask notes that a task is done.
+func (c *Cluster) finishTask(j *Job, index int) {
+	t := &j.Tasks[index]
+	if t.Done || j.State == Done || j.State == Aborted {
+		return
+	}
+	t.Done = true
+	j.DoneN++
+	if t.Queued || index >= j.fresh {
+		c.take(j, index)
+	}
+	c.touch(j, index)
+	if j.DoneN == len(j.Tasks) && j.State == Active {
+		c.become(j, Finishing)
+		c.Finished(j)
+	}
+}
+
+// BeginAbort notes that a withdrawal is about to be written.
+func (c *Cluster) BeginAbort(j *Job) { c.become(j, Aborting) }
+
+// End settles a job for good and winds its tasks up.
+func (c *Cluster) End(j *Job, aborted bool, now micro.Time) {
+	if aborted {
+		c.become(j, Aborted)
+	} else {
+		c.become(j, Done)
+	}
+	for _, p := range j.AllPlaces() {
+		c.Stop(p, "job over", 0, now)
+	}
+	c.Changed()
+}
+
+// AllPlaces lists the places that the job's tasks hold.
+func (j *Job) AllPlaces() []*Place {
+	var out []*Place
+	for _, ch := range j.Chunks {
+		out = append(out, ch.Places...)
+	}
+	return out
+}
+
+// Status is what a user is told.
+func (j *Job) Status() wire.JobStatus {
+	s := wire.JobStatus{ID: j.Spec.ID, State: wire.JobPending, Done: j.DoneN, Running: j.RunningN}
+	switch {
+	case j.State == Done:
+		s.State, s.Done, s.Running = wire.JobDone, len(j.Tasks), 0
+	case j.State == Aborted:
+		s.State = wire.JobAborted
+	case j.RunningN > 0 || j.Started && j.HeldN > 0:
+		s.State = wire.JobRunning
+	}
+	return s
+}
--- /dev/null
+++ b/internal/model/machine.go
@@ -0,0 +1,195 @@
+package model
+
+import (
+	"sort"
+
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/wire"
+)
+
+// MachineState is the state of a machine.
+type MachineState uint8
+
+// The states of a machine.
+const (
+	Unheard   MachineState = iota // rented, listed or recorded; no report in this term
+	Up                            // reports
+	Silent                        // reported, and stopped doing so
+	Lost                          // its worker's lease surely ran out
+	Returning                     // asked to be returned
+	Gone                          // the cloud said so
+)
+
+func (s MachineState) String() string {
+	return [...]string{"unheard", "up", "silent", "lost", "returning", "gone"}[s]
+}
+
+// PlaceKey names an attempt on a machine.
+type PlaceKey struct {
+	Task    string
+	Attempt uint64
+}
+
+// exit is an ended attempt that the worker still lists.
+type exit struct {
+	chunk  *Chunk // whose version must be saved before it is forgotten
+	ver    uint64
+	direct uint64 // a token above this one must have been seen
+}
+
+// Machine is a machine and its worker.
+type Machine struct {
+	Name       string
+	Addr       string
+	Type       *Type
+	TypeName   string
+	Zone       string
+	Spot       bool
+	State      MachineState
+	Session    uint64
+	Seq        uint64
+	Token      uint64
+	Heard      micro.Time // last report received
+	FirstHeard micro.Time
+	LostSess   uint64 // sessions up to this one surely ended
+	Places     map[PlaceKey]*Place
+	Images     map[string]micro.Time // images fetched, last use
+	UsedCPU    float64
+	UsedGPU    float64
+	UsedMem    float64
+	UsedScaled float64
+	IdleSince  micro.Time
+	Rented     micro.Time // when it was rented, as far as known
+	Base       bool       // here before the service: never returned for being idle
+	Listed     micro.Time // last list that showed it; 0: none
+	ListState  wire.MachineState
+	NoticeAt   micro.Time // the cloud takes it then; 0: no notice
+	Drain      bool       // takes no new tasks
+	Slow       float64    // run times here against the type's; 0: unknown
+	SlowN      int
+	Errors     map[string]bool // jobs that failed here
+	Avoid      micro.Time      // takes no tasks until then
+	Wanted     micro.Time      // last time that headroom counted on it
+	Busy       bool            // a direct order is under way
+	Again      bool            // more came up meanwhile
+	RetryAt    micro.Time      // no direct order before
+	Reserve    *Job            // being cleared for this job
+	ReserveAt  micro.Time
+	Hire       string
+
+	exits map[PlaceKey]*exit
+}
+
+var machineMoves = map[MachineState][]MachineState{
+	Unheard:   {Up, Lost, Returning, Gone, Silent},
+	Up:        {Silent, Lost, Returning, Gone},
+	Silent:    {Up, Lost, Returning, Gone},
+	Lost:      {Up, Returning, Gone},
+	Returning: {Gone},
+}
+
+// Become is the one place where a machine's state changes.
+func (c *Cluster) Become(m *Machine, to MachineState, why string) bool {
+	if m.State == to {
+		return false
+	}
+	for _, s := range machineMoves[m.State] {
+		if s == to {
+			c.Log("machine", "machine", m.Name, "was", m.State.String(), "is", to.String(), "why", why)
+			m.State = to
+			c.Changed()
+			return true
+		}
+	}
+	return false
+}
+
+// Machine finds or makes a machine.
+func (c *Cluster) Machine(name string, now micro.Time) *Machine {
+	m := c.Machines[name]
+	if m == nil {
+		m = &Machine{
+			Name: name, Places: map[PlaceKey]*Place{}, exits: map[PlaceKey]*exit{},
+			Images: map[string]micro.Time{}, Errors: map[string]bool{}, Rented: now, IdleSince: now,
+		}
+		c.Machines[name] = m
+		c.list = nil
+	}
+	return m
+}
+
+// Describe fills in what a machine is.
+func (c *Cluster) Describe(m *Machine, typ, zone string, spot bool) {
+	m.TypeName, m.Zone, m.Spot = typ, zone, spot
+	m.Type = c.Types[typ]
+}
+
+// Usable reports whether new tasks may be placed on the machine.
+func (m *Machine) Usable(now micro.Time) bool {
+	return m.State == Up && m.Type != nil && !m.Drain && m.NoticeAt == 0 && m.Avoid <= now
+}
+
+// lastSign is the latest time from which the worker's lease may count: its last
+// report received, or the takeover, before which another leader may have
+// answered it.
+func (c *Cluster) lastSign(m *Machine) micro.Time { return max(m.Heard, c.Began) }
+
+// LeaseOut reports whether the worker's lease surely ran out.
+func (c *Cluster) LeaseOut(m *Machine, now micro.Time) bool {
+	return now > c.lastSign(m)+c.Lease
+}
+
+// Lose frees everything on a machine whose worker's lease surely ran out.
+func (c *Cluster) Lose(m *Machine, now micro.Time) {
+	c.Become(m, Lost, "its lease ran out")
+	m.LostSess = max(m.LostSess, m.Session)
+	for _, p := range m.sorted() {
+		m.LostSess = max(m.LostSess, p.Session)
+		c.free(p, now)
+	}
+	clear(m.exits)
+}
+
+// Depart frees everything on a machine that the cloud says is gone.
+func (c *Cluster) Depart(m *Machine, now micro.Time) {
+	if m.State != Returning {
+		c.Become(m, Returning, "returned")
+	}
+	c.Become(m, Gone, "the cloud said so")
+	for _, p := range m.sorted() {
+		c.free(p, now)
+	}
+	delete(c.Machines, m.Name)
+	c.list = nil
+	c.Gone[m.Name] = true
+}
+
+// sorted lists the places in a fixed order, so that runs repeat.
+func (m *Machine) sorted() []*Place {
+	out := make([]*Place, 0, len(m.Places))
+	for _, p := range m.Places {
+		out = append(out, p)
+	}
+	sort.Slice(out, func(a, b int) bool {
+		if out[a].Name != out[b].Name {
+			return out[a].Name < out[b].Name
+		}
+		return out[a].Attempt < out[b].Attempt
+	})
+	return out
+}
+
+// Sorted lists the machine's places in a fixed order.
+func (m *Machine) Sorted() []*Place { return m.sorted() }
+
+// List gives the machines in the order of their names.
+func (c *Cluster) List() []*Machine {
+	if c.list == nil {
+		c.list = make([]*Machine, 0, len(c.Machines))
+		for _, m := range c.Machines {
+			c.list = append(c.list, m)
+		}
+		sort.Slice(c.list, func(a, b int) bool { return c.list[a].Name < c.list[b].Name })
+	}
+	return c.list
+}
--- /dev/null
+++ b/internal/model/model.go
@@ -0,0 +1,118 @@
+// Package model holds the leader's picture of the cluster: jobs, tasks, gangs,
+// machines and the places that tasks take on them. It does no I/O and reads no
+// clock; one goroutine owns it.
+//
+// A place stays taken until it is proven free. See Cluster.free for the proofs.
+package model
+
+import (
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/wire"
+)
+
+// Type is a machine type with its learnt speed.
+type Type struct {
+	wire.MachineType
+	Index int
+	K     float64
+}
+
+// Team counts what a team's places take.
+type Team struct {
+	Name             string
+	CPUs, CPUsMax    float64
+	GPUs, GPUsMax    float64
+	UsedCPU, UsedGPU float64
+	unfinished       []*Job
+}
+
+// Allows reports whether the team's limits leave room for n more such tasks.
+func (t *Team) Allows(cpus, gpus float64, n int) bool {
+	const eps = 1e-9
+	k := float64(n)
+	return (t.CPUsMax <= 0 || t.UsedCPU+k*cpus <= t.CPUsMax+eps) &&
+		(t.GPUsMax <= 0 || t.UsedGPU+k*gpus <= t.GPUsMax+eps)
+}
+
+// Class is what has been learnt about a class of jobs.
+type Class struct {
+	Name     string
+	Bias     float64 // run time shown, over the owner's estimate
+	samples  int
+	Arrivals []micro.Time // times of recent submissions, a time per task
+	Last     *wire.Job
+	Quick    micro.Time // tightest objective on starting; 0: none
+}
+
+// Effects are what a change of the model asks its owner to do.
+type Effects interface {
+	Touch(c *Chunk)                // the chunk must be written
+	Press(c *Chunk)                // and soon: a start waits for it
+	Kick(m *Machine)               // the machine has orders worth sending directly
+	Finished(j *Job)               // all tasks are done: write the end
+	Ran(p *Place, took micro.Time) // an attempt completed after running for so long
+	Changed()                      // placement may find more than before
+	Log(event string, args ...any) // one line for operators
+}
+
+// Cluster is the whole picture.
+type Cluster struct {
+	Effects
+	Jobs     map[string]*Job
+	Machines map[string]*Machine
+	Teams    map[string]*Team
+	Types    map[string]*Type
+	Order    []*Type
+	Classes  map[string]*Class
+	Gone     map[string]bool // machines returned in this term
+	Lease    micro.Time      // the workers' lease, with room for drift
+	Wait     micro.Time      // a gang's wait for its members
+	Began    micro.Time      // when this node took over
+	BaseTok  uint64          // lowest token of this term
+	ErrJobs  int             // jobs failing on a machine before it is avoided
+	Pending  map[*Job]bool   // active jobs with tasks to place
+	Live     map[*Job]bool   // active jobs
+
+	list []*Machine
+}
+
+// New makes an empty picture.
+func New(fx Effects) *Cluster {
+	return &Cluster{
+		Effects: fx, Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Teams: map[string]*Team{},
+		Types: map[string]*Type{}, Classes: map[string]*Class{}, Gone: map[string]bool{},
+		Pending: map[*Job]bool{}, Live: map[*Job]bool{}, ErrJobs: 2,
+	}
+}
+
+// SetCatalog takes over the cloud's machine types, keeping learnt speeds.
+func (c *Cluster) SetCatalog(cat *wire.Catalog) {
+	c.Order = c.Order[:0]
+	for i, mt := range cat.Types {
+		t := c.Types[mt.Name]
+		if t == nil {
+			t = &Type{K: 1}
+			c.Types[mt.Name] = t
+		}
+		t.MachineType, t.Index = mt, i
+		c.Order = append(c.Order, t)
+	}
+}
+
+// Class finds or makes a class.
+func (c *Cluster) Class(name string) *Class {
+	cl := c.Classes[name]
+	if cl == nil {
+		cl = &Class{Name: name, Bias: 1}
+		c.Classes[name] = cl
+	}
+	return cl
+}
+
+// Learn takes a completed run into the class's bias of estimates.
+func (cl *Class) Learn(ratio float64) {
+	ratio = min(max(ratio, 0.2), 5)
+	cl.samples++
+	w := max(1/float64(cl.samples+2), 0.05) // two samples' weight on "right"
+	cl.Bias += w * (ratio - cl.Bias)
+}
--- /dev/null
+++ b/internal/model/record.go
@@ -0,0 +1,115 @@
+package model
+
+import (
+	"sort"
+
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/wire"
+)
+
+// PlaceRecord is a taken place in a chunk's record.
+type PlaceRecord struct {
+	Index   int        `msgpack:"i" json:"i"`
+	Attempt wire.Count `msgpack:"a" json:"a"`
+	Machine string     `msgpack:"m" json:"m"`
+	Session wire.Count `msgpack:"s" json:"s"`
+}
+
+// ChunkRecord is a chunk of tasks as the store keeps it.
+type ChunkRecord struct {
+	Places []PlaceRecord `msgpack:"p" json:"p"`
+	Done   [][2]int      `msgpack:"d" json:"d"` // first and last of each range
+	Tries  [][2]int      `msgpack:"t" json:"t"` // task and attempt, where no place is taken
+}
+
+// EndRecord is the end of a job: created once, the first one wins.
+type EndRecord struct {
+	State wire.JobState `msgpack:"state" json:"state"`
+}
+
+// Record builds the chunk's record from the model.
+func (ch *Chunk) Record() ChunkRecord {
+	rec := ChunkRecord{Places: []PlaceRecord{}, Done: [][2]int{}, Tries: [][2]int{}}
+	held := map[int]bool{}
+	for _, p := range ch.Places {
+		held[p.Index] = true
+		rec.Places = append(rec.Places, PlaceRecord{p.Index, wire.Count(p.Attempt), p.Machine.Name, wire.Count(p.Session)})
+	}
+	sort.Slice(rec.Places, func(a, b int) bool { return rec.Places[a].Index < rec.Places[b].Index })
+	first := ch.N * ChunkTasks
+	for i := first; i < min(first+ChunkTasks, len(ch.Job.Tasks)); i++ {
+		t := &ch.Job.Tasks[i]
+		switch {
+		case t.Done:
+			if n := len(rec.Done); n > 0 && rec.Done[n-1][1] == i-1 {
+				rec.Done[n-1][1] = i
+			} else {
+				rec.Done = append(rec.Done, [2]int{i, i})
+			}
+		case t.Attempt > 0 && !held[i]:
+			rec.Tries = append(rec.Tries, [2]int{i, int(t.Attempt)})
+		}
+	}
+	return rec
+}
+
+// Restore reads a chunk's record into a job that was just added. Every place in
+// it counts as taken, with a start that may still be under way.
+func (c *Cluster) Restore(j *Job, n int, rec *ChunkRecord, stamp uint64, now micro.Time) {
+	if n < 0 || n >= len(j.Chunks) {
+		return
+	}
+	ch := j.Chunks[n]
+	ch.Stamp = stamp
+	ok := func(i int) bool { return i >= 0 && i < len(j.Tasks) && i/ChunkTasks == n }
+	for _, t := range rec.Tries {
+		if ok(t[0]) {
+			j.Tasks[t[0]].Attempt = uint32(t[1])
+			j.GangTry = max(j.GangTry, uint32(t[1]))
+		}
+	}
+	for _, r := range rec.Done {
+		for i := r[0]; i <= r[1] && ok(i); i++ {
+			if !j.Tasks[i].Done {
+				j.Tasks[i].Done = true
+				j.DoneN++
+				c.take(j, i)
+			}
+		}
+	}
+	for _, r := range rec.Places {
+		if !ok(r.Index) {
+			continue
+		}
+		if j.State == Active && !j.Tasks[r.Index].Done {
+			c.take(j, r.Index)
+		}
+		j.Tasks[r.Index].Attempt = max(j.Tasks[r.Index].Attempt, uint32(r.Attempt))
+		j.GangTry = max(j.GangTry, uint32(r.Attempt))
+		m := c.Machine(r.Machine, now)
+		p := &Place{
+			Job: j, Index: r.Index, Name: wire.TaskName(j.Spec.ID, r.Index), Attempt: uint64(r.Attempt),
+			Machine: m, Session: uint64(r.Session), State: Starting, Direct: c.BaseTok - 1,
+			Scaled: j.Spec.CPUs, Planned: now, known: true,
+		}
+		c.hold(p)
+	}
+}
+
+// Restored completes a takeover: all records have been read.
+func (c *Cluster) Restored(now micro.Time) {
+	for _, j := range c.Jobs {
+		switch {
+		case j.State == Aborted:
+			for _, p := range j.AllPlaces() {
+				c.Stop(p, "job over", 0, now)
+			}
+		case j.State == Active && j.DoneN == len(j.Tasks):
+			c.become(j, Finishing)
+			c.Finished(j)
+		case j.State == Active && j.Spec.Kind == wire.Gang && j.HeldN > 0 && j.HeldN < len(j.Tasks):
+			// Only part of the attempt was written: it never started whole.
+			c.gangLost(j, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,118 @@
+// Package peer carries what the service's own processes say to one another:
+// HTTP/2 streams without encryption, by net/http, since fasthttp has none.
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/wire"
+)
+
+// Calls between nodes.
+const (
+	Show     = "/peer/show"     // a job's status, from the leader's memory
+	Withdraw = "/peer/withdraw" // cancel a job; the leader only
+	Submit   = "/peer/submit"   // submit on behalf of a node the store refuses
+	Read     = "/peer/read"     // a job's status, from the store
+	Notify   = "/peer/notify"   // a job was accepted
+	Metrics  = "/metrics"       // latency histograms, for operators
+)
+
+// ErrUnreachable means that no answer came in time.
+var ErrUnreachable = errors.New("peer: no answer")
+
+// Handler answers a call with a status and a body.
+type Handler func(ctx context.Context, call string, body []byte) (int, []byte)
+
+// Client calls the other nodes.
+type Client struct {
+	addrs map[string]string
+	http  *http.Client
+}
+
+func protocols() *http.Protocols {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	return &p
+}
+
+// NewClient makes a client for nodes by name.
+func NewClient(addrs map[string]string) *Client {
+	dialer := &net.Dialer{Timeout: 500 * time.Millisecond}
+	return &Client{addrs: addrs, http: &http.Client{Transport: &http.Transport{
+		Protocols:       protocols(),
+		DialContext:     dialer.DialContext,
+		IdleConnTimeout: 60 * time.Second,
+		// A cut leaves connections that never answer: ping them.
+		HTTP2: &http.HTTP2Config{SendPingTimeout: 2 * time.Second, PingTimeout: time.Second},
+	}}}
+}
+
+// Names lists the other nodes.
+func (c *Client) Names() []string {
+	var out []string
+	for n := range c.addrs {
+		out = append(out, n)
+	}
+	return out
+}
+
+// Call asks a node.
+func (c *Client) Call(ctx context.Context, node, call string, body []byte, wait micro.Time) (int, []byte, error) {
+	addr, ok := c.addrs[node]
+	if !ok {
+		return 0, nil, ErrUnreachable
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait.Std())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+addr+call, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, errors.Join(ErrUnreachable, err)
+	}
+	defer resp.Body.Close()
+	out, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxBody+1))
+	if err != nil {
+		return 0, nil, errors.Join(ErrUnreachable, err)
+	}
+	return resp.StatusCode, out, nil
+}
+
+// Serve answers the other nodes on a listener until the context ends.
+func Serve(ctx context.Context, ln net.Listener, h Handler, metrics func(io.Writer)) error {
+	mux := http.NewServeMux()
+	for _, call := range []string{Show, Withdraw, Submit, Read, Notify} {
+		mux.HandleFunc("POST "+call, func(w http.ResponseWriter, r *http.Request) {
+			body, err := io.ReadAll(io.LimitReader(r.Body, wire.MaxBody+1))
+			if err != nil || len(body) > wire.MaxBody {
+				w.WriteHeader(http.StatusBadRequest)
+				return
+			}
+			status, out := h(r.Context(), call, body)
+			w.Header().Set("Content-Length", strconv.Itoa(len(out)))
+			w.WriteHeader(status)
+			_, _ = w.Write(out)
+		})
+	}
+	mux.HandleFunc("GET "+Metrics, func(w http.ResponseWriter, _ *http.Request) { metrics(w) })
+	p := protocols()
+	p.SetHTTP1(true) // operators read the metrics with any client
+	srv := &http.Server{Handler: mux, Protocols: p, IdleTimeout: 2 * time.Minute, ReadHeaderTimeout: 5 * time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scale/scale.go
@@ -0,0 +1,350 @@
+// Package scale decides what to rent and what to return, from the queue, the
+// objectives and the prices. It reads no clock and does no I/O.
+package scale
+
+import (
+	"math"
+	"sort"
+
+	"notchmux.dev/notchmux/internal/config"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
+	"notchmux.dev/notchmux/internal/sched"
+	"notchmux.dev/notchmux/wire"
+)
+
+// Offer is what the cloud rents: a type in a zone, spot or ordinary.
+type Offer struct {
+	Type string
+	Zone string
+	Spot bool
+}
+
+// Ask is a number of machines to rent.
+type Ask struct {
+	Offer
+	Count int
+}
+
+// Planner remembers what the cloud refused and what is under way.
+type Planner struct {
+	C       *model.Cluster
+	Goals   *sched.Goals
+	Props   *config.Properties
+	Refused map[Offer]micro.Time // until when not to ask again
+	Asked   map[string]Ask       // rentals without an answer yet, by request
+}
+
+// bin is a machine's free room in a plan.
+type bin struct {
+	typ           *model.Type
+	zone          string
+	spot          bool
+	cpu, gpu, mem float64
+	machine       *model.Machine
+	offer         Offer
+	isNew         bool
+	zoneN         map[string]int
+}
+
+func (b *bin) fits(s *wire.Job) int {
+	if !sched.Allowed(s, b.typ, b.zone, b.spot) {
+		return 0
+	}
+	n := math.MaxInt32
+	lim := func(free, need float64) {
+		if need > 0 {
+			n = min(n, int(free/need+1e-9))
+		}
+	}
+	lim(b.cpu, max(s.CPUs, sched.Scaled(s.CPUs, b.typ.K, b.typ.CPUs)))
+	lim(b.gpu, s.GPUs)
+	lim(b.mem, s.MemoryGB)
+	return max(n, 0)
+}
+
+func (b *bin) take(s *wire.Job, n int) {
+	b.cpu -= float64(n) * max(s.CPUs, sched.Scaled(s.CPUs, b.typ.K, b.typ.CPUs))
+	b.gpu -= float64(n) * s.GPUs
+	b.mem -= float64(n) * s.MemoryGB
+}
+
+func newBin(t *model.Type, zone string, spot bool) *bin {
+	return &bin{typ: t, zone: zone, spot: spot, cpu: t.CPUs, gpu: t.GPUs, mem: t.MemoryGB}
+}
+
+// demand is a number of like tasks that need room.
+type demand struct {
+	job   *model.Job // nil: headroom
+	spec  *wire.Job
+	n     int
+	late  micro.Time
+	level int
+}
+
+// expectFactor is how many of a type's boot times a machine may take and still
+// count as room to come; beyond it another is rented.
+const expectFactor = 1.6
+
+// maxNew bounds what one plan rents.
+const maxNew = 12
+
+// Plan says what to rent and which machines to return for being idle.
+func (p *Planner) Plan(now micro.Time) (asks []Ask, idle []*model.Machine) {
+	coming := p.coming(now)
+	demands := p.demands(now)
+	var fresh []*bin
+	for _, d := range demands {
+		left := d.n
+		for _, b := range coming {
+			if left == 0 {
+				break
+			}
+			k := min(left, b.fits(d.spec))
+			if k > 0 {
+				b.take(d.spec, k)
+				left -= k
+			}
+		}
+		zoneN := map[string]int{}
+		for left > 0 && len(fresh) < maxNew {
+			b := p.choose(d, left, zoneN, now)
+			if b == nil {
+				break
+			}
+			k := min(left, b.fits(d.spec))
+			if d.job != nil && d.spec.Spread {
+				k = 1
+			}
+			b.take(d.spec, k)
+			zoneN[b.zone] += k
+			left -= k
+			fresh = append(fresh, b)
+			coming = append(coming, b)
+		}
+	}
+	byOffer := map[Offer]int{}
+	var order []Offer
+	for _, b := range fresh {
+		if byOffer[b.offer] == 0 {
+			order = append(order, b.offer)
+		}
+		byOffer[b.offer]++
+	}
+	for _, o := range order {
+		asks = append(asks, Ask{o, byOffer[o]})
+	}
+	return asks, p.idle(now)
+}
+
+// coming lists the room of machines that are expected to come up.
+func (p *Planner) coming(now micro.Time) []*bin {
+	var out []*bin
+	for _, m := range p.C.List() {
+		if m.State != model.Unheard || m.Type == nil || m.ListState == wire.MachineFailed || len(m.Places) > 0 {
+			continue
+		}
+		if now-m.Rented > micro.Time(float64(micro.Of(m.Type.BootS))*expectFactor)+2*micro.Second {
+			continue
+		}
+		b := newBin(m.Type, m.Zone, m.Spot)
+		b.machine = m
+		out = append(out, b)
+	}
+	names := make([]string, 0, len(p.Asked))
+	for r := range p.Asked {
+		names = append(names, r)
+	}
+	sort.Strings(names)
+	for _, r := range names {
+		a := p.Asked[r]
+		if t := p.C.Types[a.Type]; t != nil {
+			for range a.Count {
+				out = append(out, newBin(t, a.Zone, a.Spot))
+			}
+		}
+	}
+	return out
+}
+
+// demands lists the tasks that found no room, and the headroom that is short.
+func (p *Planner) demands(now micro.Time) []demand {
+	var out []demand
+	quota := map[*model.Team][2]float64{}
+	jobs := make([]*model.Job, 0, len(p.C.Pending))
+	for j := range p.C.Pending {
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(a, b int) bool { return jobs[a].Spec.ID < jobs[b].Spec.ID })
+	for _, j := range jobs {
+		if j.NotBefore > now+10*micro.Second {
+			continue
+		}
+		n := j.Waiting()
+		if t := j.Team; t != nil {
+			q := quota[t]
+			if t.CPUsMax > 0 && j.Spec.CPUs > 0 {
+				n = min(n, int((t.CPUsMax-t.UsedCPU-q[0])/j.Spec.CPUs+1e-9))
+			}
+			if t.GPUsMax > 0 && j.Spec.GPUs > 0 {
+				n = min(n, int((t.GPUsMax-t.UsedGPU-q[1])/j.Spec.GPUs+1e-9))
+			}
+			if n <= 0 || j.Spec.Kind == wire.Gang && n < len(j.Tasks) {
+				continue
+			}
+			q[0] += float64(n) * j.Spec.CPUs
+			q[1] += float64(n) * j.Spec.GPUs
+			quota[t] = q
+		}
+		late := p.Goals.LatestStart(j, now)
+		if !p.pressing(j, late, now) {
+			continue
+		}
+		out = append(out, demand{j, &j.Spec, n, late, j.Level})
+	}
+	out = append(out, p.headroom(now)...)
+	sort.SliceStable(out, func(a, b int) bool {
+		if out[a].level != out[b].level {
+			return out[a].level < out[b].level
+		}
+		return out[a].late < out[b].late
+	})
+	return out
+}
+
+// patience is how long a job with time in hand waits for room to come free
+// before room is rented for it.
+const patience = 8 * micro.Second
+
+func (p *Planner) pressing(j *model.Job, late, now micro.Time) bool {
+	if now-j.Submitted > patience {
+		return true
+	}
+	boot := p.bootOf(&j.Spec)
+	return late-now < 2*boot+30*micro.Second
+}
+
+// bootOf is the shortest boot time among the types that the job may use.
+func (p *Planner) bootOf(s *wire.Job) micro.Time {
+	best := micro.Time(math.MaxInt64 / 4)
+	for _, t := range p.C.Order {
+		for _, z := range t.Zones {
+			if sched.Allowed(s, t, z, false) {
+				best = min(best, micro.Of(t.BootS))
+			}
+		}
+	}
+	return best
+}
+
+// headroom asks for room for the starts expected of classes whose starts are
+// wanted sooner than a machine boots. Room that lower ranks hold counts: they
+// can be preempted.
+func (p *Planner) headroom(now micro.Time) []demand {
+	var out []demand
+	names := make([]string, 0, len(p.C.Classes))
+	for name := range p.C.Classes {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		cl := p.C.Classes[name]
+		quick := p.Goals.Quick(name)
+		if cl.Last == nil || quick == 0 {
+			continue
+		}
+		boot := p.bootOf(cl.Last)
+		if quick >= boot {
+			continue
+		}
+		want := 1 + int(math.Ceil(Rate(cl.Arrivals, now)*boot.Seconds()*p.Props.Headroom))
+		have := 0
+		level := cl.Last.Priority.Level()
+		for _, m := range p.C.List() {
+			if !m.Usable(now) {
+				continue
+			}
+			b := newBin(m.Type, m.Zone, m.Spot)
+			b.cpu, b.gpu, b.mem = m.Type.CPUs-m.UsedScaled, m.Type.GPUs-m.UsedGPU, m.Type.MemoryGB-m.UsedMem
+			b.cpu = min(b.cpu, m.Type.CPUs-m.UsedCPU)
+			for _, pl := range m.Places {
+				if pl.Job != nil && pl.Job.Level > level {
+					b.cpu += pl.Job.Spec.CPUs
+					b.gpu += pl.Job.Spec.GPUs
+					b.mem += pl.Job.Spec.MemoryGB
+				}
+			}
+			if k := b.fits(cl.Last); k > 0 && have < want {
+				have += k
+				m.Wanted = now
+			}
+		}
+		if have < want {
+			spec := *cl.Last
+			out = append(out, demand{nil, &spec, want - have, now + boot, level})
+		}
+	}
+	return out
+}
+
+// Rate is the arrivals a second, robust against a single burst: the mean of the
+// middle two of the last four half-minutes.
+func Rate(arrivals []micro.Time, now micro.Time) float64 {
+	const window = 30 * micro.Second
+	var n [4]int
+	for _, t := range arrivals {
+		if k := (now - t) / window; t <= now && k >= 0 && k < 4 {
+			n[k]++
+		}
+	}
+	sort.Ints(n[:])
+	return float64(n[1]+n[2]) / 2 / window.Seconds()
+}
+
+// choose finds the offer that costs least per task.
+func (p *Planner) choose(d demand, left int, zoneN map[string]int, now micro.Time) *bin {
+	var best *bin
+	bestCost := 0.0
+	for _, t := range p.C.Order {
+		for _, z := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				o := Offer{t.Name, z, spot}
+				if p.Refused[o] > now || !sched.Allowed(d.spec, t, z, spot) {
+					continue
+				}
+				if d.job != nil && !sched.ZoneOK(d.job, z, zoneN) {
+					continue
+				}
+				b := newBin(t, z, spot)
+				k := b.fits(d.spec)
+				if k == 0 {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice * 1.2 // it may be taken back
+				}
+				cost := price / float64(min(k, left)) * (1 + t.BootS/300)
+				if best == nil || cost < bestCost {
+					b.offer, b.isNew = o, true
+					best, bestCost = b, cost
+				}
+			}
+		}
+	}
+	return best
+}
+
+// idle lists rented machines that nobody has needed for a while.
+func (p *Planner) idle(now micro.Time) []*model.Machine {
+	var out []*model.Machine
+	for _, m := range p.C.List() {
+		if m.State != model.Up || m.Base || len(m.Places) > 0 || m.Reserve != nil || m.NoticeAt != 0 {
+			continue
+		}
+		if now-m.IdleSince > p.Props.IdleReturn && now-m.Wanted > 5*micro.Second {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sched/goals.go
@@ -0,0 +1,80 @@
+package sched
+
+import (
+	"notchmux.dev/notchmux/internal/config"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
+)
+
+// Goals are the objectives by class.
+type Goals struct {
+	wait     map[string][]micro.Time
+	finished map[string][]micro.Time
+	deadline map[string][]float64
+}
+
+// NewGoals reads the settings' objectives.
+func NewGoals(list []config.Objective) *Goals {
+	g := &Goals{map[string][]micro.Time{}, map[string][]micro.Time{}, map[string][]float64{}}
+	for _, o := range list {
+		switch o.Kind {
+		case "wait":
+			g.wait[o.Class] = append(g.wait[o.Class], micro.Of(o.WithinS))
+		case "finished":
+			g.finished[o.Class] = append(g.finished[o.Class], micro.Of(o.WithinS))
+		case "deadline":
+			g.deadline[o.Class] = append(g.deadline[o.Class], max(o.Times, 1))
+		}
+	}
+	return g
+}
+
+// Quick is the class's tightest objective on starting, 0 if it has none.
+func (g *Goals) Quick(class string) micro.Time {
+	var q micro.Time
+	for _, w := range g.wait[class] {
+		if q == 0 || w < q {
+			q = w
+		}
+	}
+	return q
+}
+
+// Estimate is how long a task of the job is expected to run, from its owner's
+// estimate and what its class has shown.
+func Estimate(j *model.Job) micro.Time {
+	return micro.Time(float64(micro.Of(j.Spec.EstimateS)) * j.Class.Bias)
+}
+
+const distant = 24 * 3600 * micro.Second
+
+// LatestStart is the latest time at which the job's tasks can start and still
+// meet the nearest objective that can be met; a job past them all comes later
+// than any that is not.
+func (g *Goals) LatestStart(j *model.Job, now micro.Time) micro.Time {
+	run := Estimate(j) + micro.Of(j.Spec.ImageGB)
+	best := distant + j.Submitted
+	look := func(t micro.Time) {
+		if t >= now && t < best {
+			best = t
+		}
+	}
+	if !j.Started {
+		for _, w := range g.wait[j.Spec.Class] {
+			look(j.Submitted + w)
+		}
+	}
+	for _, w := range g.finished[j.Spec.Class] {
+		look(j.Submitted + w - run)
+	}
+	if j.Spec.DeadlineS != nil {
+		due := micro.Of(*j.Spec.DeadlineS)
+		for _, x := range g.deadline[j.Spec.Class] {
+			look(j.Submitted + micro.Time(float64(due)*x) - run)
+		}
+		if len(g.deadline[j.Spec.Class]) == 0 {
+			look(j.Submitted + due - run)
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/wire/job.go
@@ -0,0 +1,213 @@
+package wire
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Kind is the shape of a job.
+type Kind string
+
+// The kinds of job.
+const (
+	Array   Kind = "batch"
+	Gang    Kind = "ensemble"
+	Service Kind = "daemon"
+)
+
+// Priority is a job's rank for preemption.
+type Priority string
+
+// The priorities, highest first.
+const (
+	Production Priority = "prod"
+	High       Priority = "urgent"
+	Normal     Priority = "standard"
+	Low        Priority = "idle"
+)
+
+// Level orders priorities: 0 is the highest.
+func (p Priority) Level() int {
+	switch p {
+	case Production:
+		return 0
+	case High:
+		return 1
+	case Normal:
+		return 2
+	}
+	return 3
+}
+
+// JobState is a job's state as users see it.
+type JobState string
+
+// The states of a job.
+const (
+	JobPending JobState = "pending"
+	JobRunning JobState = "running"
+	JobDone    JobState = "done"
+	JobAborted JobState = "aborted"
+)
+
+// Final reports whether the state can no longer change.
+func (s JobState) Final() bool { return s == JobDone || s == JobAborted }
+
+// MaxTasks is the most tasks a job may have.
+const MaxTasks = 100_000
+
+// Job is a submission.
+type Job struct {
+	ID          string   `msgpack:"nameId" json:"nameId"`
+	Class       string   `msgpack:"jobclass" json:"jobclass"`
+	Team        string   `msgpack:"outfit" json:"outfit"`
+	Kind        Kind     `msgpack:"shape" json:"shape"`
+	Priority    Priority `msgpack:"rank" json:"rank"`
+	Tasks       int      `msgpack:"pieces" json:"pieces"`
+	CPUs        float64  `msgpack:"vcpus" json:"vcpus"`
+	GPUs        float64  `msgpack:"gpus" json:"gpus"`
+	MemoryGB    float64  `msgpack:"ramGb" json:"ramGb"`
+	Image       string   `msgpack:"bundle" json:"bundle"`
+	ImageGB     float64  `msgpack:"pullGb" json:"pullGb"`
+	Types       []string `msgpack:"rigs" json:"rigs"`
+	Zone        *string  `msgpack:"yard" json:"yard"`
+	OneZone     bool     `msgpack:"oneZone" json:"oneZone"`
+	Spread      bool     `msgpack:"scatter" json:"scatter"`
+	Spot        bool     `msgpack:"loaners" json:"loaners"`
+	EstimateS   float64  `msgpack:"guessS" json:"guessS"`
+	CheckpointS float64  `msgpack:"bookmarkS" json:"bookmarkS"`
+	SaveS       float64  `msgpack:"stashS" json:"stashS"`
+	DeadlineS   *float64 `msgpack:"dueS" json:"dueS"`
+	SubmittedAt int64    `msgpack:"at,omitempty" json:"at,omitempty"` // wall clock, microseconds; the store's record only
+}
+
+// JobStatus answers a submission, a poll or a withdrawal.
+type JobStatus struct {
+	ID      string   `msgpack:"nameId" json:"nameId"`
+	State   JobState `msgpack:"status" json:"status"`
+	Done    int      `msgpack:"done" json:"done"`
+	Running int      `msgpack:"running" json:"running"`
+}
+
+// ValidJobID reports whether id has the form of a job's id.
+func ValidJobID(id string) bool {
+	digits, ok := strings.CutPrefix(id, "j-")
+	if !ok || len(digits) == 0 || len(digits) > 40 {
+		return false
+	}
+	for _, r := range digits {
+		if r < '0' || r > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// DecodeJob decodes and validates a submission. Every error means status 400.
+func DecodeJob(body []byte) (*Job, error) {
+	if len(body) > MaxBody {
+		return nil, fmt.Errorf("%w: over %d bytes", ErrMalformed, MaxBody)
+	}
+	var m map[string]any
+	if err := Unmarshal(body, &m); err != nil {
+		return nil, err
+	}
+	if m == nil {
+		return nil, ErrMalformed
+	}
+	f := &fields{m: m}
+	job := &Job{
+		ID: f.text("nameId"), Class: f.text("jobclass"), Team: f.text("outfit"),
+		Kind: Kind(f.text("shape")), Priority: Priority(f.text("rank")),
+		CPUs: f.amount("vcpus"), GPUs: f.amount("gpus"), MemoryGB: f.amount("ramGb"),
+		Image: f.text("bundle"), ImageGB: f.amount("pullGb"),
+		OneZone: f.flag("oneZone"), Spread: f.flag("scatter"), Spot: f.flag("loaners"),
+		EstimateS: f.amount("guessS"), CheckpointS: f.amount("bookmarkS"), SaveS: f.amount("stashS"),
+	}
+	tasks, ok := asCount(m["pieces"])
+	if !ok || tasks < 1 || tasks > MaxTasks {
+		f.fail("pieces")
+	}
+	job.Tasks = int(tasks)
+	if v := m["rigs"]; v != nil {
+		list, ok := v.([]any)
+		if !ok {
+			f.fail("rigs")
+		}
+		job.Types = make([]string, 0, len(list))
+		for _, x := range list {
+			s, ok := x.(string)
+			if !ok {
+				f.fail("rigs")
+			}
+			job.Types = append(job.Types, s)
+		}
+	}
+	if v := m["yard"]; v != nil {
+		s, ok := v.(string)
+		if !ok {
+			f.fail("yard")
+		}
+		job.Zone = &s
+	}
+	if v := m["dueS"]; v != nil {
+		x, ok := asAmount(v)
+		if !ok {
+			f.fail("dueS")
+		}
+		job.DeadlineS = &x
+	}
+	if !ValidJobID(job.ID) {
+		f.fail("nameId")
+	}
+	switch job.Kind {
+	case Array, Gang, Service:
+	default:
+		f.fail("shape")
+	}
+	switch job.Priority {
+	case Production, High, Normal, Low:
+	default:
+		f.fail("rank")
+	}
+	if f.bad != "" {
+		return nil, fmt.Errorf("%w: field %q is missing or invalid", ErrMalformed, f.bad)
+	}
+	return job, nil
+}
+
+// fields reads typed fields and remembers the first that is missing or wrong.
+type fields struct {
+	m   map[string]any
+	bad string
+}
+
+func (f *fields) fail(name string) {
+	if f.bad == "" {
+		f.bad = name
+	}
+}
+
+func (f *fields) text(name string) string {
+	s, ok := f.m[name].(string)
+	if !ok {
+		f.fail(name)
+	}
+	return s
+}
+
+func (f *fields) amount(name string) float64 {
+	x, ok := asAmount(f.m[name])
+	if !ok {
+		f.fail(name)
+	}
+	return x
+}
+
+func (f *fields) flag(name string) bool {
+	b, ok := f.m[name].(bool)
+	if !ok {
+		f.fail(name)
+	}
+	return b
+}
