Count restored places in their true zone; tell cuts from deaths sooner

Second cause seen in the same replay: in a cut the first machines to fall silent looked alone and were returned. Ruled out: a late start; the leader itself chose the zone. Now the record keeps the zone, unknown zones count against every zone, and a machine counts as missing once a report is overdue.

--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -309,9 +309,12 @@
 func (l *Lead) scan(now micro.Time) {
 	cfg := l.n.Cfg
 	lag := micro.Of(cfg.Facts.Cloud.ListLagS)
-	type zone struct{ all, silent int }
+	type zone struct{ all, missing int }
 	zones := map[string]*zone{}
 	up, silent := 0, 0
+	// A machine is missing once a report is overdue, well before it counts as
+	// silent: in a cut, the first to be called silent must not look alone.
+	overdue := micro.Of(cfg.Facts.Workers.ReportS * 1.3)
 	for _, m := range l.c.List() {
 		z := zones[m.Zone]
 		if z == nil {
@@ -321,16 +324,21 @@
 		if m.State == model.Up && now-m.Heard > cfg.SilentAfter {
 			l.c.Become(m, model.Silent, "no reports")
 		}
-		switch m.State {
-		case model.Up:
-			z.all++
+		if m.State == model.Unheard && len(m.Places) == 0 || m.State == model.Returning {
+			continue
+		}
+		quiet := now - max(m.Heard, l.c.Began)
+		if quiet > 2*l.c.Lease {
+			continue
+		}
+		z.all++
+		if quiet > overdue {
+			z.missing++
+		}
+		if m.State == model.Up {
 			up++
-		case model.Silent, model.Lost:
-			z.all++
-			if now-m.Heard < l.c.Lease+20*micro.Second {
-				z.silent++
-				silent++
-			}
+		} else if m.State == model.Silent {
+			silent++
 		}
 	}
 	l.hearing(up, silent, now)
@@ -351,16 +359,17 @@
 			switch {
 			case unlisted && waited > cfg.SilentAfter:
 				l.giveBack(m, "no longer listed, never heard")
-			case m.ListState == wire.MachineRunning && waited > 15*micro.Second && age > 3*boot && now-m.Listed < micro.Minute && l.trust(z.silent, z.all):
+			case m.ListState == wire.MachineRunning && waited > 15*micro.Second && age > 3*boot && now-m.Listed < micro.Minute && l.trust(z.missing, z.all):
 				l.giveBack(m, "listed as running, never heard")
-			case len(m.Places) > 0 && waited > cfg.SilentAfter+4*micro.Second && l.trust(z.silent, z.all):
+			case len(m.Places) > 0 && waited > cfg.SilentAfter+4*micro.Second && l.trust(z.missing, z.all):
 				l.giveBack(m, "silent since the takeover")
-			case m.ListState != wire.MachineRunning && age > micro.Time(float64(boot)*cfg.BootPatience) && !m.Base:
+			case m.ListState == wire.MachineBooting && now-m.Listed < 20*micro.Second && len(m.Places) == 0 &&
+				waited > cfg.SilentAfter && age > micro.Time(float64(boot)*cfg.BootPatience):
 				l.giveBack(m, "did not come up")
 			}
 		case model.Silent:
 			gone := m.NoticeAt != 0 && now > m.NoticeAt+2*micro.Second
-			if unlisted || gone || l.trust(z.silent, z.all) {
+			if unlisted || gone || l.trust(z.missing, z.all) {
 				l.giveBack(m, "silent")
 			}
 		case model.Lost:
@@ -374,8 +383,8 @@
 
 // trust reports whether a zone's silence looks like machines that died rather
 // than like a cut: few are silent against those that report.
-func (l *Lead) trust(silent, all int) bool {
-	return silent <= 1 && all > 1 || silent*3 <= all
+func (l *Lead) trust(missing, all int) bool {
+	return missing <= 1 && all > 1 || missing*3 <= all
 }
 
 // hearing gives the lead to another node if no worker reaches this one: it may
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -118,8 +118,18 @@
 	return m
 }
 
-// Describe fills in what a machine is.
+// Describe fills in what a machine is. Places restored before its zone was
+// known are counted anew: counted under no zone, they once let a spread service
+// put two of its tasks into one.
 func (c *Cluster) Describe(m *Machine, typ, zone string, spot bool) {
+	if m.Zone != zone {
+		for _, p := range m.Places {
+			if p.known {
+				p.Job.ZoneHeld[m.Zone]--
+				p.Job.ZoneHeld[zone]++
+			}
+		}
+	}
 	m.TypeName, m.Zone, m.Spot = typ, zone, spot
 	m.Type = c.Types[typ]
 }
--- a/internal/model/record.go
+++ b/internal/model/record.go
@@ -13,6 +13,7 @@
 	Attempt wire.Count `msgpack:"a" json:"a"`
 	Machine string     `msgpack:"m" json:"m"`
 	Session wire.Count `msgpack:"s" json:"s"`
+	Zone    string     `msgpack:"z" json:"z"`
 }
 
 // ChunkRecord is a chunk of tasks as the store keeps it.
@@ -33,7 +34,7 @@
 	held := map[int]bool{}
 	for _, p := range ch.Places {
 		held[p.Index] = true
-		rec.Places = append(rec.Places, PlaceRecord{p.Index, wire.Count(p.Attempt), p.Machine.Name, wire.Count(p.Session)})
+		rec.Places = append(rec.Places, PlaceRecord{p.Index, wire.Count(p.Attempt), p.Machine.Name, wire.Count(p.Session), p.Machine.Zone})
 	}
 	sort.Slice(rec.Places, func(a, b int) bool { return rec.Places[a].Index < rec.Places[b].Index })
 	first := ch.N * ChunkTasks
@@ -87,6 +88,9 @@
 		j.Tasks[r.Index].Attempt = max(j.Tasks[r.Index].Attempt, uint32(r.Attempt))
 		j.GangTry = max(j.GangTry, uint32(r.Attempt))
 		m := c.Machine(r.Machine, now)
+		if m.Zone == "" && r.Zone != "" {
+			c.Describe(m, m.TypeName, r.Zone, m.Spot)
+		}
 		p := &Place{
 			Job: j, Index: r.Index, Name: wire.TaskName(j.Spec.ID, r.Index), Attempt: uint64(r.Attempt),
 			Machine: m, Session: uint64(r.Session), State: Starting, Direct: c.BaseTok - 1,
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -234,12 +234,13 @@
 func ZoneOK(j *model.Job, zone string, zoneN map[string]int) bool {
 	if j.Spec.OneZone {
 		for z, n := range j.ZoneHeld {
-			if n > 0 && z != zone {
+			if n > 0 && z != zone { // also where the zone is not known
 				return false
 			}
 		}
 	}
-	if j.Spec.Spread && j.ZoneHeld[zone]+zoneN[zone]+1 > (len(j.Tasks)+1)/2 {
+	// A place in a zone that is not known may be in this one.
+	if j.Spec.Spread && j.ZoneHeld[zone]+j.ZoneHeld[""]+zoneN[zone]+1 > (len(j.Tasks)+1)/2 {
 		return false
 	}
 	return true
