Compare machine types only over completed arrays, and ignore small differences

Now an array is compared when it is done, and a k changes only beyond a threshold (the paper's formula 4). Ruled out: true speed differences, the unbiased estimates are 0.96 to 1.05.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -192,6 +192,9 @@
 		l.lastSpeed = now
 		if l.speeds.Dirty() {
 			l.speeds.Apply(l.c)
+			for _, t := range l.c.Order {
+				l.log.Debug("speed", "type", t.Name, "k", t.K, "learnt", l.speeds.Record().K[t.Name])
+			}
 			l.w.speed.touch(now, false)
 		}
 	}
@@ -426,7 +429,11 @@
 func (l *Lead) ended(j *model.Job, state wire.JobState) {
 	now := l.n.Now()
 	l.c.End(j, state == wire.JobAborted, now)
-	l.speeds.Forget(j.Spec.ID)
+	if state == wire.JobDone && len(l.c.Order) > 0 {
+		l.speeds.Finish(j.Spec.ID, l.c.Order[0].Name)
+	} else {
+		l.speeds.Forget(j.Spec.ID)
+	}
 	l.log.Info("job over", "job", j.Spec.ID, "state", string(state), "after_s", (now - j.Submitted).Seconds())
 	for _, ch := range l.waiters[j.Spec.ID] {
 		ch <- front.Reply{Status: 200, Body: j.Status()}
@@ -533,7 +540,7 @@
 		}
 	}
 	if j.Spec.Kind == wire.Array && p.Machine.Type != nil && len(l.c.Order) > 0 && p.Attempt == 1 {
-		l.speeds.Sample(j.Spec.ID, p.Machine.Type.Name, l.c.Order[0].Name, took.Seconds(), j.Spec.CPUs)
+		l.speeds.Sample(j.Spec.ID, p.Machine.Type.Name, took.Seconds(), j.Spec.CPUs)
 	}
 }
 
--- a/internal/sched/score.go
+++ b/internal/sched/score.go
@@ -56,18 +56,15 @@
 	return &Speeds{jobs: map[string]map[string]*mean{}, types: map[string]*mean{}}
 }
 
-// sampleCap bounds the weight of old samples, so that the average can move.
-const sampleCap = 200
-
 // Sample takes in a completed run of an array's task. Failed runs are no
 // samples: a job that fails at once would make a type look fast.
-func (s *Speeds) Sample(job, typ, reference string, tookS, granted float64) {
+func (s *Speeds) Sample(job, typ string, tookS, granted float64) {
 	if tookS <= 1 || granted <= 0 {
 		return
 	}
 	byType := s.jobs[job]
 	if byType == nil {
-		if len(s.jobs) > 200 {
+		if len(s.jobs) > 1000 {
 			clear(s.jobs)
 		}
 		byType = map[string]*mean{}
@@ -77,38 +74,60 @@
 		byType[typ] = &mean{}
 	}
 	byType[typ].add(tookS * granted)
-	ref := byType[reference]
-	if ref == nil || typ == reference {
-		return
-	}
-	s.add(typ, ref.value()/(tookS*granted))
 }
 
-func (s *Speeds) add(typ string, k float64) {
-	m := s.types[typ]
-	if m == nil {
-		m = &mean{}
-		s.types[typ] = m
+// Finish compares the types that a completed array ran on. It must wait for the
+// whole array: short tasks complete first, so a comparison made earlier takes
+// whatever completes later for slow.
+func (s *Speeds) Finish(job, reference string) {
+	byType := s.jobs[job]
+	delete(s.jobs, job)
+	ref := byType[reference]
+	if ref == nil || ref.n < minRuns {
+		return
 	}
-	if m.n >= sampleCap {
-		m.sum -= m.value()
-		m.n--
+	for typ, m := range byType {
+		if typ == reference || m.n < minRuns {
+			continue
+		}
+		k := min(max(ref.value()/m.value(), 0.2), 5)
+		weight := float64(min(ref.n, m.n))
+		t := s.types[typ]
+		if t == nil {
+			t = &mean{}
+			s.types[typ] = t
+		}
+		if f := sampleCap / (float64(t.n) + weight); f < 1 { // old samples fade
+			t.sum *= f
+			t.n = int(float64(t.n) * f)
+		}
+		t.sum += k * weight
+		t.n += int(weight)
+		s.dirty = true
 	}
-	m.add(min(max(k, 0.2), 5))
-	s.dirty = true
 }
 
-// Forget drops a job's samples once it is over.
-func (s *Speeds) Forget(job string) { delete(s.jobs, job) }
+const (
+	sampleCap  = 400  // weight of all samples kept
+	minRuns    = 2    // runs of an array on each type before they are compared
+	minSamples = 16   // weight a type needs before its k leaves 1
+	threshold  = 0.08 // least relative change that updates a k
+)
 
-// minSamples is how many samples a type needs before its k leaves 1.
-const minSamples = 8
+// Forget drops a job's samples.
+func (s *Speeds) Forget(job string) { delete(s.jobs, job) }
 
-// Apply sets each type's k from what was learnt.
+// Apply sets each type's k from what was learnt, where it differs by more than
+// the threshold (the paper's formula 4): smaller differences are noise, and
+// every scaled request pays for them in room.
 func (s *Speeds) Apply(c *model.Cluster) {
 	for name, m := range s.types {
-		if t := c.Types[name]; t != nil && m.n >= minSamples && t.Index > 0 {
-			t.K = m.value()
+		t := c.Types[name]
+		if t == nil || m.n < minSamples || t.Index == 0 {
+			continue
+		}
+		if k := m.value(); math.Abs(1-k/t.K) > threshold {
+			t.K = k
 		}
 	}
 }
