Weigh what dear machines cost: wait for room that comes free, avoid costly GPU hosts

Now, where operators keep no fleet of their own, a machine that adds noticeably to the bill is rented only if room does not come free sooner, and work without GPUs sits on ordinary GPU machines only when it has waited long and would be late.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -79,6 +79,7 @@
 	l.speeds = sched.NewSpeeds()
 	l.placer = &sched.Placer{C: l.c, Goals: l.goals, Props: &n.Cfg.Properties, Rand: rand.New(rand.NewPCG(t.Stamp, 1))}
 	l.planner = &scale.Planner{C: l.c, Goals: l.goals, Props: &n.Cfg.Properties, Refused: map[scale.Offer]micro.Time{}, Asked: map[string]scale.Ask{}}
+	l.placer.Affordable = l.planner.Affordable
 	l.w = newWriter(l)
 	return l
 }
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -95,7 +95,7 @@
 	}
 	for _, s := range machineMoves[m.State] {
 		if s == to {
-			c.Log("machine", "machine", m.Name, "was", m.State.String(), "is", to.String(), "why", why)
+			c.Log("machine", "machine", m.Name, "type", m.TypeName, "spot", m.Spot, "was", m.State.String(), "is", to.String(), "why", why)
 			m.State = to
 			c.Changed()
 			return true
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -43,8 +43,26 @@
 	cpu, gpu, mem float64
 	machine       *model.Machine
 	offer         Offer
-	isNew         bool
-	zoneN         map[string]int
+	frees         []release // room that running tasks are expected to give back
+}
+
+// release is room that comes free at a time.
+type release struct {
+	at            micro.Time
+	cpu, gpu, mem float64
+}
+
+// by is the bin as it will be at a time.
+func (b *bin) by(at micro.Time) bin {
+	v := *b
+	for _, r := range b.frees {
+		if r.at <= at {
+			v.cpu += r.cpu
+			v.gpu += r.gpu
+			v.mem += r.mem
+		}
+	}
+	return v
 }
 
 func (b *bin) fits(s *wire.Job) int {
@@ -92,7 +110,9 @@
 // Plan says what to rent and which machines to return for being idle.
 func (p *Planner) Plan(now micro.Time) (asks []Ask, idle []*model.Machine) {
 	coming := p.coming(now)
+	running := p.running(now)
 	demands := p.demands(now)
+	thrifty, bill := p.thrifty(), p.bill()
 	var fresh []*bin
 	for _, d := range demands {
 		left := d.n
@@ -106,12 +126,31 @@
 				left -= k
 			}
 		}
+		soon := 0
+		if left > 0 && d.level > 0 && thrifty {
+			// A dear machine would take this long to start the work: room that
+			// comes free by then makes it a waste.
+			ready := now + p.readyIn(d.spec)/2
+			for _, b := range running {
+				v := b.by(ready)
+				if k := min(left-soon, v.fits(d.spec)); k > 0 {
+					b.take(d.spec, k)
+					soon += k
+				}
+			}
+		}
 		zoneN := map[string]int{}
 		for left > 0 && len(fresh) < maxNew {
-			b := p.choose(d, left, zoneN, now)
+			b := p.choose(d, left, zoneN, true, now)
+			if b == nil && d.level == 0 {
+				b = p.choose(d, left, zoneN, false, now) // at any price
+			}
 			if b == nil {
 				break
 			}
+			if left <= soon && priceOf(b.offer, b.typ) > p.Props.SmallShare*bill {
+				break
+			}
 			k := min(left, b.fits(d.spec))
 			if d.job != nil && d.spec.Spread {
 				k = 1
@@ -167,6 +206,83 @@
 	return out
 }
 
+func priceOf(o Offer, t *model.Type) float64 {
+	if o.Spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
+// bill is what the fleet costs an hour.
+func (p *Planner) bill() float64 {
+	sum := 0.0
+	for _, m := range p.C.Machines {
+		if m.Type != nil {
+			sum += priceOf(Offer{Spot: m.Spot}, m.Type)
+		}
+	}
+	return sum
+}
+
+// running lists the room of machines that are up, with what is expected to come
+// free.
+func (p *Planner) running(now micro.Time) []*bin {
+	var out []*bin
+	for _, m := range p.C.List() {
+		if !m.Usable(now) {
+			continue
+		}
+		b := newBin(m.Type, m.Zone, m.Spot)
+		b.cpu = m.Type.CPUs - max(m.UsedScaled, m.UsedCPU)
+		b.gpu, b.mem = m.Type.GPUs-m.UsedGPU, m.Type.MemoryGB-m.UsedMem
+		for _, pl := range m.Places {
+			j := pl.Job
+			if j == nil || j.Spec.Kind == wire.Service && !pl.Stopping {
+				continue
+			}
+			end := now
+			if !pl.Stopping {
+				est := sched.Estimate(j)
+				end = now + est + micro.Of(j.Spec.ImageGB/m.Type.FetchGBPerS)
+				if pl.RunFrom > 0 {
+					end = max(pl.RunFrom+est, now+est/4)
+				}
+			}
+			b.frees = append(b.frees, release{end, max(j.Spec.CPUs, pl.Scaled), j.Spec.GPUs, j.Spec.MemoryGB})
+		}
+		out = append(out, b)
+	}
+	return out
+}
+
+// readyIn is how soon a rented machine could run the job's task.
+func (p *Planner) readyIn(s *wire.Job) micro.Time {
+	best := micro.Time(math.MaxInt64 / 4)
+	for _, t := range p.C.Order {
+		for _, z := range t.Zones {
+			if sched.Allowed(s, t, z, false) {
+				best = min(best, micro.Of(t.BootS+s.ImageGB/t.FetchGBPerS))
+			}
+		}
+	}
+	return best
+}
+
+// cheapest is what the cheapest ordinary type asks for a task's room, where n
+// like it are waiting.
+func (p *Planner) cheapest(s *wire.Job, n int) float64 {
+	best := math.Inf(1)
+	for _, t := range p.C.Order {
+		for _, z := range t.Zones {
+			b := newBin(t, z, false)
+			if k := b.fits(s); k > 0 {
+				best = min(best, t.Price/float64(min(k, n)))
+			}
+		}
+	}
+	return best
+}
+
 // demands lists the tasks that found no room, and the headroom that is short.
 func (p *Planner) demands(now micro.Time) []demand {
 	var out []demand
@@ -301,10 +417,56 @@
 	return float64(n[1]+n[2]) / 2 / window.Seconds()
 }
 
+// pressingRatio is how much more room may cost for work that would be late.
+const pressingRatio = 2.2
+
+// longWait is how long work waits before it counts as pressing.
+const longWait = micro.Minute
+
+// thrifty reports whether money is looked at: where operators keep a fleet of
+// their own, readiness wins.
+func (p *Planner) thrifty() bool {
+	for _, m := range p.C.Machines {
+		if m.Base {
+			return false
+		}
+	}
+	return true
+}
+
+// Affordable reports whether work that needs no GPU may sit on a machine with
+// GPUs. An ordinary one is dear, and work that sits on it keeps it from being
+// returned: a service for as long as it lives.
+func (p *Planner) Affordable(j *model.Job, m *model.Machine, now micro.Time) bool {
+	s := &j.Spec
+	if s.GPUs > 0 || m.Type.GPUs == 0 || m.Spot || !p.thrifty() {
+		return true
+	}
+	k := newBin(m.Type, m.Zone, m.Spot).fits(s)
+	return k > 0 && m.Type.Price/float64(k) <= p.ratio(j, now)*p.cheapest(s, math.MaxInt32)
+}
+
+// ratio is the most that room for a job's tasks may cost, over the cheapest
+// ordinary room. Work that has waited long and would soon be late may cost more:
+// then the cheap room has run out.
+func (p *Planner) ratio(j *model.Job, now micro.Time) float64 {
+	r := p.Props.PriceRatio * 1.4
+	if j != nil && now-j.Submitted > longWait {
+		if late := p.Goals.LatestStart(j, now); late-now < p.readyIn(&j.Spec)+longWait {
+			r *= pressingRatio
+		}
+	}
+	return r
+}
+
 // choose finds the offer that costs least per task.
-func (p *Planner) choose(d demand, left int, zoneN map[string]int, now micro.Time) *bin {
+func (p *Planner) choose(d demand, left int, zoneN map[string]int, thrift bool, now micro.Time) *bin {
 	var best *bin
 	bestCost := 0.0
+	limit := math.Inf(1)
+	if thrift && p.thrifty() {
+		limit = p.ratio(d.job, now) * p.cheapest(d.spec, left)
+	}
 	for _, t := range p.C.Order {
 		for _, z := range t.Zones {
 			for _, spot := range []bool{false, true} {
@@ -324,9 +486,12 @@
 				if spot {
 					price = t.SpotPrice * 1.2 // it may be taken back
 				}
+				if price/float64(min(k, left)) > limit {
+					continue
+				}
 				cost := price / float64(min(k, left)) * (1 + t.BootS/300)
 				if best == nil || cost < bestCost {
-					b.offer, b.isNew = o, true
+					b.offer = o
 					best, bestCost = b, cost
 				}
 			}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -16,6 +16,8 @@
 	Goals *Goals
 	Props *config.Properties
 	Rand  *rand.Rand
+	// Affordable says whether a job may sit on a machine; nil: always.
+	Affordable func(*model.Job, *model.Machine, micro.Time) bool
 }
 
 // shape is what two tasks share if whatever refuses one refuses the other.
@@ -117,10 +119,14 @@
 		}
 		m := p.pick(j, machines, nil, nil, "", now)
 		if m == nil {
-			if j.Level < 3 {
-				p.preempt(j, []int{i}, "", now)
+			coming := j.Level < 3 && p.preempt(j, []int{i}, "", now)
+			if !coming && j.Level == 0 {
+				// Dear room is better than none for the first rank.
+				m = p.pickAny(j, machines, now)
+			}
+			if m == nil {
+				return placed, true
 			}
-			return placed, true
 		}
 		p.put(j, i, m, j.Tasks[i].Attempt+1, now)
 		placed++
@@ -281,6 +287,14 @@
 	return true
 }
 
+// pickAny is pick without regard to what a machine costs.
+func (p *Placer) pickAny(j *model.Job, machines []*model.Machine, now micro.Time) *model.Machine {
+	keep := p.Affordable
+	p.Affordable = nil
+	defer func() { p.Affordable = keep }()
+	return p.pick(j, machines, nil, nil, "", now)
+}
+
 // pick chooses the machine for one task: the design's score decides, ties go to
 // the least scaled room left. Exceptions come first: machines whose GPUs or
 // ordinary kind others need are looked at after the rest, and a machine of
@@ -300,7 +314,8 @@
 		if j.FailedOn[m.Name] && len(j.FailedOn) < len(machines)/2 {
 			continue
 		}
-		if !fits(j, m, extra[m], room{}) || !ZoneOK(j, m.Zone, zoneN) || !p.spares(j, m) {
+		if !fits(j, m, extra[m], room{}) || !ZoneOK(j, m.Zone, zoneN) || !p.spares(j, m) ||
+			p.Affordable != nil && !p.Affordable(j, m, now) {
 			continue
 		}
 		score := Score(j.Spec.CPUs, m.Type.K, p.Props.ScoreL1, p.Props.ScoreL2)
