--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"notchmux.dev/notchmux/internal/micro"
+)
+
+const settings = `
+node = "n-0"
+area = "a"
+public_addr = "127.0.0.1:8080"
+peer_listen = "127.0.0.1:8081"
+later = "ignored"
+[[known]]
+node = "n-1"
+area = "b"
+addr = "127.0.0.2:8081"
+[external]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[facts]
+nodes = 2
+zones = ["a", "b"]
+clock_off_ms = 5.0
+[[facts.teams]]
+name = "t"
+cpus = 0.0
+cpus_max = 0.0
+gpus = 8.0
+gpus_max = 16.0
+[facts.workers]
+report_s = 3.0
+lease_s = 30.0
+gang_wait_s = 40.0
+gang_peer_s = 8.0
+cancel_s = 50.0
+[facts.state]
+rps = 100.0
+write_rps = 30.0
+value_kb = 16.0
+txn_ops = 24
+[facts.cloud]
+rps = 4.0
+list_lag_s = 6.0
+[facts.quota]
+core_share = 0.2
+ram_mb = 300.0
+max_sockets = 1000
+`
+
+func load(t *testing.T, toml, props string) (*Config, error) {
+	t.Helper()
+	dir := t.TempDir()
+	f, p := filepath.Join(dir, "s.toml"), filepath.Join(dir, "p.properties")
+	if err := os.WriteFile(f, []byte(toml), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if props == "" {
+		return Load(f, "")
+	}
+	if err := os.WriteFile(p, []byte(props), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(f, p)
+}
+
+func TestSettingsAreRead(t *testing.T) {
+	c, err := load(t, settings, "# ours\nmachine.silent.s = 12\nscore.l1: 70\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.SilentAfter != 12*micro.Second || c.ScoreL1 != 70 || c.ScoreL2 != 30 || c.Team("t").GPUsMax != 16 || c.Peers[0].Addr != "127.0.0.2:8081" {
+		t.Fatalf("%+v", c)
+	}
+}
+
+func TestBadSettingsNameFileKeyAndReasonInOneLine(t *testing.T) {
+	for _, c := range []struct{ toml, props, want string }{
+		{strings.Replace(settings, `node = "n-0"`, "", 1), "", `"node"`},
+		{strings.Replace(settings, "txn_ops = 24", "txn_ops = 0", 1), "", `"facts.state.txn_ops"`},
+		{strings.Replace(settings, "lease_s = 30.0", `lease_s = "x"`, 1), "", `lease_s`},
+		{strings.Replace(settings, `cloud = "127.0.0.1:1"`, `cloud = "here"`, 1), "", `"external.cloud"`},
+		{settings, "machine.silent.s = soon\n", `"machine.silent.s"`},
+		{settings, "machine.silent.s = 1\n", `outside 3 to 120`},
+		{settings, "machine.loud.s = 1\n", `"machine.loud.s": is unknown`},
+		{settings, "leader.renew.s = 3\n", `"leader.renew.s"`},
+		{settings, "score.l2 = 80\n", `"score.l2"`},
+	} {
+		_, err := load(t, c.toml, c.props)
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("want %s in one line, got: %v", c.want, err)
+		}
+		if err != nil && !strings.Contains(err.Error(), ".toml") && !strings.Contains(err.Error(), ".properties") {
+			t.Errorf("no file is named: %v", err)
+		}
+	}
+}
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -168,6 +168,12 @@
 	l.log.Info("rented", "request", r.Request, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(names))
 	if len(names) < r.Count {
 		l.planner.Refused[scale.Offer{Type: r.Type, Zone: r.Zone, Spot: r.Spot}] = now + refusedFor
+		for j := range l.c.Pending {
+			if j.Level == 0 {
+				l.lastPlan = 0 // the next best offer is asked for at once
+				break
+			}
+		}
 	}
 	h.rec.Machines, h.rec.Answered = names, true
 	if len(names) == 0 {
--- /dev/null
+++ b/internal/fake/store.go
@@ -0,0 +1,254 @@
+// Package fake holds in-memory stand-ins for the services around a node,
+// written from the protocol, for tests.
+package fake
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/store"
+	"notchmux.dev/notchmux/wire"
+)
+
+type value struct {
+	raw   []byte
+	stamp uint64
+	lease uint64
+}
+
+type lease struct {
+	ttl  micro.Time
+	ends micro.Time
+}
+
+// Store is a stand-in for the state service.
+type Store struct {
+	mu     sync.Mutex
+	keys   map[string]value
+	leases map[uint64]*lease
+	log    []wire.Event
+	rev    uint64
+	nextID uint64
+	out    bool
+	lose   int        // so many commits run, but their answers are lost
+	late   int        // so many commits are held back, and answered by nothing
+	held   []wire.Txn // those commits
+	Now    func() micro.Time
+}
+
+// NewStore makes an empty store.
+func NewStore() *Store {
+	return &Store{keys: map[string]value{}, leases: map[uint64]*lease{}, Now: micro.Now}
+}
+
+// Outage starts or ends an outage; after it every lease has its full time.
+func (s *Store) Outage(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.out = on
+	if !on {
+		for _, l := range s.leases {
+			l.ends = s.Now() + l.ttl
+		}
+	}
+}
+
+// LoseAnswers lets the next n commits run without an answer.
+func (s *Store) LoseAnswers(n int) { s.mu.Lock(); s.lose = n; s.mu.Unlock() }
+
+// HoldBack keeps the next n commits, unanswered, until Deliver.
+func (s *Store) HoldBack(n int) { s.mu.Lock(); s.late = n; s.mu.Unlock() }
+
+// Deliver runs what was held back and says how many took effect.
+func (s *Store) Deliver() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	done := 0
+	for _, t := range s.held {
+		if _, err := s.commit(t); err == nil {
+			done++
+		}
+	}
+	s.held = nil
+	return done
+}
+
+func (s *Store) expire() {
+	if s.out {
+		return
+	}
+	for id, l := range s.leases {
+		if s.Now() > l.ends {
+			s.end(id)
+		}
+	}
+}
+
+func (s *Store) end(id uint64) {
+	delete(s.leases, id)
+	for k, v := range s.keys {
+		if v.lease == id {
+			s.rev++
+			delete(s.keys, k)
+			s.log = append(s.log, wire.Event{Delete: k, Version: wire.Count(s.rev)})
+		}
+	}
+}
+
+// WriteRoom is without limit.
+func (s *Store) WriteRoom(store.Class) int { return 1000 }
+
+// Get reads a key.
+func (s *Store) Get(_ context.Context, _ store.Class, key string) (wire.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.out {
+		return wire.Item{}, store.ErrRefused
+	}
+	s.expire()
+	v, ok := s.keys[key]
+	if !ok {
+		return wire.Item{}, store.ErrNotFound
+	}
+	return wire.Item{Key: key, Value: v.raw, Version: wire.Count(v.stamp), Lease: wire.Count(v.lease)}, nil
+}
+
+// Range reads keys in order.
+func (s *Store) Range(_ context.Context, _ store.Class, prefix, after string, limit int) (wire.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.out {
+		return wire.Page{}, store.ErrRefused
+	}
+	s.expire()
+	var names []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, prefix) && k > after {
+			names = append(names, k)
+		}
+	}
+	sort.Strings(names)
+	p := wire.Page{Revision: wire.Count(s.rev)}
+	if len(names) > limit {
+		names, p.More = names[:limit], true
+	}
+	for _, k := range names {
+		v := s.keys[k]
+		p.Items = append(p.Items, wire.Item{Key: k, Value: v.raw, Version: wire.Count(v.stamp)})
+	}
+	return p, nil
+}
+
+// Commit runs a transaction.
+func (s *Store) Commit(_ context.Context, _ store.Class, t wire.Txn) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.out {
+		return 0, store.ErrRefused
+	}
+	if s.late > 0 {
+		s.late--
+		s.held = append(s.held, t)
+		return 0, store.ErrUncertain
+	}
+	rev, err := s.commit(t)
+	if s.lose > 0 {
+		s.lose--
+		return 0, store.ErrUncertain
+	}
+	return rev, err
+}
+
+func (s *Store) commit(t wire.Txn) (uint64, error) {
+	s.expire()
+	for _, g := range t.If {
+		if s.keys[g.Key].stamp != uint64(g.Version) {
+			return 0, store.ErrConflict
+		}
+	}
+	for _, c := range t.Then {
+		if c.Lease != 0 && s.leases[uint64(c.Lease)] == nil {
+			return 0, store.ErrNoLease
+		}
+	}
+	s.rev++
+	for _, c := range t.Then {
+		if c.Delete != "" {
+			delete(s.keys, c.Delete)
+			s.log = append(s.log, wire.Event{Delete: c.Delete, Version: wire.Count(s.rev)})
+			continue
+		}
+		raw := wire.MustMarshal(c.Value)
+		s.keys[c.Put] = value{raw, s.rev, uint64(c.Lease)}
+		s.log = append(s.log, wire.Event{Put: c.Put, Value: raw, Version: wire.Count(s.rev)})
+	}
+	return s.rev, nil
+}
+
+// Grant makes a lease.
+func (s *Store) Grant(_ context.Context, ttl micro.Time) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.out {
+		return 0, store.ErrRefused
+	}
+	s.nextID++
+	s.leases[s.nextID] = &lease{ttl, s.Now() + ttl}
+	return s.nextID, nil
+}
+
+// Renew extends a lease.
+func (s *Store) Renew(_ context.Context, id uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.out {
+		return store.ErrRefused
+	}
+	s.expire()
+	l := s.leases[id]
+	if l == nil {
+		return store.ErrNoLease
+	}
+	l.ends = s.Now() + l.ttl
+	return nil
+}
+
+// Revoke ends a lease.
+func (s *Store) Revoke(_ context.Context, id uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.out {
+		return store.ErrRefused
+	}
+	s.end(id)
+	return nil
+}
+
+// Watch waits for changes.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait micro.Time) (wire.Events, error) {
+	for end := s.Now() + wait; ; {
+		s.mu.Lock()
+		s.expire()
+		ev := wire.Events{Revision: wire.Count(s.rev)}
+		for _, e := range s.log {
+			if uint64(e.Version) > after && strings.HasPrefix(e.Put+e.Delete, prefix) {
+				ev.Events = append(ev.Events, e)
+			}
+		}
+		out := s.out
+		s.mu.Unlock()
+		if !out && len(ev.Events) > 0 || s.Now() > end {
+			return ev, nil
+		}
+		select {
+		case <-ctx.Done():
+			return wire.Events{}, fmt.Errorf("%w: %v", store.ErrUncertain, ctx.Err())
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -105,7 +105,7 @@
 const expectFactor = 1.6
 
 // maxNew bounds what one plan rents.
-const maxNew = 12
+const maxNew = 30
 
 // Plan says what to rent and which machines to return for being idle.
 func (p *Planner) Plan(now micro.Time) (asks []Ask, idle []*model.Machine) {
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,110 @@
+package scale
+
+import (
+	"testing"
+
+	"notchmux.dev/notchmux/internal/config"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
+	"notchmux.dev/notchmux/internal/sched"
+	"notchmux.dev/notchmux/wire"
+)
+
+type quiet struct{ model.Effects }
+
+func (quiet) Changed()           {}
+func (quiet) Log(string, ...any) {}
+
+const now = 1000 * micro.Second
+
+func planner() *Planner {
+	c := model.New(quiet{})
+	c.SetCatalog(&wire.Catalog{Types: []wire.MachineType{
+		{Name: "small", CPUs: 4, MemoryGB: 16, Price: 1, SpotPrice: 0.3, BootS: 30, FetchGBPerS: 1, Zones: []string{"a", "b"}},
+		{Name: "gpu", CPUs: 24, GPUs: 4, MemoryGB: 96, Price: 60, SpotPrice: 50, BootS: 30, FetchGBPerS: 1, Zones: []string{"a"}},
+	}})
+	props := config.Defaults()
+	return &Planner{C: c, Goals: sched.NewGoals(nil), Props: &props, Refused: map[Offer]micro.Time{}, Asked: map[string]Ask{}}
+}
+
+func (p *Planner) submit(id string, tasks int, cpus float64, spot bool) *model.Job {
+	return p.C.AddJob(wire.Job{ID: id, Class: id, Kind: wire.Array, Priority: wire.Normal, Tasks: tasks, CPUs: cpus, MemoryGB: 1, Spot: spot, EstimateS: 100}, now-micro.Minute)
+}
+
+func TestRentsTheCheapestRoomThatFits(t *testing.T) {
+	p := planner()
+	p.submit("j-1", 8, 1, true)
+	asks, _ := p.Plan(now)
+	if len(asks) != 1 || asks[0].Count != 2 || asks[0].Type != "small" || !asks[0].Spot {
+		t.Fatalf("%+v", asks)
+	}
+	p.Asked["r-1"] = asks[0]
+	if again, _ := p.Plan(now); len(again) != 0 {
+		t.Fatalf("rented twice: %+v", again)
+	}
+}
+
+func TestRefusedOffersAreLeftAloneAndDearOnesToo(t *testing.T) {
+	p := planner()
+	p.submit("j-1", 4, 1, false)
+	p.Refused[Offer{"small", "a", false}] = now + micro.Second
+	asks, _ := p.Plan(now)
+	if len(asks) != 1 || asks[0].Zone != "b" {
+		t.Fatalf("%+v", asks)
+	}
+	p.Refused[Offer{"small", "b", false}] = now + micro.Second
+	if asks, _ = p.Plan(now); len(asks) != 0 {
+		t.Fatalf("CPU work rents a GPU machine at 15 times the price: %+v", asks)
+	}
+	// Where operators keep machines of their own, readiness wins.
+	p.C.Machine("own", now).Base = true
+	if asks, _ = p.Plan(now); len(asks) != 1 || asks[0].Type != "gpu" {
+		t.Fatalf("%+v", asks)
+	}
+}
+
+func TestMachineThatDoesNotComeUpIsReplacedInTime(t *testing.T) {
+	p := planner()
+	p.submit("j-1", 4, 1, true)
+	m := p.C.Machine("i-1", now)
+	p.C.Describe(m, "small", "a", true)
+	m.Rented = now - 40*micro.Second
+	if asks, _ := p.Plan(now); len(asks) != 0 {
+		t.Fatalf("still expected: %+v", asks)
+	}
+	m.Rented = now - 60*micro.Second
+	if asks, _ := p.Plan(now); len(asks) != 1 {
+		t.Fatal("nothing is rented in place of a machine that does not come up")
+	}
+}
+
+func TestIdleRentedMachinesGoBackAndTheOperatorsOwnStay(t *testing.T) {
+	p := planner()
+	for _, name := range []string{"rented", "own"} {
+		m := p.C.Machine(name, now)
+		p.C.Describe(m, "small", "a", false)
+		p.C.Become(m, model.Up, "reports")
+		m.IdleSince = now - micro.Minute
+		m.Base = name == "own"
+	}
+	_, idle := p.Plan(now)
+	if len(idle) != 1 || idle[0].Name != "rented" {
+		t.Fatalf("%v", idle)
+	}
+}
+
+func TestRateIgnoresASingleBurst(t *testing.T) {
+	var at []micro.Time
+	for range 50 {
+		at = append(at, now-100*micro.Second)
+	}
+	if r := Rate(at, now); r != 0 {
+		t.Errorf("rate %v after one burst", r)
+	}
+	for i := range 12 {
+		at = append(at, now-micro.Time(i)*10*micro.Second)
+	}
+	if r := Rate(at, now); r < 0.09 || r > 0.11 {
+		t.Errorf("rate %v, want 0.1", r)
+	}
+}
