--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -284,6 +284,11 @@
 	}
 }
 
+// baseSlack allows for a fleet that was handed over at the very moment at which
+// the service first started, and for the clocks: an operator's GPU machine once
+// looked rented, and was returned for being idle just before a burst.
+const baseSlack = 5 * micro.Second
+
 func (l *Lead) listed(rows []wire.ListedMachine, asked micro.Time) {
 	now, wall := l.n.Now(), l.n.Wall()
 	l.listAt = asked
@@ -301,7 +306,7 @@
 		}
 		age := micro.Of(r.AgeS)
 		m.Rented = min(m.Rented, now-age)
-		if wall-age < l.since {
+		if m.Hire == "" && wall-age < l.since+baseSlack {
 			m.Base = true // older than the service: the operators' own
 		}
 		m.Listed, m.ListState = asked, r.State
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -500,14 +500,21 @@
 	return best
 }
 
+// readyFactor is how much longer rented machines are kept where readiness wins.
+const readyFactor = 6
+
 // idle lists rented machines that nobody has needed for a while.
 func (p *Planner) idle(now micro.Time) []*model.Machine {
 	var out []*model.Machine
+	after := p.Props.IdleReturn
+	if !p.thrifty() {
+		after *= readyFactor
+	}
 	for _, m := range p.C.List() {
 		if m.State != model.Up || m.Base || len(m.Places) > 0 || m.Reserve != nil || m.NoticeAt != 0 {
 			continue
 		}
-		if now-m.IdleSince > p.Props.IdleReturn && now-m.Wanted > 5*micro.Second {
+		if now-m.IdleSince > after && now-m.Wanted > 5*micro.Second {
 			out = append(out, m)
 		}
 	}
