--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -268,8 +268,13 @@
 		m.UsedScaled+x.scaled-freed.scaled+Scaled(j.Spec.CPUs, t.K, t.CPUs) <= t.CPUs+eps
 }
 
+// yieldFactor is how many save times an objective on starting must leave.
+const yieldFactor = 8
+
 // spares reports whether a job without GPUs leaves a GPU machine room for the
-// GPU jobs seen so far: a GPU that lacks CPUs beside it serves nobody.
+// GPU jobs seen so far: a GPU that lacks CPUs beside it serves nobody. Work that
+// can save, and yields to the GPU jobs' rank well within the time they have to
+// start, may use the room meanwhile.
 func (p *Placer) spares(j *model.Job, m *model.Machine) bool {
 	if j.Spec.GPUs > 0 || m.Type.GPUs == 0 {
 		return true
@@ -279,6 +284,10 @@
 		if s == nil || s.GPUs <= 0 || !Allowed(s, m.Type, m.Zone, m.Spot) {
 			continue
 		}
+		if quick := p.Goals.Quick(cl.Name); j.Level > s.Priority.Level() && j.Spec.CheckpointS > 0 &&
+			(quick == 0 || quick > yieldFactor*micro.Of(j.Spec.SaveS)) {
+			continue
+		}
 		n := float64(int((m.Type.GPUs - m.UsedGPU) / s.GPUs))
 		if n > 0 && (m.Type.CPUs-m.UsedCPU-j.Spec.CPUs < n*s.CPUs-eps || m.Type.MemoryGB-m.UsedMem-j.Spec.MemoryGB < n*s.MemoryGB-eps) {
 			return false
