Avoid and drain machines much slower than their type

Per-machine exception to the design's steady type speed, for the trouble of slowed machines. An attempt at 2.2 times its expected run counts against its machine; two in a row pause it and move what overran.

--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -11,6 +11,7 @@
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/model"
 	"notchmux.dev/notchmux/internal/scale"
+	"notchmux.dev/notchmux/internal/sched"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -353,6 +354,16 @@
 		}
 	}
 	l.hearing(up, silent, now)
+	for _, m := range l.c.List() {
+		if m.State != model.Up {
+			continue
+		}
+		for _, p := range m.Sorted() {
+			if p.Job != nil {
+				l.c.Overran(p, sched.Estimate(p.Job), now)
+			}
+		}
+	}
 	for _, m := range l.c.List() {
 		if len(m.Places) > 0 && m.State != model.Up && l.c.LeaseOut(m, now) {
 			l.c.Lose(m, now)
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -535,6 +535,7 @@
 // Ran learns from a completed run.
 func (l *Lead) Ran(p *model.Place, took micro.Time) {
 	j := p.Job
+	p.Machine.InTime(took, sched.Estimate(j))
 	if j.Spec.EstimateS > 1 && j.Spec.CheckpointS == 0 || j.Spec.Kind == wire.Array && p.Attempt == 1 {
 		if j.Spec.EstimateS > 1 {
 			j.Class.Learn(took.Seconds() / j.Spec.EstimateS)
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -63,10 +63,9 @@
 	Base       bool       // here before the service: never returned for being idle
 	Listed     micro.Time // last list that showed it; 0: none
 	ListState  wire.MachineState
-	NoticeAt   micro.Time // the cloud takes it then; 0: no notice
-	Drain      bool       // takes no new tasks
-	Slow       float64    // run times here against the type's; 0: unknown
-	SlowN      int
+	NoticeAt   micro.Time      // the cloud takes it then; 0: no notice
+	Drain      bool            // takes no new tasks
+	Overruns   int             // attempts in a row that ran far over what was expected
 	Errors     map[string]bool // jobs that failed here
 	Avoid      micro.Time      // takes no tasks until then
 	Wanted     micro.Time      // last time that headroom counted on it
@@ -203,3 +202,46 @@
 	}
 	return c.list
 }
+
+// overrun is how far over its expected run time an attempt is when it counts
+// against its machine, and overruns how many in a row make a machine slow.
+const (
+	overrun   = 2.2
+	overruns  = 2
+	slowPause = 90 * micro.Second
+)
+
+// Overran looks at a running attempt that was expected to take so long. A
+// machine with several that overran is slow: it takes no tasks for a while, and
+// those that overran move. This is the exception to the design's assumption
+// that a type's speed is its machines' speed.
+func (c *Cluster) Overran(p *Place, expected, now micro.Time) {
+	if p.State != Running || p.RunFrom == 0 || p.Stopping || expected < 5*micro.Second || p.Job.Spec.Kind == wire.Service {
+		return
+	}
+	if now-p.RunFrom < micro.Time(overrun*float64(expected))+5*micro.Second {
+		return
+	}
+	m := p.Machine
+	if !p.over {
+		p.over = true
+		m.Overruns++
+	}
+	if m.Overruns < overruns {
+		return
+	}
+	if m.Avoid <= now {
+		m.Avoid = now + slowPause
+		c.Log("machine avoided", "machine", m.Name, "why", "much slower than its type")
+	}
+	if len(p.Job.FailedOn) == 0 && p.Job.Spec.Kind == wire.Array {
+		c.Stop(p, "slow machine", p.Job.Spec.SaveS, now)
+	}
+}
+
+// InTime notes a completed attempt that took about what was expected.
+func (m *Machine) InTime(took, expected micro.Time) {
+	if float64(took) < 1.5*float64(expected) {
+		m.Overruns = 0
+	}
+}
--- a/internal/model/story_test.go
+++ b/internal/model/story_test.go
@@ -394,3 +394,38 @@
 	s.now += 20 * micro.Second
 	s.place(2)
 }
+
+func TestSlowMachineIsAvoidedAndItsTasksMove(t *testing.T) {
+	s := newSite(t)
+	w := s.worker("m1", "a")
+	j := s.job("j-1", wire.Array, 2, 1)
+	s.place(2)
+	s.persist()
+	s.beat(w)
+	s.beat(w)
+	m := s.c.Machines["m1"]
+	look := func() {
+		for _, p := range m.Sorted() {
+			s.c.Overran(p, 10*micro.Second, s.now)
+		}
+	}
+	s.now += 20 * micro.Second
+	look()
+	if !m.Usable(s.now) {
+		t.Fatal("avoided though its tasks are only twice late")
+	}
+	s.now += 10 * micro.Second
+	look()
+	look() // the first of them is counted before the machine is known as slow
+	if m.Usable(s.now) {
+		t.Fatal("still used")
+	}
+	s.worker("m2", "a")
+	s.beat(w)
+	s.beat(w)
+	s.held(j, 0)
+	s.place(2)
+	if len(s.c.Machines["m2"].Places) != 2 {
+		t.Fatal("its tasks did not move")
+	}
+}
