--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -14,6 +14,7 @@
 	"notchmux.dev/notchmux/internal/fake"
 	"notchmux.dev/notchmux/internal/metrics"
 	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
 	"notchmux.dev/notchmux/internal/peer"
 	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
@@ -325,3 +326,18 @@
 		}
 	}
 }
+
+// By age, a machine of the operators' own once looked rented, and a rented one
+// that was gone looked like their own.
+func TestOwnMachinesAreThoseCreatedBeforeTheFirstRental(t *testing.T) {
+	l := &Lead{}
+	if !l.own(&model.Machine{Name: "i-000007"}) || l.own(&model.Machine{Name: "i-000007", Hire: "r-1-1"}) {
+		t.Error("before any rental is answered, what was not rented is their own")
+	}
+	l.first = "i-000024"
+	for name, want := range map[string]bool{"i-000023": true, "i-000024": false, "i-000100": false, "i-1000000": false} {
+		if l.own(&model.Machine{Name: name}) != want {
+			t.Errorf("%s: own is %v", name, !want)
+		}
+	}
+}
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -183,6 +183,10 @@
 	}
 	l.become(h, HireHeld)
 	for _, name := range names {
+		if l.first == "" || before(name, l.first) {
+			l.first = name
+			l.w.first.touch(now, false)
+		}
 		l.hired(h, name, h.asked, now)
 	}
 }
@@ -285,13 +289,28 @@
 	}
 }
 
-// baseSlack allows for a fleet that was handed over at the very moment at which
-// the service first started, and for the clocks: an operator's GPU machine once
-// looked rented, and was returned for being idle just before a burst.
-const baseSlack = 5 * micro.Second
+// before reports whether a machine was created before another: names are given
+// in the order of creation.
+func before(a, b string) bool {
+	if len(a) != len(b) {
+		return len(a) < len(b)
+	}
+	return a < b
+}
+
+// own reports whether a machine is the operators' own: created before the first
+// one that the service ever rented. Ages do not tell: an own GPU machine once
+// looked a few milliseconds too young and was returned for being idle, and a
+// returned machine that a lagging list still showed once looked like an own one.
+func (l *Lead) own(m *model.Machine) bool {
+	if l.first == "" {
+		return m.Hire == ""
+	}
+	return before(m.Name, l.first)
+}
 
 func (l *Lead) listed(rows []wire.ListedMachine, asked micro.Time) {
-	now, wall := l.n.Now(), l.n.Wall()
+	now := l.n.Now()
 	l.listAt = asked
 	for i := range rows {
 		r := &rows[i]
@@ -307,9 +326,7 @@
 		}
 		age := micro.Of(r.AgeS)
 		m.Rented = min(m.Rented, now-age)
-		if m.Hire == "" && wall-age < l.since+baseSlack {
-			m.Base = true // older than the service: the operators' own
-		}
+		m.Base = l.own(m)
 		m.Listed, m.ListState = asked, r.State
 		if r.State == wire.MachineFailed {
 			l.giveBack(m, "failed")
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -54,7 +54,7 @@
 	lastSpeed micro.Time
 	hires     map[string]*hire
 	hireN     int
-	since     micro.Time // wall time of the service's first leadership
+	first     string     // the first machine that the service ever rented
 	listAt    micro.Time // when the list that was read last was asked for
 	returns   map[*model.Machine]bool
 	deaf      micro.Time // since when no worker reports; 0: some do
@@ -303,10 +303,11 @@
 					l.speeds.Restore(r)
 					l.w.speed.stamp = uint64(it.Version)
 				}
-			case sinceKey:
-				var s sinceRecord
-				if wire.Unmarshal(it.Value, &s) == nil {
-					l.since = micro.Time(s.At)
+			case firstKey:
+				var r firstRecord
+				if wire.Unmarshal(it.Value, &r) == nil {
+					l.first = r.Machine
+					l.w.first.stamp = uint64(it.Version)
 				}
 			}
 		})
@@ -314,10 +315,6 @@
 		return 0, false
 	}
 	l.speeds.Apply(l.c)
-	if l.since == 0 {
-		l.since = wall
-		l.w.once(sinceKey, sinceRecord{At: int64(wall)})
-	}
 	for _, m := range l.c.Machines {
 		if m.Type == nil && m.TypeName != "" {
 			m.Type = l.c.Types[m.TypeName]
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -15,11 +15,11 @@
 
 const (
 	speedKey = "fleet/speed"
-	sinceKey = "fleet/since"
+	firstKey = "fleet/first"
 )
 
-type sinceRecord struct {
-	At int64 `msgpack:"at" json:"at"`
+type firstRecord struct {
+	Machine string `msgpack:"m" json:"m"`
 }
 
 // cell is one key that the leader keeps. Every write of it is guarded by the
@@ -54,6 +54,7 @@
 	dirty  map[*cell]bool
 	chunks map[*model.Chunk]*cell
 	speed  *cell
+	first  *cell
 	flight bool
 	next   micro.Time
 }
@@ -62,6 +63,8 @@
 	w := &writer{l: l, cells: map[string]*cell{}, dirty: map[*cell]bool{}, chunks: map[*model.Chunk]*cell{}}
 	w.speed = w.cell(speedKey)
 	w.speed.build = func() (any, uint64) { return l.speeds.Record(), 0 }
+	w.first = w.cell(firstKey)
+	w.first.build = func() (any, uint64) { return firstRecord{l.first}, 0 }
 	return w
 }
 
@@ -106,14 +109,6 @@
 	c.touch(w.l.n.Now(), true)
 }
 
-// once creates a key that never changes.
-func (w *writer) once(key string, value any) {
-	c := w.cell(key)
-	c.build = func() (any, uint64) { return value, 0 }
-	c.found = func(wire.Item) bool { return true }
-	c.touch(w.l.n.Now(), false)
-}
-
 // coalesce is how long a routine change waits for others to join it.
 const coalesce = 300 * micro.Millisecond
 
