--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -341,3 +342,23 @@
 		}
 	}
 }
+
+// A job of the most tasks has more records than a page holds, and they come
+// before its description: read by one page, it would be called unknown.
+func TestLargestJobIsKnownToANodeThatReadsTheStore(t *testing.T) {
+	b := newBed(t)
+	n, _ := b.node("n-0")
+	wait(t, "leading", func() bool { return n.leading() != nil })
+	var then []wire.Change
+	for i := range 1563 {
+		then = append(then, wire.Change{Put: "job/j-1/run/" + strconv.Itoa(i), Value: model.ChunkRecord{Done: [][2]int{{i * 64, i*64 + 1}}}})
+	}
+	then = append(then, wire.Change{Put: specKey("j-1"), Value: wire.Job{ID: "j-1", Team: "team", Tasks: 100_000, CPUs: 1}})
+	if _, err := b.store.Commit(context.Background(), store.Routine, wire.Txn{Then: then}); err != nil {
+		t.Fatal(err)
+	}
+	r, err := n.read("j-1")
+	if s, ok := r.Body.(wire.JobStatus); err != nil || !ok || s.Done != 2*1563 {
+		t.Fatalf("%+v, %v", r, err)
+	}
+}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -201,13 +201,22 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
 	defer cancel()
 	prefix := "job/" + id + "/"
-	page, err := n.Store.Range(ctx, store.Routine, prefix, "", 1000)
-	if err != nil {
-		return front.Reply{}, err
+	var items []wire.Item
+	for after, more := "", true; more; {
+		// One page, but for the largest jobs: their records come before the
+		// description, which alone tells that the job exists.
+		page, err := n.Store.Range(ctx, store.Routine, prefix, after, 1000)
+		if err != nil {
+			return front.Reply{}, err
+		}
+		items = append(items, page.Items...)
+		if more = page.More && len(page.Items) > 0; more {
+			after = page.Items[len(page.Items)-1].Key
+		}
 	}
 	s := wire.JobStatus{ID: id, State: wire.JobPending}
 	var spec *wire.Job
-	for _, it := range page.Items {
+	for _, it := range items {
 		switch rest := strings.TrimPrefix(it.Key, prefix); {
 		case rest == "end":
 			var e model.EndRecord
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -113,27 +113,35 @@
 
 // tasks places a job's independent tasks one by one.
 func (p *Placer) tasks(j *model.Job, machines []*model.Machine, now micro.Time) (placed int, blocked bool) {
-	for _, i := range j.Next(now, j.Waiting()) {
-		if j.Team != nil && !j.Team.Allows(j.Spec.CPUs, j.Spec.GPUs, 1) {
+	for {
+		next := j.Next(now, placeBatch) // not all of a huge job at once
+		if len(next) == 0 {
 			return placed, false
 		}
-		m := p.pick(j, machines, nil, nil, "", now)
-		if m == nil {
-			coming := j.Level < 3 && p.preempt(j, []int{i}, "", now)
-			if !coming && j.Level == 0 {
-				// Dear room is better than none for the first rank.
-				m = p.pickAny(j, machines, now)
+		for _, i := range next {
+			if j.Team != nil && !j.Team.Allows(j.Spec.CPUs, j.Spec.GPUs, 1) {
+				return placed, false
 			}
+			m := p.pick(j, machines, nil, nil, "", now)
 			if m == nil {
-				return placed, true
+				coming := j.Level < 3 && p.preempt(j, []int{i}, "", now)
+				if !coming && j.Level == 0 {
+					// Dear room is better than none for the first rank.
+					m = p.pickAny(j, machines, now)
+				}
+				if m == nil {
+					return placed, true
+				}
 			}
+			p.put(j, i, m, j.Tasks[i].Attempt+1, now)
+			placed++
 		}
-		p.put(j, i, m, j.Tasks[i].Attempt+1, now)
-		placed++
 	}
-	return placed, false
 }
 
+// placeBatch is how many tasks of a job are looked at together.
+const placeBatch = 32
+
 func (p *Placer) put(j *model.Job, i int, m *model.Machine, attempt uint32, now micro.Time) {
 	scaled := Scaled(j.Spec.CPUs, m.Type.K, m.Type.CPUs)
 	p.C.NewPlace(j, i, m, attempt, scaled, now)
