Count a machine's silence only while this node listens

Ruled out: deaths (none then) and leases (30 s and more left). Silence now counts from when the node listens again, after a lapse of the right or a stall of the process.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -362,3 +362,28 @@
 		t.Fatalf("%+v, %v", r, err)
 	}
 }
+
+// After an outage of the store, every machine has been unheard for long, since
+// this node turned them away: that is no sign of death.
+func TestSilenceCountsOnlyWhileThisNodeListens(t *testing.T) {
+	b := newBed(t)
+	n, _ := b.node("n-0")
+	wait(t, "leading", func() bool { return n.leading() != nil })
+	l := newLead(n, election.NewTerm(9, 1000*micro.Second))
+	l.c.Began = 0
+	m := l.c.Machine("i-1", 0)
+	m.Heard = 100 * micro.Second
+	l.lastTick = 100 * micro.Second
+	l.lastScan, l.lastPlan, l.lastSpeed, l.tokenAt = 2000*micro.Second, 2000*micro.Second, 2000*micro.Second, 2000*micro.Second
+	l.term.End()
+	l.tick(101 * micro.Second)
+	l.term = election.NewTerm(9, 1000*micro.Second)
+	l.tick(120 * micro.Second)
+	if q := l.quiet(m, 122*micro.Second); q != 2*micro.Second {
+		t.Errorf("silent for %v s after 2 s of listening", q.Seconds())
+	}
+	l.tick(123 * micro.Second) // the process got no time for 3 s
+	if q := l.quiet(m, 124*micro.Second); q != micro.Second {
+		t.Errorf("silent for %v s", q.Seconds())
+	}
+}
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -350,13 +350,13 @@
 			z = &zone{}
 			zones[m.Zone] = z
 		}
-		if m.State == model.Up && now-m.Heard > cfg.SilentAfter {
+		quiet := l.quiet(m, now)
+		if m.State == model.Up && quiet > cfg.SilentAfter {
 			l.c.Become(m, model.Silent, "no reports")
 		}
 		if m.State == model.Unheard && len(m.Places) == 0 || m.State == model.Returning {
 			continue
 		}
-		quiet := now - max(m.Heard, l.c.Began)
 		if quiet > 2*l.c.Lease {
 			continue
 		}
@@ -394,7 +394,7 @@
 			if m.Type != nil {
 				boot = micro.Of(m.Type.BootS)
 			}
-			waited := now - l.c.Began
+			waited := now - max(l.c.Began, l.resumed)
 			switch {
 			case unlisted && waited > cfg.SilentAfter:
 				l.giveBack(m, "no longer listed, never heard")
@@ -420,6 +420,14 @@
 	l.sendReturns()
 }
 
+// quiet is how long a machine has been silent while this node was listening:
+// while its right had lapsed, it turned every worker away. Counted from the last
+// report alone, an outage of the store once had eleven live machines returned in
+// the moment it ended.
+func (l *Lead) quiet(m *model.Machine, now micro.Time) micro.Time {
+	return now - max(m.Heard, l.c.Began, l.resumed)
+}
+
 // trust reports whether a zone's silence looks like machines that died rather
 // than like a cut: few are silent against those that report.
 func (l *Lead) trust(missing, all int) bool {
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -57,6 +57,9 @@
 	first     string     // the first machine that the service ever rented
 	listAt    micro.Time // when the list that was read last was asked for
 	returns   map[*model.Machine]bool
+	lapsed    bool
+	resumed   micro.Time // when this node last came to listen again
+	lastTick  micro.Time
 	deaf      micro.Time // since when no worker reports; 0: some do
 	waiters   map[string][]chan front.Reply
 }
@@ -173,8 +176,14 @@
 
 func (l *Lead) tick(now micro.Time) {
 	if !l.term.Valid(now) {
+		l.lapsed = true
 		return
 	}
+	if l.lapsed || now-l.lastTick > 2*micro.Second {
+		// The right lapsed, or this process got no time: workers were not heard.
+		l.lapsed, l.resumed = false, now
+	}
+	l.lastTick = now
 	if now-l.lastScan >= 500*micro.Millisecond {
 		l.lastScan = now
 		l.scan(now)
