--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -30,6 +30,10 @@
 	hosts   map[string]*fasthttp.HostClient
 }
 
+// maxHosts bounds the clients kept; their idle connections end soon anyway, since
+// sockets are scarce where workers are many.
+const maxHosts = 5000
+
 // NewClient makes a client that gives a worker the time to answer.
 func NewClient(timeout micro.Time) *Client {
 	return &Client{timeout: timeout, hosts: map[string]*fasthttp.HostClient{}}
@@ -40,11 +44,11 @@
 	defer c.mu.Unlock()
 	h := c.hosts[addr]
 	if h == nil {
-		if len(c.hosts) > 500 {
+		if len(c.hosts) > maxHosts {
 			clear(c.hosts)
 		}
 		h = &fasthttp.HostClient{
-			Addr: addr, MaxConns: 4, MaxIdleConnDuration: 8 * time.Second, MaxIdemponentCallAttempts: 1,
+			Addr: addr, MaxConns: 2, MaxIdleConnDuration: time.Second, MaxIdemponentCallAttempts: 1,
 			NoDefaultUserAgentHeader: true,
 			RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			Dial:                     func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, time.Second) },
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -114,9 +114,39 @@
 	if c.Properties, err = loadProperties(propertiesPath); err != nil {
 		return nil, err
 	}
+	c.Derive()
 	return c, nil
 }
 
+// reportLate is the most that a report may come late by the protocol, in report
+// intervals, and answerWait how long a worker waits for an answer.
+const (
+	reportLate = 1.25
+	answerWait = 4.25
+)
+
+// Overdue is how long after its last report a machine's next one is overdue.
+func (c *Config) Overdue() micro.Time {
+	return micro.Of(c.Facts.Workers.ReportS*reportLate) + 250*micro.Millisecond
+}
+
+// Derive fills in what follows from the platform's facts where no property says
+// otherwise.
+func (c *Config) Derive() {
+	if c.SilentAfter == 0 {
+		c.SilentAfter = micro.Of(c.Facts.Workers.ReportS*reportLate + answerWait)
+	}
+}
+
+// LeaderShare is the part of the store's limits that the leader may use, and
+// FollowerShare that of each other node: together they are the whole.
+func (c *Config) LeaderShare() float64 { return 0.65 }
+
+// FollowerShare is each other node's part.
+func (c *Config) FollowerShare() float64 {
+	return (1 - c.LeaderShare()) / float64(max(len(c.Peers), 1))
+}
+
 func parsePlatform(text string, p *Platform) error {
 	if _, err := toml.Decode(text, p); err != nil {
 		var perr toml.ParseError
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -85,7 +85,7 @@
 		{strings.Replace(settings, "lease_s = 30.0", `lease_s = "x"`, 1), "", `lease_s`},
 		{strings.Replace(settings, `cloud = "127.0.0.1:1"`, `cloud = "here"`, 1), "", `"external.cloud"`},
 		{settings, "machine.silent.s = soon\n", `"machine.silent.s"`},
-		{settings, "machine.silent.s = 1\n", `outside 3 to 120`},
+		{settings, "machine.silent.s = 1\n", `must be 0 or at least 3`},
 		{settings, "machine.loud.s = 1\n", `"machine.loud.s": is unknown`},
 		{settings, "leader.renew.s = 3\n", `"leader.renew.s"`},
 		{settings, "score.l2 = 80\n", `"score.l2"`},
--- a/internal/config/properties.go
+++ b/internal/config/properties.go
@@ -13,7 +13,8 @@
 type Properties struct {
 	LeaderLease   micro.Time // life of the leader's lease
 	LeaderRenew   micro.Time // time between its renewals
-	SilentAfter   micro.Time // a machine unheard of for so long counts as silent
+	SilentAfter   micro.Time // a machine unheard of for so long counts as silent; 0: from the workers' settings
+	AgeAfter      micro.Time // work that has waited so long comes before other work
 	IdleReturn    micro.Time // an idle rented machine is returned after this
 	BootPatience  float64    // multiple of the type's boot time after which a booting machine is given up
 	PriceRatio    float64    // dearest room for work below the first rank, over the cheapest ordinary room
@@ -24,6 +25,7 @@
 	ScoreL2       float64    // score L2 of the design
 	SampleAbove   int        // pending tasks above which machines are sampled
 	SampleSize    int        // machines sampled per task then
+	SampleBusy    micro.Time // only after a pass that took longer than this
 	MaxPending    int        // pending tasks above which new jobs are told to come back
 	ErrorMachines int        // different jobs failing on a machine before it is avoided
 }
@@ -44,7 +46,7 @@
 var known = []property{
 	{"leader.lease.s", 3.5, 1, 60, "life of the leader's lease", span(func(p *Properties) *micro.Time { return &p.LeaderLease })},
 	{"leader.renew.s", 0.8, 0.1, 30, "time between renewals; under a third of the lease", span(func(p *Properties) *micro.Time { return &p.LeaderRenew })},
-	{"machine.silent.s", 8, 3, 120, "a machine unheard of for so long counts as silent", span(func(p *Properties) *micro.Time { return &p.SilentAfter })},
+	{"machine.silent.s", 0, 0, 120, "a machine unheard of for so long counts as silent; 0: a late report and one lost answer", span(func(p *Properties) *micro.Time { return &p.SilentAfter })},
 	{"scale.idle.s", 45, 0, 86400, "an idle rented machine is returned after this", span(func(p *Properties) *micro.Time { return &p.IdleReturn })},
 	{"scale.boot.patience", 4, 1.6, 100, "a booting machine is given up after this many times its type's boot time", func(p *Properties, v float64) { p.BootPatience = v }},
 	{"scale.price.ratio", 3.3, 1, 1000, "dearest room rented for work below the first rank, over the cheapest ordinary room", func(p *Properties, v float64) { p.PriceRatio = v }},
@@ -53,8 +55,10 @@
 	{"speed.write.s", 10, 10, 3600, "least time between writes of the learnt speeds", span(func(p *Properties) *micro.Time { return &p.SpeedWrite })},
 	{"score.l1", 60, 1, 99, "score L1 of the design", func(p *Properties, v float64) { p.ScoreL1 = v }},
 	{"score.l2", 30, 1, 99, "score L2 of the design; under L1", func(p *Properties, v float64) { p.ScoreL2 = v }},
+	{"sched.age.s", 150, 10, 86400, "work that has waited so long comes before other work, the largest after half of it", span(func(p *Properties) *micro.Time { return &p.AgeAfter })},
 	{"sched.sample.above", 2000, 0, 1e9, "pending tasks above which machines are sampled", func(p *Properties, v float64) { p.SampleAbove = int(v) }},
 	{"sched.sample.size", 16, 2, 1e4, "machines sampled per task then", func(p *Properties, v float64) { p.SampleSize = int(v) }},
+	{"sched.sample.pass.ms", 30, 0, 1e5, "machines are sampled only after a placement pass that took longer than this", func(p *Properties, v float64) { p.SampleBusy = micro.Time(v * float64(micro.Millisecond)) }},
 	{"sched.max.pending", 1e6, 1, 1e9, "pending tasks above which new jobs are told to come back", func(p *Properties, v float64) { p.MaxPending = int(v) }},
 	{"machine.error.jobs", 2, 1, 100, "different jobs failing on a machine before it is avoided", func(p *Properties, v float64) { p.ErrorMachines = int(v) }},
 }
@@ -113,6 +117,9 @@
 			}
 		}
 	}
+	if p.SilentAfter > 0 && p.SilentAfter < 3*micro.Second {
+		return fmt.Errorf("%s: key %q: must be 0 or at least 3", path, "machine.silent.s")
+	}
 	if p.LeaderRenew*3 > p.LeaderLease {
 		return fmt.Errorf("%s: key %q: must be at most a third of leader.lease.s", path, "leader.renew.s")
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -351,7 +350,7 @@
 	wait(t, "leading", func() bool { return n.leading() != nil })
 	var then []wire.Change
 	for i := range 1563 {
-		then = append(then, wire.Change{Put: "job/j-1/run/" + strconv.Itoa(i), Value: model.ChunkRecord{Done: [][2]int{{i * 64, i*64 + 1}}}})
+		then = append(then, wire.Change{Put: runKey("j-1", i), Value: model.ChunkRecord{Done: [][2]int{{i * 64, i*64 + 1}}}})
 	}
 	then = append(then, wire.Change{Put: specKey("j-1"), Value: wire.Job{ID: "j-1", Team: "team", Tasks: 100_000, CPUs: 1}})
 	if _, err := b.store.Commit(context.Background(), store.Routine, wire.Txn{Then: then}); err != nil {
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -56,21 +56,25 @@
 		go l.rent(h, h.rec.Rental)
 	case HireHeld:
 		delete(l.planner.Asked, h.rec.Rental.Request)
-		h.cell.touch(l.n.Now(), false)
+		h.cell.touch(l.n.Now(), lazy)
 	case HireOver:
 		delete(l.planner.Asked, h.rec.Rental.Request)
 		delete(l.hires, h.rec.Rental.Request)
-		h.cell.touch(l.n.Now(), false)
+		h.cell.touch(l.n.Now(), lazy)
 	}
 }
 
 func (l *Lead) hireCell(h *hire) *cell {
 	c := l.w.cell("hire/" + h.rec.Rental.Request)
-	c.build = func() (any, uint64) {
+	c.build = func() (any, int, uint64) {
 		if h.state == HireOver {
-			return nil, 0
+			return nil, 0, 0
 		}
-		return h.rec, 0
+		size := 300
+		for _, name := range h.rec.Machines {
+			size += len(name) + 4
+		}
+		return h.rec, size, 0
 	}
 	c.saved = func(uint64) {
 		if h.state == HireWriting {
@@ -115,13 +119,13 @@
 // plan rents what is missing and returns what is idle.
 func (l *Lead) plan(now micro.Time) {
 	asks, idle := l.planner.Plan(now)
-	for _, a := range asks {
+	for _, a := range asks { // each at most what one call rents
 		l.hireN++
 		h := &hire{rec: hireRecord{At: int64(l.n.Wall()), Rental: wire.Rental{
-			Request: fmt.Sprintf("r-%d-%d", l.term.Stamp, l.hireN), Type: a.Type, Zone: a.Zone, Spot: a.Spot, Count: min(a.Count, 50)}}}
+			Request: fmt.Sprintf("r-%d-%d", l.term.Stamp, l.hireN), Type: a.Type, Zone: a.Zone, Spot: a.Spot, Count: a.Count}}}
 		l.hires[h.rec.Rental.Request] = h
 		l.planner.Asked[h.rec.Rental.Request] = a
-		l.hireCell(h).touch(now, true)
+		l.hireCell(h).touch(now, soon)
 		l.log.Info("rent", "request", h.rec.Rental.Request, "type", a.Type, "zone", a.Zone, "spot", a.Spot, "count", a.Count)
 	}
 	for _, m := range idle {
@@ -185,7 +189,7 @@
 	for _, name := range names {
 		if l.first == "" || before(name, l.first) {
 			l.first = name
-			l.w.first.touch(now, false)
+			l.w.first.touch(now, soon)
 		}
 		l.hired(h, name, h.asked, now)
 	}
@@ -283,12 +287,16 @@
 				l.post(func() { l.listed(rows, asked) })
 			}
 		}
-		if !l.sleep(4 * micro.Second) {
+		if !l.sleep(listEvery) {
 			return
 		}
 	}
 }
 
+// listEvery is how often the list is read: pages of it cost the leader more
+// than what they tell, which is seldom news.
+const listEvery = 6 * micro.Second
+
 // before reports whether a machine was created before another: names are given
 // in the order of creation.
 func before(a, b string) bool {
@@ -343,7 +351,8 @@
 	up, silent := 0, 0
 	// A machine is missing once a report is overdue, well before it counts as
 	// silent: in a cut, the first to be called silent must not look alone.
-	overdue := micro.Of(cfg.Facts.Workers.ReportS * 1.3)
+	overdue := cfg.Overdue()
+	deaf := 0
 	for _, m := range l.c.List() {
 		z := zones[m.Zone]
 		if z == nil {
@@ -352,6 +361,8 @@
 		}
 		quiet := l.quiet(m, now)
 		if m.State == model.Up && quiet > cfg.SilentAfter {
+			// Only what proves to have been sent from now on is a sign of life.
+			m.Prove = l.token + 1
 			l.c.Become(m, model.Silent, "no reports")
 		}
 		if m.State == model.Unheard && len(m.Places) == 0 || m.State == model.Returning {
@@ -366,21 +377,15 @@
 		}
 		if m.State == model.Up {
 			up++
+			if m.MayBeDeaf() {
+				deaf++
+			}
 		} else if m.State == model.Silent {
 			silent++
 		}
 	}
 	l.hearing(up, silent, now)
-	for _, m := range l.c.List() {
-		if m.State != model.Up {
-			continue
-		}
-		for _, p := range m.Sorted() {
-			if p.Job != nil {
-				l.c.Overran(p, sched.Estimate(p.Job), now)
-			}
-		}
-	}
+	l.overruns(now)
 	for _, m := range l.c.List() {
 		if len(m.Places) > 0 && m.State != model.Up && l.c.LeaseOut(m, now) {
 			l.c.Lose(m, now)
@@ -406,6 +411,14 @@
 				waited > cfg.SilentAfter && age > micro.Time(float64(boot)*cfg.BootPatience):
 				l.giveBack(m, "did not come up")
 			}
+		case model.Up:
+			// If many seem to hear nothing, the fault is this node's.
+			if m.MayBeDeaf() && !m.Deaf && deaf*3 <= up {
+				l.c.SetDeaf(m, true, now)
+			}
+			if m.Deaf && !m.Base && now-m.DeafFrom > 2*l.c.Lease {
+				l.giveBack(m, "hears nothing")
+			}
 		case model.Silent:
 			gone := m.NoticeAt != 0 && now > m.NoticeAt+2*micro.Second
 			if unlisted || gone || l.trust(z.missing, z.all) {
@@ -420,6 +433,24 @@
 	l.sendReturns()
 }
 
+// overruns looks over some of the machines for tasks that take far too long.
+func (l *Lead) overruns(now micro.Time) {
+	list := l.c.List()
+	for range (len(list) + overrunSlices - 1) / overrunSlices {
+		l.watched = (l.watched + 1) % len(list)
+		if m := list[l.watched]; m.State == model.Up {
+			for _, p := range m.Places {
+				if p.Job != nil {
+					l.c.Overran(p, sched.Estimate(p.Job), now)
+				}
+			}
+		}
+	}
+}
+
+// overrunSlices is in how many scans all machines are looked over.
+const overrunSlices = 4
+
 // quiet is how long a machine has been silent while this node was listening:
 // while its right had lapsed, it turned every worker away. Counted from the last
 // report alone, an outage of the store once had eleven live machines returned in
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,7 +30,8 @@
 	n      *Node
 	term   *election.Term
 	log    *slog.Logger
-	events chan func()
+	events chan func() // reports, answers and results of writes
+	asks   chan func() // users' questions, which come after those
 	done   chan struct{}
 	once   sync.Once
 
@@ -46,9 +47,13 @@
 	w         *writer
 	token     uint64
 	tokenAt   micro.Time
+	raisedAt  micro.Time
 	changed   bool
 	kicked    map[*model.Machine]bool
 	lastPass  micro.Time
+	passGap   micro.Time // least time between passes, by what the last one took
+	watched   int        // next machine to look over for overrunning tasks
+	directs   int        // direct orders under way
 	lastScan  micro.Time
 	lastPlan  micro.Time
 	lastSpeed micro.Time
@@ -66,7 +71,7 @@
 
 func newLead(n *Node, t *election.Term) *Lead {
 	l := &Lead{
-		n: n, term: t, log: n.Log.With("term", t.Stamp), events: make(chan func(), 4096), done: make(chan struct{}),
+		n: n, term: t, log: n.Log.With("term", t.Stamp), events: make(chan func(), 4096), asks: make(chan func(), 1024), done: make(chan struct{}),
 		token: t.Stamp << tokenBits, kicked: map[*model.Machine]bool{}, hires: map[string]*hire{},
 		returns: map[*model.Machine]bool{}, waiters: map[string][]chan front.Reply{},
 	}
@@ -75,6 +80,7 @@
 	l.c.Began = n.Now()
 	l.c.Lease = n.Cfg.LeaseSpan() + n.Cfg.LeaseSpan()/500 + micro.Second
 	l.c.ErrJobs = n.Cfg.ErrorMachines
+	l.c.Verbose = n.Log.Enabled(context.Background(), slog.LevelDebug)
 	for _, t := range n.Cfg.Facts.Teams {
 		l.c.Teams[t.Name] = &model.Team{Name: t.Name, CPUs: t.CPUs, CPUsMax: t.CPUsMax, GPUs: t.GPUs, GPUsMax: t.GPUsMax}
 	}
@@ -99,11 +105,16 @@
 	}
 }
 
-// ask runs f in the loop and waits for its reply, but not for long.
-func (l *Lead) ask(wait micro.Time, f func(reply func(front.Reply))) (front.Reply, bool) {
+// ask runs f in the loop and waits for its reply, but not for long. Reports and
+// withdrawals go before questions.
+func (l *Lead) ask(to chan func(), wait micro.Time, f func(reply func(front.Reply))) (front.Reply, bool) {
 	ch := make(chan front.Reply, 1)
-	l.post(func() { f(func(r front.Reply) { ch <- r }) })
 	t := time.NewTimer(wait.Std())
+	select {
+	case to <- func() { f(func(r front.Reply) { ch <- r }) }:
+	case <-l.done:
+	case <-t.C:
+	}
 	defer t.Stop()
 	select {
 	case r := <-ch:
@@ -140,7 +151,7 @@
 			return
 		case f := <-l.events:
 			f()
-			for more := 0; more < 256; more++ {
+			for more := 0; more < 64; more++ {
 				select {
 				case f := <-l.events:
 					f()
@@ -149,6 +160,8 @@
 				}
 				break
 			}
+		case f := <-l.asks:
+			f()
 		case <-tick.C:
 			l.tick(l.n.Now())
 		}
@@ -161,19 +174,35 @@
 	if !l.term.Valid(now) {
 		return
 	}
-	if l.changed && now-l.lastPass > 20*micro.Millisecond {
+	if l.changed && now-l.lastPass > l.passGap {
 		l.changed = false
 		l.lastPass = now
 		l.placer.Pass(now)
-		l.n.Metrics.Observe("pass", l.n.Now()-now)
+		took := l.n.Now() - now
+		l.passGap = min(max(passShare*took, minPassGap), maxPassGap)
+		l.placer.Busy = took > l.n.Cfg.SampleBusy
+		l.n.Metrics.Observe("pass", took)
 	}
 	l.w.flush(now)
 	for m := range l.kicked {
+		if l.directs >= maxDirects {
+			break // the rest wait, or the next reports bring them
+		}
 		delete(l.kicked, m)
 		l.direct(m, now)
 	}
 }
 
+// Passes take at most one part in passShare of the time.
+const (
+	passShare  = 8
+	minPassGap = 40 * micro.Millisecond
+	maxPassGap = micro.Second
+)
+
+// maxDirects bounds the direct orders under way: each takes a socket.
+const maxDirects = 96
+
 func (l *Lead) tick(now micro.Time) {
 	if !l.term.Valid(now) {
 		l.lapsed = true
@@ -205,16 +234,20 @@
 			for _, t := range l.c.Order {
 				l.log.Debug("speed", "type", t.Name, "k", t.K, "learnt", l.speeds.Record().K[t.Name])
 			}
-			l.w.speed.touch(now, false)
+			l.w.speed.touch(now, lazy)
 		}
 	}
 	if now-l.tokenAt >= micro.Second {
-		l.tokenAt = now
+		need := now-l.raisedAt > challenge
 		for _, m := range l.c.Machines {
-			if m.State == model.Up && m.NeedsToken(l.token) {
-				l.token++
+			if need {
 				break
 			}
+			need = (m.State == model.Up || m.Heard > 0) && m.State != model.Returning && m.NeedsToken(l.token)
+		}
+		if need {
+			l.token++
+			l.raisedAt = now
 		}
 		if l.token&(1<<tokenBits-1) == 1<<tokenBits-1 {
 			l.resign("tokens used up")
@@ -222,6 +255,10 @@
 	}
 }
 
+// challenge is how often the token is raised even if nothing waits for it: a
+// machine that hears nothing shows by not having seen it.
+const challenge = 10 * micro.Second
+
 func (l *Lead) resign(why string) {
 	l.log.Info("resigning", "why", why)
 	l.term.End()
@@ -239,12 +276,11 @@
 	l.c.SetCatalog(l.n.catalog.Load())
 	var rev uint64
 	type chunkItem struct {
-		job string
-		n   int
-		it  wire.Item
+		n  int
+		it wire.Item
 	}
-	var chunks []chunkItem
-	ends := map[string]wire.Item{}
+	chunks := map[string][]chunkItem{}
+	specs, ends := map[string]wire.Item{}, map[string]wire.Item{}
 	read := func(prefix string, each func(wire.Item)) bool {
 		after := ""
 		for {
@@ -270,38 +306,41 @@
 	}
 	now, wall := l.n.Now(), l.n.Wall()
 	ok := read("job/", func(it wire.Item) {
-		parts := strings.Split(it.Key, "/")
-		switch {
-		case len(parts) == 3 && parts[2] == "spec":
-			var job wire.Job
-			if err := wire.Unmarshal(it.Value, &job); err == nil && job.Tasks > 0 {
-				l.take(job, now, wall)
-			}
-		case len(parts) == 3 && parts[2] == "end":
-			ends[parts[1]] = it
-		case len(parts) == 4 && parts[2] == "run":
-			var k int
-			if _, err := fmt.Sscanf(parts[3], "%d", &k); err == nil {
-				chunks = append(chunks, chunkItem{parts[1], k, it})
-			}
+		switch id, rest, _ := strings.Cut(it.Key[len("job/"):], "/"); rest {
+		case "spec":
+			specs[id] = it
+		case "end":
+			ends[id] = it
+		}
+	}) && read("run/", func(it wire.Item) {
+		id, rest, _ := strings.Cut(it.Key[len("run/"):], "/")
+		if k, err := strconv.Atoi(rest); err == nil {
+			chunks[id] = append(chunks[id], chunkItem{k, it})
 		}
 	})
 	if !ok {
 		return 0, false
 	}
-	for id, it := range ends {
+	for id, it := range specs {
+		end, over := ends[id]
+		if over && len(chunks[id]) == 0 {
+			continue // over, and none of its tasks holds a place: the store answers for it
+		}
+		var job wire.Job
+		if err := wire.Unmarshal(it.Value, &job); err != nil || job.Tasks < 1 {
+			continue
+		}
+		j := l.take(job, now, wall)
 		var e model.EndRecord
-		if j := l.c.Jobs[id]; j != nil && wire.Unmarshal(it.Value, &e) == nil {
+		if over && wire.Unmarshal(end.Value, &e) == nil {
 			l.c.End(j, e.State == wire.JobAborted, now)
 		}
-	}
-	for _, ch := range chunks {
-		j := l.c.Jobs[ch.job]
-		var rec model.ChunkRecord
-		if j == nil || j.State == model.Done || wire.Unmarshal(ch.it.Value, &rec) != nil {
-			continue
+		for _, ch := range chunks[id] {
+			var rec model.ChunkRecord
+			if wire.Unmarshal(ch.it.Value, &rec) == nil {
+				l.c.Restore(j, ch.n, &rec, uint64(ch.it.Version), now)
+			}
 		}
-		l.c.Restore(j, ch.n, &rec, uint64(ch.it.Version), now)
 	}
 	ok = read("hire/", func(it wire.Item) { l.restoreHire(it, now, wall) }) &&
 		read("fleet/", func(it wire.Item) {
@@ -388,7 +427,7 @@
 
 // show answers a poll from memory.
 func (l *Lead) show(id string) (wire.JobStatus, bool) {
-	r, ok := l.ask(400*micro.Millisecond, func(reply func(front.Reply)) {
+	r, ok := l.ask(l.asks, 400*micro.Millisecond, func(reply func(front.Reply)) {
 		if j := l.c.Jobs[id]; j != nil {
 			reply(front.Reply{Status: 200, Body: j.Status()})
 			return
@@ -403,7 +442,7 @@
 
 // withdraw cancels a job: its end is created before anyone is told.
 func (l *Lead) withdraw(id string) front.Reply {
-	r, ok := l.ask(1500*micro.Millisecond, func(reply func(front.Reply)) {
+	r, ok := l.ask(l.events, 1500*micro.Millisecond, func(reply func(front.Reply)) {
 		j := l.c.Jobs[id]
 		switch {
 		case j == nil:
@@ -442,6 +481,9 @@
 		l.speeds.Forget(j.Spec.ID)
 	}
 	l.log.Info("job over", "job", j.Spec.ID, "state", string(state), "after_s", (now - j.Submitted).Seconds())
+	for _, ch := range j.Chunks {
+		l.Touch(ch)
+	}
 	for _, ch := range l.waiters[j.Spec.ID] {
 		ch <- front.Reply{Status: 200, Body: j.Status()}
 	}
@@ -453,7 +495,8 @@
 
 // beat answers a worker's report.
 func (l *Lead) beat(r *wire.Report) front.Reply {
-	rep, ok := l.ask(2*micro.Second, func(reply func(front.Reply)) {
+	from := l.n.Now()
+	rep, ok := l.ask(l.events, 2*micro.Second, func(reply func(front.Reply)) {
 		now := l.n.Now()
 		if !l.term.Valid(now) {
 			reply(front.Later(503, 1))
@@ -468,6 +511,11 @@
 		if len(orders) > maxOrders {
 			orders = orders[:maxOrders]
 		}
+		if now-from < promptly {
+			l.c.Told(m, l.token)
+		} else {
+			l.c.Told(m, 0) // the worker may have given up waiting
+		}
 		reply(front.Reply{Status: 200, Body: wire.Orders{Token: wire.Count(l.token), Orders: orders}})
 	})
 	if !ok {
@@ -476,6 +524,10 @@
 	return rep
 }
 
+// promptly is how soon an answer must be ready to count as one that the worker
+// takes.
+const promptly = micro.Second
+
 // direct sends a machine its orders without waiting for its next report.
 func (l *Lead) direct(m *model.Machine, now micro.Time) {
 	if m.State != model.Up || m.Addr == "" {
@@ -496,15 +548,18 @@
 		orders = orders[:maxOrders]
 	}
 	m.Busy, m.Again = true, false
+	l.directs++
 	msg := wire.Orders{Token: wire.Count(l.token), Session: wire.Count(m.Session), Orders: orders}
 	addr := m.Addr
 	go func() {
 		if !l.valid() {
+			l.post(func() { l.directs--; m.Busy = false })
 			return
 		}
 		r, executed, err := l.n.Agent.Send(addr, msg)
 		l.post(func() {
 			m.Busy = false
+			l.directs--
 			now := l.n.Now()
 			if err != nil {
 				l.log.Debug("direct orders", "machine", m.Name, "err", err)
@@ -527,10 +582,21 @@
 // The model's effects.
 
 // Touch notes that a chunk must be written.
-func (l *Lead) Touch(ch *model.Chunk) { l.w.chunk(ch).touch(l.n.Now(), false) }
+func (l *Lead) Touch(ch *model.Chunk) {
+	if ch.Job.Over() && len(ch.Places) > 0 {
+		return // goes once its last place is free
+	}
+	l.w.chunk(ch).touch(l.n.Now(), lazy)
+}
 
 // Press notes that a start waits for a chunk.
-func (l *Lead) Press(ch *model.Chunk) { l.w.chunk(ch).touch(l.n.Now(), true) }
+func (l *Lead) Press(ch *model.Chunk) {
+	h := soon
+	if ch.Job.Level == 0 {
+		h = first
+	}
+	l.w.chunk(ch).touch(l.n.Now(), h)
+}
 
 // Kick notes that a machine has orders worth sending directly.
 func (l *Lead) Kick(m *model.Machine) { l.kicked[m] = true }
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -66,6 +66,7 @@
 		Now:     micro.Now,
 		Wall:    micro.Wall,
 	}
+	n.Store.(Sharer).SetShare(1 / float64(len(cfg.Peers)+1)) // until it is known who leads
 	n.Init()
 	return n
 }
@@ -136,7 +137,7 @@
 
 func (n *Node) startLead(ctx context.Context, t *election.Term) {
 	if s, ok := n.Store.(Sharer); ok {
-		s.SetShare(0.75)
+		s.SetShare(n.Cfg.LeaderShare())
 	}
 	l := newLead(n, t)
 	n.lead.Store(l)
@@ -145,7 +146,7 @@
 
 func (n *Node) stopLead(t *election.Term) {
 	if s, ok := n.Store.(Sharer); ok {
-		s.SetShare(0.15)
+		s.SetShare(n.Cfg.FollowerShare())
 	}
 	if l := n.lead.Load(); l != nil && l.term == t {
 		n.lead.Store(nil)
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"strings"
 	"time"
 
@@ -25,6 +26,8 @@
 func specKey(id string) string { return "job/" + id + "/spec" }
 func endKey(id string) string  { return "job/" + id + "/end" }
 
+func runKey(id string, n int) string { return "run/" + id + "/" + strconv.Itoa(n) }
+
 // Submit accepts a job: 201 only after its description is in the store.
 func (n *Node) Submit(body []byte) front.Reply { return n.submit(body, true) }
 
@@ -196,67 +199,78 @@
 	return r
 }
 
-// read answers from the store, by one read of the job's keys.
+// read answers from the store: the job's own keys tell whether it exists and
+// how it ended, the records of its tasks how far it is.
 func (n *Node) read(id string) (front.Reply, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
-	defer cancel()
-	prefix := "job/" + id + "/"
-	var items []wire.Item
-	for after, more := "", true; more; {
-		// One page, but for the largest jobs: their records come before the
-		// description, which alone tells that the job exists.
-		page, err := n.Store.Range(ctx, store.Routine, prefix, after, 1000)
-		if err != nil {
-			return front.Reply{}, err
-		}
-		items = append(items, page.Items...)
-		if more = page.More && len(page.Items) > 0; more {
-			after = page.Items[len(page.Items)-1].Key
-		}
-	}
 	s := wire.JobStatus{ID: id, State: wire.JobPending}
 	var spec *wire.Job
-	for _, it := range items {
-		switch rest := strings.TrimPrefix(it.Key, prefix); {
-		case rest == "end":
+	err := n.readAll("job/"+id+"/", func(rest string, value []byte) error {
+		switch rest {
+		case "end":
 			var e model.EndRecord
-			if err := wire.Unmarshal(it.Value, &e); err != nil {
-				return front.Reply{}, err
+			if err := wire.Unmarshal(value, &e); err != nil {
+				return err
 			}
 			s.State = e.State
-		case rest == "spec":
+		case "spec":
 			spec = &wire.Job{}
-			if err := wire.Unmarshal(it.Value, spec); err != nil {
-				return front.Reply{}, err
-			}
-		case strings.HasPrefix(rest, "run/"):
-			var rec model.ChunkRecord
-			if err := wire.Unmarshal(it.Value, &rec); err != nil {
-				return front.Reply{}, err
-			}
-			for _, d := range rec.Done {
-				s.Done += d[1] - d[0] + 1
-			}
-			s.Running += len(rec.Places)
+			return wire.Unmarshal(value, spec)
 		}
+		return nil
+	})
+	if err != nil {
+		return front.Reply{}, err
 	}
-	switch {
-	case spec == nil && !s.State.Final():
+	if spec == nil && !s.State.Final() {
 		return front.Fail(404, "no such job"), nil
-	case s.State == wire.JobDone:
-		if spec != nil {
+	}
+	if s.State.Final() {
+		if s.State == wire.JobDone && spec != nil {
 			s.Done = spec.Tasks
 		}
-		s.Running = 0
-	case s.State == wire.JobAborted:
-		s.Running = 0
-	case s.Running > 0:
+		n.finals.put(s)
+		return front.Reply{Status: 200, Body: s}, nil
+	}
+	err = n.readAll("run/"+id+"/", func(_ string, value []byte) error {
+		var rec model.ChunkRecord
+		if err := wire.Unmarshal(value, &rec); err != nil {
+			return err
+		}
+		for _, d := range rec.Done {
+			s.Done += d[1] - d[0] + 1
+		}
+		s.Running += len(rec.Places)
+		return nil
+	})
+	if err != nil {
+		return front.Reply{}, err
+	}
+	if s.Running > 0 {
 		s.State = wire.JobRunning
 	}
-	n.finals.put(s)
 	return front.Reply{Status: 200, Body: s}, nil
 }
 
+// readAll reads all keys with a prefix: one page, but for the largest jobs.
+func (n *Node) readAll(prefix string, each func(rest string, value []byte) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
+	defer cancel()
+	for after, more := "", true; more; {
+		page, err := n.Store.Range(ctx, store.Routine, prefix, after, 1000)
+		if err != nil {
+			return err
+		}
+		for _, it := range page.Items {
+			if err := each(strings.TrimPrefix(it.Key, prefix), it.Value); err != nil {
+				return err
+			}
+			after = it.Key
+		}
+		more = page.More && len(page.Items) > 0
+	}
+	return nil
+}
+
 // Withdraw cancels a job; only the leader can.
 func (n *Node) Withdraw(id string) front.Reply {
 	if s, ok := n.finals.get(id); ok {
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sort"
-	"strconv"
 	"time"
 
 	"notchmux.dev/notchmux/internal/micro"
@@ -22,6 +20,16 @@
 	Machine string `msgpack:"m" json:"m"`
 }
 
+// haste is how soon a change must be written. A queue holds each.
+type haste uint8
+
+const (
+	first haste = iota // withdrawals, and starts of the first rank
+	soon               // other starts, ends, rentals
+	lazy               // completions, which workers keep until they are written, and records of what is over
+	hastes
+)
+
 // cell is one key that the leader keeps. Every write of it is guarded by the
 // leader's key and by the version last known: a late copy of an earlier write
 // fails, whatever it carries.
@@ -30,41 +38,44 @@
 	key    string
 	stamp  uint64
 	dirty  bool
-	urgent bool
+	haste  haste
 	verify bool // an uncertain write: read the version before the next
 	since  micro.Time
-	build  func() (value any, note uint64) // nil value: delete
+	build  func() (value any, size int, note uint64) // nil value: delete
 	saved  func(note uint64)
 	found  func(it wire.Item) bool // the key exists unexpectedly; true settles it
 }
 
-func (c *cell) touch(now micro.Time, urgent bool) {
+func (c *cell) touch(now micro.Time, h haste) {
+	if c.dirty && c.haste <= h {
+		return
+	}
 	if !c.dirty {
-		c.dirty = true
-		c.since = now
-		c.w.dirty[c] = true
+		c.dirty, c.since = true, now
 	}
-	c.urgent = c.urgent || urgent
+	c.haste = h
+	c.w.queues[h] = append(c.w.queues[h], c)
 }
 
 // writer batches the leader's writes, one transaction at a time.
 type writer struct {
 	l      *Lead
 	cells  map[string]*cell
-	dirty  map[*cell]bool
+	queues [hastes][]*cell // in the order in which they became due; a cell counts in that of its haste
 	chunks map[*model.Chunk]*cell
 	speed  *cell
 	first  *cell
 	flight bool
 	next   micro.Time
+	idle   micro.Time // no look at the lazy queue before
 }
 
 func newWriter(l *Lead) *writer {
-	w := &writer{l: l, cells: map[string]*cell{}, dirty: map[*cell]bool{}, chunks: map[*model.Chunk]*cell{}}
+	w := &writer{l: l, cells: map[string]*cell{}, chunks: map[*model.Chunk]*cell{}}
 	w.speed = w.cell(speedKey)
-	w.speed.build = func() (any, uint64) { return l.speeds.Record(), 0 }
+	w.speed.build = func() (any, int, uint64) { return l.speeds.Record(), 1024, 0 }
 	w.first = w.cell(firstKey)
-	w.first.build = func() (any, uint64) { return firstRecord{l.first}, 0 }
+	w.first.build = func() (any, int, uint64) { return firstRecord{l.first}, 128, 0 }
 	return w
 }
 
@@ -82,9 +93,15 @@
 func (w *writer) chunk(ch *model.Chunk) *cell {
 	c := w.chunks[ch]
 	if c == nil {
-		c = w.cell("job/" + ch.Job.Spec.ID + "/run/" + strconv.Itoa(ch.N))
+		c = w.cell(runKey(ch.Job.Spec.ID, ch.N))
 		c.stamp = ch.Stamp
-		c.build = func() (any, uint64) { return ch.Record(), ch.Ver }
+		c.build = func() (any, int, uint64) {
+			if ch.Job.Over() && len(ch.Places) == 0 {
+				return nil, 0, ch.Ver // its end says all there is to know
+			}
+			rec := ch.Record()
+			return rec, rec.Size(), ch.Ver
+		}
 		c.saved = func(ver uint64) { w.l.c.Persisted(ch, ver) }
 		w.chunks[ch] = c
 	}
@@ -95,7 +112,7 @@
 // one is the truth.
 func (w *writer) end(j *model.Job, state wire.JobState) {
 	c := w.cell(endKey(j.Spec.ID))
-	c.build = func() (any, uint64) { return model.EndRecord{State: state}, 0 }
+	c.build = func() (any, int, uint64) { return model.EndRecord{State: state}, 64, 0 }
 	c.saved = func(uint64) { w.drop(c); w.l.ended(j, state) }
 	c.found = func(it wire.Item) bool {
 		var e model.EndRecord
@@ -106,11 +123,15 @@
 		w.l.ended(j, e.State)
 		return true
 	}
-	c.touch(w.l.n.Now(), true)
+	h := soon
+	if state == wire.JobAborted {
+		h = first
+	}
+	c.touch(w.l.n.Now(), h)
 }
 
-// coalesce is how long a routine change waits for others to join it.
-const coalesce = 300 * micro.Millisecond
+// coalesce is how long a lazy change waits for others of its key to join it.
+const coalesce = 1500 * micro.Millisecond
 
 type written struct {
 	c    *cell
@@ -118,91 +139,94 @@
 	del  bool
 }
 
+// maxTxnBytes keeps a transaction under the store's limit for one.
+const maxTxnBytes = 60 << 10
+
+// batch is a transaction being put together.
+type batch struct {
+	txn    wire.Txn
+	cells  []written
+	verify []*cell
+	size   int
+}
+
 // flush starts a transaction if one is due and none is under way.
 func (w *writer) flush(now micro.Time) {
 	if w.flight || now < w.next {
 		return
 	}
-	var due []*cell
-	press := false
-	if len(w.dirty) == 0 {
-		return
-	}
-	for c := range w.dirty {
-		if !c.dirty {
-			delete(w.dirty, c)
-			continue
-		}
-		due = append(due, c)
-		press = press || c.urgent || now-c.since > coalesce
-	}
-	if !press {
+	pressing := len(w.queues[first])+len(w.queues[soon]) > 0
+	if !pressing && (len(w.queues[lazy]) == 0 || now < w.idle) {
 		return
 	}
-	sort.Slice(due, func(a, b int) bool {
-		x, y := due[a], due[b]
-		if x.urgent != y.urgent {
-			return x.urgent
-		}
-		if x.since != y.since {
-			return x.since < y.since
+	st := w.l.n.Store
+	most := w.l.n.Cfg.Facts.State.TxnOps
+	b := batch{txn: wire.Txn{If: []wire.Guard{w.l.term.Guard()}}, size: 1024}
+	w.fill(&b, first, min(most, st.WriteRoom(store.Urgent)), now)
+	w.fill(&b, soon, min(most, st.WriteRoom(store.Routine)), now)
+	// What is lazy leaves most of the budget to what comes next.
+	w.fill(&b, lazy, min(most, st.WriteRoom(store.Lazy)), now-coalesce)
+	w.idle = now + 200*micro.Millisecond
+	switch {
+	case len(b.verify) > 0:
+		// Put what was batched back: what is uncertain is cleared up first.
+		for _, x := range b.cells {
+			x.c.touch(now, soon)
 		}
-		return x.key < y.key
-	})
-	room := min(w.l.n.Cfg.Facts.State.TxnOps, w.l.n.Store.WriteRoom(store.Urgent))
-	if room < 1 {
+		w.flight = true
+		go w.clear(b.verify)
+	case len(b.cells) > 0:
+		w.flight = true
+		go w.commit(b.txn, b.cells)
+	case pressing:
 		w.next = now + 50*micro.Millisecond
-		return
 	}
-	txn := wire.Txn{If: []wire.Guard{w.l.term.Guard()}}
-	var batch []written
-	var verify []*cell
-	size := 1024
-	for _, c := range due {
-		if len(batch) == room {
-			break
+}
+
+// fill takes what is due from a queue, as far as there is room.
+func (w *writer) fill(b *batch, h haste, room int, due micro.Time) {
+	q := w.queues[h]
+	k := 0
+	for ; k < len(q); k++ {
+		c := q[k]
+		if !c.dirty || c.haste != h {
+			continue // written meanwhile, or due in another queue
 		}
 		if c.verify {
-			verify = append(verify, c)
-			if len(verify) == 8 {
+			if len(b.verify) == 8 {
 				break
 			}
+			b.verify = append(b.verify, c)
 			continue
 		}
-		value, note := c.build()
+		if len(b.cells) >= room || c.since > due {
+			break
+		}
+		value, size, note := c.build()
 		if value == nil && c.stamp == 0 {
 			c.dirty = false
 			w.drop(c)
 			continue
 		}
+		if b.size+size+300 > maxTxnBytes {
+			break
+		}
+		b.size += size + 300
 		ch := wire.Change{Put: c.key, Value: value}
 		if value == nil {
 			ch = wire.Change{Delete: c.key}
-		} else {
-			size += wire.JSONSize(value) + 300
-			if size > 60<<10 {
-				break
-			}
 		}
-		txn.If = append(txn.If, wire.Guard{Key: c.key, Version: wire.Count(c.stamp)})
-		txn.Then = append(txn.Then, ch)
-		batch = append(batch, written{c, note, value == nil})
-		c.dirty, c.urgent = false, false
+		b.txn.If = append(b.txn.If, wire.Guard{Key: c.key, Version: wire.Count(c.stamp)})
+		b.txn.Then = append(b.txn.Then, ch)
+		b.cells = append(b.cells, written{c, note, value == nil})
+		c.dirty = false
 	}
-	if len(verify) > 0 {
-		// Put what was batched back: what is uncertain is cleared up first.
-		for _, b := range batch {
-			b.c.touch(now, true)
-		}
-		w.flight = true
-		go w.clear(verify)
-		return
-	}
-	if len(batch) == 0 {
-		return
+	// What was skipped as uncertain is put back by clear.
+	if k == len(q) {
+		w.queues[h] = q[:0]
+	} else {
+		w.queues[h] = q[k:]
 	}
-	w.flight = true
-	go w.commit(txn, batch)
 }
 
 func (w *writer) commit(txn wire.Txn, batch []written) {
@@ -246,8 +270,8 @@
 	w.flight = false
 	now := w.l.n.Now()
 	for _, b := range batch {
-		b.c.touch(now, true)
 		b.c.verify = b.c.verify || verify
+		b.c.touch(now, soon)
 	}
 }
 
@@ -270,19 +294,25 @@
 	}
 	w.l.post(func() {
 		w.flight = false
+		now := w.l.n.Now()
 		for _, g := range all {
 			switch {
 			case g.err == nil:
 				g.c.verify = false
+				g.c.stamp = uint64(g.it.Version)
 				if g.c.found != nil && g.c.found(g.it) {
-					g.c.dirty, g.c.urgent = false, false
+					g.c.dirty = false
 				}
-				g.c.stamp = uint64(g.it.Version)
 			case errors.Is(g.err, store.ErrNotFound):
 				g.c.verify = false
 				g.c.stamp = 0
 			default:
-				w.next = w.l.n.Now() + 100*micro.Millisecond
+				w.next = now + 100*micro.Millisecond
+			}
+		}
+		for _, c := range cells { // their place in the queue was given up
+			if c.dirty {
+				w.queues[c.haste] = append(w.queues[c.haste], c)
 			}
 		}
 	})
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -50,11 +50,15 @@
 	Sockets int
 }
 
+// ownSockets are kept for what the node opens itself: orders to workers, the
+// state service, the cloud and the peers. All else is for workers and users.
+const ownSockets = 300
+
 // Serve runs until the context ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	srv := &fasthttp.Server{
 		Handler:               s.handle,
-		Concurrency:           max(s.Sockets*8/10, 16),
+		Concurrency:           max(s.Sockets-ownSockets, s.Sockets/2, 16),
 		IdleTimeout:           30 * time.Second,
 		ReadTimeout:           35 * time.Second,
 		WriteTimeout:          10 * time.Second,
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -6,7 +6,7 @@
 )
 
 // ChunkTasks is how many tasks share one record in the store.
-const ChunkTasks = 64
+const ChunkTasks = 128
 
 // JobState is a job's state in the leader's picture.
 type JobState uint8
@@ -74,11 +74,15 @@
 	EndStamp  uint64
 	Saved     micro.Time // progress kept in checkpoints, of the longest task
 	Started   bool
+	Guar      bool // lies within its team's guarantee, see MarkGuarantees
 
 	fresh int     // tasks from here on were never queued
 	queue []int32 // tasks to place again
 }
 
+// Over reports whether the job's end is in the store.
+func (j *Job) Over() bool { return j.State == Done || j.State == Aborted }
+
 // become is the one place where a job's state changes.
 func (c *Cluster) become(j *Job, to JobState) {
 	if j.State == to {
@@ -144,24 +148,22 @@
 	return j
 }
 
-// Guaranteed reports whether the job fits its team's guarantee together with
-// the team's earlier unfinished jobs. An amount of 0 guarantees nothing of that
-// kind, and a team without any guarantee has none.
-func (j *Job) Guaranteed() bool {
-	t := j.Team
-	if t == nil || t.CPUs <= 0 && t.GPUs <= 0 {
-		return false
-	}
-	var cpus, gpus float64
-	for _, x := range t.unfinished {
-		n := float64(len(x.Tasks) - x.DoneN)
-		cpus += n * x.Spec.CPUs
-		gpus += n * x.Spec.GPUs
-		if x == j {
-			break
+// MarkGuarantees marks the active jobs that fit their team's guarantee together
+// with the team's earlier unfinished jobs. An amount of 0 guarantees nothing of
+// that kind, and a team without any guarantee has none.
+func (c *Cluster) MarkGuarantees() {
+	for _, t := range c.Teams {
+		if t.CPUs <= 0 && t.GPUs <= 0 {
+			continue
+		}
+		var cpus, gpus float64
+		for _, x := range t.unfinished {
+			n := float64(len(x.Tasks) - x.DoneN)
+			cpus += n * x.Spec.CPUs
+			gpus += n * x.Spec.GPUs
+			x.Guar = (t.CPUs <= 0 || cpus <= t.CPUs) && (t.GPUs <= 0 || gpus <= t.GPUs)
 		}
 	}
-	return (t.CPUs <= 0 || cpus <= t.CPUs) && (t.GPUs <= 0 || gpus <= t.GPUs)
 }
 
 // Chunk is the record that holds a task.
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -49,7 +49,11 @@
 	Session    uint64
 	Seq        uint64
 	Token      uint64
-	Heard      micro.Time // last report received
+	Heard      micro.Time // last new proof of life
+	Answered   micro.Time // last report answered, new or not: the worker's lease may count from it
+	Prove      uint64     // it counts as up once it has shown this token
+	Misses     int        // reports in a row that had not seen the token they should have
+	DeafFrom   micro.Time // since when it hears nothing
 	FirstHeard micro.Time
 	LostSess   uint64 // sessions up to this one surely ended
 	Places     map[PlaceKey]*Place
@@ -58,13 +62,15 @@
 	UsedGPU    float64
 	UsedMem    float64
 	UsedScaled float64
+	Ranks      [ranks]Room // what places hold by rank, those told to stop excepted
+	Going      Room        // what places hold that were told to stop
 	IdleSince  micro.Time
 	Rented     micro.Time // when it was rented, as far as known
 	Base       bool       // here before the service: never returned for being idle
 	Listed     micro.Time // last list that showed it; 0: none
 	ListState  wire.MachineState
 	NoticeAt   micro.Time      // the cloud takes it then; 0: no notice
-	Drain      bool            // takes no new tasks
+	Deaf       bool            // reports, but hears nothing: takes no new tasks
 	Overruns   int             // attempts in a row that ran far over what was expected
 	Errors     map[string]bool // jobs that failed here
 	Avoid      micro.Time      // takes no tasks until then
@@ -74,8 +80,13 @@
 	RetryAt    micro.Time      // no direct order before
 	Reserve    *Job            // being cleared for this job
 	ReserveAt  micro.Time
+	Gathered   bool // reserved for a job that has waited long
 	Hire       string
 
+	told  uint64 // the token of the last answer, 0: not known
+	pool  *Pool  // where placement finds it, nil: nowhere
+	row   int
+	at    int
 	exits map[PlaceKey]*exit
 }
 
@@ -96,6 +107,7 @@
 		if s == to {
 			c.Log("machine", "machine", m.Name, "type", m.TypeName, "spot", m.Spot, "was", m.State.String(), "is", to.String(), "why", why)
 			m.State = to
+			c.shelve(m)
 			c.Changed()
 			return true
 		}
@@ -109,7 +121,7 @@
 	if m == nil {
 		m = &Machine{
 			Name: name, Places: map[PlaceKey]*Place{}, exits: map[PlaceKey]*exit{},
-			Images: map[string]micro.Time{}, Errors: map[string]bool{}, Rented: now, IdleSince: now,
+			Images: map[string]micro.Time{}, Errors: map[string]bool{}, Rented: now, IdleSince: now, Prove: c.BaseTok,
 		}
 		c.Machines[name] = m
 		c.list = nil
@@ -131,17 +143,54 @@
 	}
 	m.TypeName, m.Zone, m.Spot = typ, zone, spot
 	m.Type = c.Types[typ]
+	c.shelve(m)
 }
 
 // Usable reports whether new tasks may be placed on the machine.
 func (m *Machine) Usable(now micro.Time) bool {
-	return m.State == Up && m.Type != nil && !m.Drain && m.NoticeAt == 0 && m.Avoid <= now
+	return m.State == Up && m.Type != nil && !m.Deaf && m.NoticeAt == 0 && m.Avoid <= now
 }
 
-// lastSign is the latest time from which the worker's lease may count: its last
-// report received, or the takeover, before which another leader may have
-// answered it.
-func (c *Cluster) lastSign(m *Machine) micro.Time { return max(m.Heard, c.Began) }
+// lastSign is the latest time from which the worker's lease may count: the last
+// answer to any of its reports, a late copy included, or the takeover, before
+// which another leader may have answered it.
+func (c *Cluster) lastSign(m *Machine) micro.Time { return max(m.Answered, c.Began) }
+
+// Told notes the token of an answer that went out in good time; 0: it may have
+// come too late for the worker to take it.
+func (c *Cluster) Told(m *Machine, token uint64) { m.told = token }
+
+// deafAfter is how many reports in a row show that answers do not arrive.
+const deafAfter = 3
+
+// listens looks whether a report's worker has taken the answer before. Its next
+// report is sent only after that answer, or after the worker gave it up.
+func (c *Cluster) listens(m *Machine, token uint64) {
+	if m.told == 0 || token < m.told {
+		if m.told > 0 {
+			m.Misses++
+		}
+		return
+	}
+	m.Misses = 0
+	c.SetDeaf(m, false, 0)
+}
+
+// MayBeDeaf reports whether a machine's reports come, but nothing reaches it.
+func (m *Machine) MayBeDeaf() bool { return m.Misses >= deafAfter }
+
+// SetDeaf marks a machine that hears nothing: it takes no new tasks, and what it
+// has is placed elsewhere only once proven free. It is used again as soon as it
+// shows that it hears.
+func (c *Cluster) SetDeaf(m *Machine, deaf bool, now micro.Time) {
+	if m.Deaf == deaf {
+		return
+	}
+	m.Deaf, m.DeafFrom = deaf, now
+	c.Log("machine hears", "machine", m.Name, "hears", !deaf)
+	c.shelve(m)
+	c.Changed()
+}
 
 // LeaseOut reports whether the worker's lease surely ran out.
 func (c *Cluster) LeaseOut(m *Machine, now micro.Time) bool {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -72,8 +72,12 @@
 	ErrJobs  int             // jobs failing on a machine before it is avoided
 	Pending  map[*Job]bool   // active jobs with tasks to place
 	Live     map[*Job]bool   // active jobs
+	Pools    []*Pool         // machines that take new tasks, by type, zone and kind
 
-	list []*Machine
+	Verbose bool // log each place and exit
+
+	list  []*Machine
+	pools map[poolKey]*Pool
 }
 
 // New makes an empty picture.
@@ -82,6 +86,7 @@
 		Effects: fx, Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Teams: map[string]*Team{},
 		Types: map[string]*Type{}, Classes: map[string]*Class{}, Gone: map[string]bool{},
 		Pending: map[*Job]bool{}, Live: map[*Job]bool{}, ErrJobs: 2,
+		pools: map[poolKey]*Pool{},
 	}
 }
 
--- a/internal/model/place.go
+++ b/internal/model/place.go
@@ -119,6 +119,8 @@
 	m.UsedGPU += j.Spec.GPUs
 	m.UsedMem += j.Spec.MemoryGB
 	m.UsedScaled += p.Scaled
+	m.account(p, 1)
+	c.shelve(m)
 	if j.Team != nil {
 		j.Team.UsedCPU += j.Spec.CPUs
 		j.Team.UsedGPU += j.Spec.GPUs
@@ -149,9 +151,12 @@
 	m.UsedGPU -= j.Spec.GPUs
 	m.UsedMem -= j.Spec.MemoryGB
 	m.UsedScaled -= p.Scaled
+	m.account(p, -1)
 	if len(m.Places) == 0 {
 		m.UsedCPU, m.UsedGPU, m.UsedMem, m.UsedScaled = 0, 0, 0, 0
+		m.Ranks, m.Going = [ranks]Room{}, Room{}
 	}
+	c.shelve(m)
 	if j.Team != nil {
 		j.Team.UsedCPU -= j.Spec.CPUs
 		j.Team.UsedGPU -= j.Spec.GPUs
@@ -215,9 +220,18 @@
 	}
 	if !p.Stopping {
 		p.StopAt = now
+		if p.known {
+			p.Machine.account(p, -1)
+		}
 	}
+	was := p.Stopping
 	p.Stopping, p.GraceS, p.Why = true, graceS, why
-	c.Log("stop", "task", p.Name, "try", p.Attempt, "machine", p.Machine.Name, "why", why, "grace_s", graceS)
+	if !was && p.known {
+		p.Machine.account(p, 1)
+	}
+	if c.Verbose {
+		c.Log("stop", "task", p.Name, "try", p.Attempt, "machine", p.Machine.Name, "why", why, "grace_s", graceS)
+	}
 	c.Kick(p.Machine)
 }
 
--- a/internal/model/record.go
+++ b/internal/model/record.go
@@ -9,11 +9,13 @@
 
 // PlaceRecord is a taken place in a chunk's record.
 type PlaceRecord struct {
-	Index   int        `msgpack:"i" json:"i"`
-	Attempt wire.Count `msgpack:"a" json:"a"`
-	Machine string     `msgpack:"m" json:"m"`
-	Session wire.Count `msgpack:"s" json:"s"`
-	Zone    string     `msgpack:"z" json:"z"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // records are written often: no field names
+
+	Index   int
+	Attempt wire.Count
+	Machine string
+	Session wire.Count
+	Zone    string
 }
 
 // ChunkRecord is a chunk of tasks as the store keeps it.
@@ -23,6 +25,15 @@
 	Tries  [][2]int      `msgpack:"t" json:"t"` // task and attempt, where no place is taken
 }
 
+// Size bounds the record's size in the form that the store's limits count.
+func (r *ChunkRecord) Size() int {
+	n := 64 + 16*len(r.Done) + 20*len(r.Tries)
+	for i := range r.Places {
+		n += 40 + len(r.Places[i].Machine) + len(r.Places[i].Zone)
+	}
+	return n
+}
+
 // EndRecord is the end of a job: created once, the first one wins.
 type EndRecord struct {
 	State wire.JobState `msgpack:"state" json:"state"`
@@ -34,7 +45,7 @@
 	held := map[int]bool{}
 	for _, p := range ch.Places {
 		held[p.Index] = true
-		rec.Places = append(rec.Places, PlaceRecord{p.Index, wire.Count(p.Attempt), p.Machine.Name, wire.Count(p.Session), p.Machine.Zone})
+		rec.Places = append(rec.Places, PlaceRecord{Index: p.Index, Attempt: wire.Count(p.Attempt), Machine: p.Machine.Name, Session: wire.Count(p.Session), Zone: p.Machine.Zone})
 	}
 	sort.Slice(rec.Places, func(a, b int) bool { return rec.Places[a].Index < rec.Places[b].Index })
 	first := ch.N * ChunkTasks
@@ -104,7 +115,7 @@
 func (c *Cluster) Restored(now micro.Time) {
 	for _, j := range c.Jobs {
 		switch {
-		case j.State == Aborted:
+		case j.Over():
 			for _, p := range j.AllPlaces() {
 				c.Stop(p, "job over", 0, now)
 			}
--- a/internal/model/report.go
+++ b/internal/model/report.go
@@ -42,10 +42,11 @@
 	}
 	if session < m.Session || session == m.Session && seq <= m.Seq {
 		if via == Beat && session == m.Session {
-			// Overtaken by the answer to a direct order. The worker may still
-			// take our answer, and that would renew its lease.
-			m.Heard = now
-			c.Become(m, Up, "reports")
+			// Overtaken by the answer to a direct order, or a late copy. The
+			// worker may still take our answer, and that would renew its lease;
+			// but it is no sign of life: copies may come long after the worker
+			// died.
+			m.Answered = now
 		}
 		return m, Stale
 	}
@@ -54,6 +55,9 @@
 	}
 	m.Addr = r.Addr
 	if session > m.Session {
+		if m.Session > 0 && m.State == Up && now-m.Answered < c.Lease/2 {
+			m.Misses = deafAfter // its lease ran out though it was answered
+		}
 		for _, p := range m.sorted() {
 			if p.Session < session {
 				c.free(p, now)
@@ -63,16 +67,23 @@
 	}
 	m.Session, m.Seq = session, seq
 	m.Token = max(m.Token, uint64(r.Token))
+	m.Heard = now
 	if via == Beat {
-		m.Heard = now
+		m.Answered = now
+		c.listens(m, uint64(r.Token))
 		if m.FirstHeard == 0 {
 			m.FirstHeard = now
 			m.IdleSince = now
 		}
+	}
+	if uint64(r.Token) >= m.Prove {
+		// Only an echo of a token given out since then proves that the report
+		// is no late copy of a machine that is gone, silent or returned.
 		c.Become(m, Up, "reports")
 	}
 	if r.NoticeS != nil && m.NoticeAt == 0 {
 		m.NoticeAt = now + micro.Of(max(*r.NoticeS, 0))
+		c.shelve(m)
 		c.noticed(m, now)
 	}
 	present := make(map[PlaceKey]bool, len(r.Tasks))
@@ -198,7 +209,7 @@
 func (c *Cluster) failed(m *Machine, p *Place, t *wire.TaskReport, now micro.Time) {
 	j := p.Job
 	task := &j.Tasks[p.Index]
-	if !p.Stopping || t.Cause != wire.CauseStopped {
+	if c.Verbose && (!p.Stopping || t.Cause != wire.CauseStopped) || t.Cause == wire.CauseError {
 		c.Log("exit", "task", p.Name, "try", p.Attempt, "machine", m.Name, "cause", string(t.Cause))
 	}
 	switch t.Cause {
@@ -266,7 +277,7 @@
 		for key, x := range m.exits {
 			// A late copy of a direct start would run the attempt again after
 			// it was forgotten: the worker must have seen a newer token first.
-			if m.Token > x.direct && (x.chunk == nil || x.chunk.Saved >= x.ver) {
+			if m.Token > x.direct && (x.chunk == nil || x.chunk.Saved >= x.ver || x.chunk.Job.Over()) {
 				out = append(out, wire.Order{Op: wire.OpForget, Task: key.Task, Attempt: wire.Count(key.Attempt)})
 			}
 		}
@@ -277,6 +288,9 @@
 // NeedsToken reports whether something on the machine waits for the worker to
 // see a token above the given one.
 func (m *Machine) NeedsToken(token uint64) bool {
+	if m.Prove > token {
+		return true
+	}
 	for _, x := range m.exits {
 		if x.direct >= token {
 			return true
--- a/internal/model/story_test.go
+++ b/internal/model/story_test.go
@@ -105,6 +105,7 @@
 	w := fake.NewWorker(name, "small", zone, lease)
 	w.Sent = s.now
 	s.beat(w)
+	s.beat(w) // it counts as up once it has shown this term's token
 	return w
 }
 
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -33,6 +33,8 @@
 	Props   *config.Properties
 	Refused map[Offer]micro.Time // until when not to ask again
 	Asked   map[string]Ask       // rentals without an answer yet, by request
+
+	own bool // operators keep machines of their own, by the last plan
 }
 
 // bin is a machine's free room in a plan.
@@ -41,7 +43,6 @@
 	zone          string
 	spot          bool
 	cpu, gpu, mem float64
-	machine       *model.Machine
 	offer         Offer
 	frees         []release // room that running tasks are expected to give back
 }
@@ -69,6 +70,11 @@
 	if !sched.Allowed(s, b.typ, b.zone, b.spot) {
 		return 0
 	}
+	return b.room(s)
+}
+
+// room is how many tasks the bin has room for, allowed or not.
+func (b *bin) room(s *wire.Job) int {
 	n := math.MaxInt32
 	lim := func(free, need float64) {
 		if need > 0 {
@@ -104,43 +110,110 @@
 // count as room to come; beyond it another is rented.
 const expectFactor = 1.6
 
-// maxNew bounds what one plan rents.
-const maxNew = 30
+// maxNew bounds what one plan rents, and maxAsk what one request does.
+const (
+	maxNew = 250
+	maxAsk = 50
+)
+
+// group is the room of machines of one offer that are expected to come up.
+type group struct {
+	Offer
+	typ   *model.Type
+	empty int    // whole machines
+	parts []*bin // those that the plan has put something on
+}
+
+// stock is all room that is expected to come up, by offer.
+type stock struct {
+	groups []*group
+	by     map[Offer]*group
+}
+
+func (s *stock) group(o Offer, t *model.Type) *group {
+	g := s.by[o]
+	if g == nil {
+		g = &group{Offer: o, typ: t}
+		s.by[o] = g
+		s.groups = append(s.groups, g)
+	}
+	return g
+}
+
+// zoneRoom is how many more of a demand's tasks a zone may take.
+func zoneRoom(d *demand, zone string, zoneN map[string]int) int {
+	if d.job == nil || !d.spec.Spread {
+		return math.MaxInt32
+	}
+	j := d.job
+	return (len(j.Tasks)+1)/2 - j.ZoneHeld[zone] - j.ZoneHeld[""] - zoneN[zone]
+}
+
+// take puts up to n of a demand's tasks into the stock and says how many fit.
+func (s *stock) take(d *demand, n int, zoneN map[string]int) int {
+	took := 0
+	for _, g := range s.groups {
+		if took == n {
+			break
+		}
+		if g.empty == 0 && len(g.parts) == 0 || !sched.Allowed(d.spec, g.typ, g.Zone, g.Spot) {
+			continue
+		}
+		k := g.take(d.spec, min(n-took, zoneRoom(d, g.Zone, zoneN)))
+		zoneN[g.Zone] += k
+		took += k
+	}
+	return took
+}
+
+func (g *group) take(s *wire.Job, n int) int {
+	took := 0
+	for _, b := range g.parts {
+		if k := min(n-took, b.fits(s)); k > 0 {
+			b.take(s, k)
+			took += k
+		}
+	}
+	per := newBin(g.typ, g.Zone, g.Spot).fits(s)
+	for per > 0 && took < n && g.empty > 0 {
+		if whole := min(g.empty, (n-took)/per); whole > 0 {
+			g.empty -= whole // what is left beside them is not counted on
+			took += whole * per
+			continue
+		}
+		b := newBin(g.typ, g.Zone, g.Spot)
+		b.take(s, n-took)
+		g.empty--
+		g.parts = append(g.parts, b)
+		took = n
+	}
+	return took
+}
 
 // Plan says what to rent and which machines to return for being idle.
 func (p *Planner) Plan(now micro.Time) (asks []Ask, idle []*model.Machine) {
+	p.own = p.hasOwn()
 	coming := p.coming(now)
-	running := p.running(now)
+	var running []*bin
 	demands := p.demands(now)
 	thrifty, bill := p.thrifty(), p.bill()
-	var fresh []*bin
-	for _, d := range demands {
-		left := d.n
-		for _, b := range coming {
-			if left == 0 {
-				break
-			}
-			k := min(left, b.fits(d.spec))
-			if k > 0 {
-				b.take(d.spec, k)
-				left -= k
-			}
-		}
+	rented := map[Offer]int{}
+	var order []Offer
+	total := 0
+	for i := range demands {
+		d := &demands[i]
+		zoneN := map[string]int{}
+		left := d.n - coming.take(d, d.n, zoneN)
 		soon := 0
 		if left > 0 && d.level > 0 && thrifty {
 			// A dear machine would take this long to start the work: room that
 			// comes free by then makes it a waste.
-			ready := now + p.readyIn(d.spec)/2
-			for _, b := range running {
-				v := b.by(ready)
-				if k := min(left-soon, v.fits(d.spec)); k > 0 {
-					b.take(d.spec, k)
-					soon += k
-				}
+			if running == nil {
+				running = p.running(now)
 			}
+			soon = comesFree(running, d.spec, left, now+p.readyIn(d.spec)/2)
 		}
-		zoneN := map[string]int{}
-		for left > 0 && len(fresh) < maxNew {
+		for left > 0 && total < maxNew {
 			b := p.choose(d, left, zoneN, true, now)
 			if b == nil && d.level == 0 {
 				b = p.choose(d, left, zoneN, false, now) // at any price
@@ -151,34 +224,55 @@
 			if left <= soon && priceOf(b.offer, b.typ) > p.Props.SmallShare*bill {
 				break
 			}
-			k := min(left, b.fits(d.spec))
-			if d.job != nil && d.spec.Spread {
-				k = 1
+			per := b.fits(d.spec)
+			want := min(left, zoneRoom(d, b.zone, zoneN))
+			n := min((want+per-1)/per, maxNew-total)
+			if left <= soon || thrifty && soon > 0 {
+				n = min(n, max((left-soon+per-1)/per, 1))
+			}
+			if rented[b.offer] == 0 {
+				order = append(order, b.offer)
 			}
-			b.take(d.spec, k)
+			rented[b.offer] += n
+			total += n
+			g := coming.group(b.offer, b.typ)
+			g.empty += n
+			k := g.take(d.spec, min(want, n*per))
 			zoneN[b.zone] += k
 			left -= k
-			fresh = append(fresh, b)
-			coming = append(coming, b)
 		}
 	}
-	byOffer := map[Offer]int{}
-	var order []Offer
-	for _, b := range fresh {
-		if byOffer[b.offer] == 0 {
-			order = append(order, b.offer)
-		}
-		byOffer[b.offer]++
-	}
 	for _, o := range order {
-		asks = append(asks, Ask{o, byOffer[o]})
+		for n := rented[o]; n > 0; n -= maxAsk {
+			asks = append(asks, Ask{o, min(n, maxAsk)})
+		}
 	}
 	return asks, p.idle(now)
 }
 
+// comesFree is how many of n tasks fit on running machines by a time; it takes
+// what it counts.
+func comesFree(running []*bin, s *wire.Job, n int, at micro.Time) int {
+	soon := 0
+	for _, b := range running {
+		if soon == n {
+			break
+		}
+		if !sched.Allowed(s, b.typ, b.zone, b.spot) {
+			continue
+		}
+		v := b.by(at)
+		if k := min(n-soon, v.fits(s)); k > 0 {
+			b.take(s, k)
+			soon += k
+		}
+	}
+	return soon
+}
+
 // coming lists the room of machines that are expected to come up.
-func (p *Planner) coming(now micro.Time) []*bin {
-	var out []*bin
+func (p *Planner) coming(now micro.Time) *stock {
+	out := &stock{by: map[Offer]*group{}}
 	for _, m := range p.C.List() {
 		if m.State != model.Unheard || m.Type == nil || m.ListState == wire.MachineFailed || len(m.Places) > 0 {
 			continue
@@ -186,9 +280,7 @@
 		if now-m.Rented > micro.Time(float64(micro.Of(m.Type.BootS))*expectFactor)+2*micro.Second {
 			continue
 		}
-		b := newBin(m.Type, m.Zone, m.Spot)
-		b.machine = m
-		out = append(out, b)
+		out.group(Offer{m.TypeName, m.Zone, m.Spot}, m.Type).empty++
 	}
 	names := make([]string, 0, len(p.Asked))
 	for r := range p.Asked {
@@ -198,9 +290,7 @@
 	for _, r := range names {
 		a := p.Asked[r]
 		if t := p.C.Types[a.Type]; t != nil {
-			for range a.Count {
-				out = append(out, newBin(t, a.Zone, a.Spot))
-			}
+			out.group(a.Offer, t).empty += a.Count
 		}
 	}
 	return out
@@ -353,8 +443,11 @@
 	return best
 }
 
+// bootMargin is what may pass beside a machine's boot until a task starts.
+const bootMargin = 10 * micro.Second
+
 // headroom asks for room for the starts expected of classes whose starts are
-// wanted sooner than a machine boots. Room that lower ranks hold counts: they
+// wanted sooner than a slowly booting machine is ready. Room that lower ranks hold counts: they
 // can be preempted.
 func (p *Planner) headroom(now micro.Time) []demand {
 	var out []demand
@@ -370,27 +463,24 @@
 			continue
 		}
 		boot := p.bootOf(cl.Last)
-		if quick >= boot {
+		if quick >= boot*3/2+bootMargin {
 			continue
 		}
 		want := 1 + int(math.Ceil(Rate(cl.Arrivals, now)*boot.Seconds()*p.Props.Headroom))
 		have := 0
 		level := cl.Last.Priority.Level()
 		for _, m := range p.C.List() {
+			if have >= want {
+				break
+			}
 			if !m.Usable(now) {
 				continue
 			}
-			b := newBin(m.Type, m.Zone, m.Spot)
-			b.cpu, b.gpu, b.mem = m.Type.CPUs-m.UsedScaled, m.Type.GPUs-m.UsedGPU, m.Type.MemoryGB-m.UsedMem
-			b.cpu = min(b.cpu, m.Type.CPUs-m.UsedCPU)
-			for _, pl := range m.Places {
-				if pl.Job != nil && pl.Job.Level > level {
-					b.cpu += pl.Job.Spec.CPUs
-					b.gpu += pl.Job.Spec.GPUs
-					b.mem += pl.Job.Spec.MemoryGB
-				}
-			}
-			if k := b.fits(cl.Last); k > 0 && have < want {
+			y := m.Yields(level)
+			b := bin{typ: m.Type, zone: m.Zone, spot: m.Spot,
+				cpu: min(m.Type.CPUs-m.UsedScaled+y.Scaled, m.Type.CPUs-m.UsedCPU+y.CPU),
+				gpu: m.Type.GPUs - m.UsedGPU + y.GPU, mem: m.Type.MemoryGB - m.UsedMem + y.Mem}
+			if k := b.fits(cl.Last); k > 0 {
 				have += k
 				m.Wanted = now
 			}
@@ -425,25 +515,27 @@
 
 // thrifty reports whether money is looked at: where operators keep a fleet of
 // their own, readiness wins.
-func (p *Planner) thrifty() bool {
+func (p *Planner) thrifty() bool { return !p.own }
+
+func (p *Planner) hasOwn() bool {
 	for _, m := range p.C.Machines {
 		if m.Base {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // Affordable reports whether work that needs no GPU may sit on a machine with
 // GPUs. An ordinary one is dear, and work that sits on it keeps it from being
 // returned: a service for as long as it lives.
-func (p *Planner) Affordable(j *model.Job, m *model.Machine, now micro.Time) bool {
+func (p *Planner) Affordable(j *model.Job, t *model.Type, spot bool, now micro.Time) bool {
 	s := &j.Spec
-	if s.GPUs > 0 || m.Type.GPUs == 0 || m.Spot || !p.thrifty() {
+	if s.GPUs > 0 || t.GPUs == 0 || spot || !p.thrifty() {
 		return true
 	}
-	k := newBin(m.Type, m.Zone, m.Spot).fits(s)
-	return k > 0 && m.Type.Price/float64(k) <= p.ratio(j, now)*p.cheapest(s, math.MaxInt32)
+	k := newBin(t, "", false).room(s)
+	return k > 0 && t.Price/float64(k) <= p.ratio(j, now)*p.cheapest(s, math.MaxInt32)
 }
 
 // ratio is the most that room for a job's tasks may cost, over the cheapest
@@ -460,7 +552,7 @@
 }
 
 // choose finds the offer that costs least per task.
-func (p *Planner) choose(d demand, left int, zoneN map[string]int, thrift bool, now micro.Time) *bin {
+func (p *Planner) choose(d *demand, left int, zoneN map[string]int, thrift bool, now micro.Time) *bin {
 	var best *bin
 	bestCost := 0.0
 	limit := math.Inf(1)
--- a/internal/sched/large_test.go
+++ b/internal/sched/large_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 
 	"notchmux.dev/notchmux/internal/config"
@@ -24,7 +25,7 @@
 	c := model.New(silent{})
 	c.SetCatalog(&wire.Catalog{Types: []wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 16}}})
 	for i := range machines {
-		m := c.Machine("i-"+string(rune('A'+i/26))+string(rune('a'+i%26)), 1)
+		m := c.Machine("i-"+strconv.Itoa(1000+i), 1)
 		c.Describe(m, "small", "a", false)
 		c.Become(m, model.Up, "reports")
 	}
@@ -34,17 +35,93 @@
 }
 
 func TestOverloadLooksAtSamplesAndStillFillsTheMachines(t *testing.T) {
-	p := crowd(40)
-	first := p.Pass(micro.Second)
-	if first != 4*p.Props.SampleSize {
-		t.Fatalf("the first pass placed %d tasks, want a sample of %d machines full", first, p.Props.SampleSize)
+	for _, busy := range []bool{false, true} {
+		p := crowd(400)
+		p.Busy = busy
+		total := 0
+		for range 60 {
+			total += p.Pass(micro.Second)
+		}
+		if total != 1600 {
+			t.Fatalf("%d tasks on 1600 CPUs", total)
+		}
+		// A machine's room falls by rows: a task looks at no more than a sample
+		// of each row.
+		most := total * (p.Props.SampleSize + 1) * 4
+		if got := p.Looked <= most; got != busy {
+			t.Errorf("busy %v: looked at %d machines for %d tasks", busy, p.Looked, total)
+		}
 	}
-	total := first
-	for range 60 {
-		total += p.Pass(micro.Second)
+}
+
+// fullPick is the design's choice by a full search over all machines.
+func fullPick(p *Placer, j *model.Job, now micro.Time) *model.Machine {
+	var best candidate
+	var bestGrade grade
+	for _, m := range p.C.List() {
+		pool := &model.Pool{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
+		w := need(&j.Spec, m.Type)
+		if !m.Usable(now) || !Allowed(&j.Spec, m.Type, m.Zone, m.Spot) || !ZoneOK(j, m.Zone, nil) || !fits(w, m, nil, room{}) || !p.may(j, m, now) {
+			continue
+		}
+		c, g := p.candidate(j, m, w, 0), p.grade(&j.Spec, pool)
+		if best.m == nil || g.over(bestGrade) || !bestGrade.over(g) && c.over(&best) {
+			best, bestGrade = c, g
+		}
 	}
-	if total != 160 {
-		t.Fatalf("%d tasks on 160 CPUs", total)
+	return best.m
+}
+
+// The rows by room must give the very machine that a full search gives, on any
+// fleet and through any history of places, freed room and states.
+func TestRowsGiveTheChoiceOfAFullSearch(t *testing.T) {
+	for seed := range uint64(30) {
+		r := rand.New(rand.NewPCG(seed, 7))
+		c := model.New(silent{})
+		c.SetCatalog(&wire.Catalog{Types: []wire.MachineType{
+			{Name: "small", CPUs: 4, MemoryGB: 16}, {Name: "large", CPUs: 32, MemoryGB: 100}, {Name: "gpu", CPUs: 24, GPUs: 4, MemoryGB: 192}}})
+		c.Types["large"].K, c.Types["gpu"].K = 0.5+r.Float64(), 0.5+r.Float64()
+		names := []string{"small", "large", "gpu"}
+		for i := range 60 {
+			m := c.Machine("i-"+strconv.Itoa(100+i), 1)
+			c.Describe(m, names[r.IntN(3)], []string{"a", "b"}[r.IntN(2)], r.IntN(3) == 0)
+			c.Become(m, model.Up, "reports")
+			if r.IntN(4) == 0 {
+				m.Images["image"] = 1
+			}
+		}
+		props := config.Defaults()
+		p := &Placer{C: c, Goals: NewGoals(nil), Props: &props, Rand: r}
+		var held []*model.Place
+		found := 0
+		for n := range 400 {
+			now := micro.Time(n) * micro.Second
+			spec := wire.Job{ID: "j-" + strconv.Itoa(n), Class: "c", Kind: wire.Array, Priority: wire.Normal, Tasks: 1, CPUs: float64(1+r.IntN(60)) / 10,
+				MemoryGB: float64(r.IntN(200)) / 10, Image: "image", Spot: r.IntN(2) == 0, Spread: r.IntN(3) == 0}
+			if r.IntN(4) == 0 {
+				spec.GPUs = float64(1 + r.IntN(4))
+			}
+			j := c.AddJob(spec, 0)
+			want, got := fullPick(p, j, now), p.pick(j, nil, nil, "", true, now)
+			if want != got {
+				t.Fatalf("seed %d, task %d: the rows give %+v, a full search %+v", seed, n, got, want)
+			}
+			if got != nil {
+				found++
+				held = append(held, c.NewPlace(j, 0, got, 1, Scaled(spec.CPUs, got.Type.K, got.Type.CPUs), now))
+			}
+			if len(held) > 0 && r.IntN(3) == 0 {
+				k := r.IntN(len(held))
+				c.Stop(held[k], "over", 0, now) // still planned: free at once
+				held = append(held[:k], held[k+1:]...)
+			}
+			if m := c.List()[r.IntN(60)]; r.IntN(5) == 0 {
+				c.Become(m, map[model.MachineState]model.MachineState{model.Up: model.Silent, model.Silent: model.Up}[m.State], "test")
+			}
+		}
+		if found < 50 {
+			t.Fatalf("seed %d compared only %d choices", seed, found)
+		}
 	}
 }
 
@@ -54,7 +131,7 @@
 
 func benchmarkPass(b *testing.B, sampleAbove int) {
 	p := crowd(50)
-	p.Props.SampleAbove = sampleAbove
+	p.Props.SampleAbove, p.Busy = sampleAbove, true
 	for range 100 {
 		p.Pass(micro.Second)
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -16,118 +16,161 @@
 	Goals *Goals
 	Props *config.Properties
 	Rand  *rand.Rand
-	// Affordable says whether a job may sit on a machine; nil: always.
-	Affordable func(*model.Job, *model.Machine, micro.Time) bool
+	// Affordable says whether a job may sit on machines of a type and kind;
+	// nil: always.
+	Affordable func(j *model.Job, t *model.Type, spot bool, now micro.Time) bool
+	// Busy is set while passes take too long. With many tasks waiting, each row
+	// of like machines is then looked at in samples.
+	Busy bool
+
+	Looked   int // machines looked at, for tests and metrics
+	sampling bool
+	reserved map[*model.Machine]bool
+	sizes    map[string]int // the most tasks that a class's jobs have
 }
 
-// shape is what two tasks share if whatever refuses one refuses the other.
-type shape struct {
-	cpus, gpus, mem float64
-	spot            bool
-	zone, types     string
-	level           int
-	team            string
+// room is what a plan has taken of a machine beyond what places hold.
+type room = model.Room
+
+func need(s *wire.Job, t *model.Type) room {
+	return room{CPU: s.CPUs, GPU: s.GPUs, Mem: s.MemoryGB, Scaled: Scaled(s.CPUs, t.K, t.CPUs)}
 }
 
-func shapeOf(s *wire.Job) shape {
-	sh := shape{cpus: s.CPUs, gpus: s.GPUs, mem: s.MemoryGB, spot: s.Spot, level: s.Priority.Level(), team: s.Team}
-	if s.Zone != nil {
-		sh.zone = *s.Zone
-	}
-	for _, t := range s.Types {
-		sh.types += t + " "
-	}
-	return sh
+// item is a job in the order of a pass.
+type item struct {
+	j    *model.Job
+	guar bool
+	aged bool
+	late micro.Time
 }
 
 // Pass places what it can, in order of rank, guarantee and nearness of the
-// objective, and reports how many tasks it placed.
+// objective, and reports how many tasks it placed. Work that has waited too
+// long comes before other work of any rank but the first.
 func (p *Placer) Pass(now micro.Time) int {
-	type item struct {
-		j    *model.Job
-		guar bool
-		late micro.Time
-	}
+	p.C.MarkGuarantees()
+	p.tidy(now)
 	queue := make([]item, 0, len(p.C.Pending))
 	waiting := 0
 	for j := range p.C.Pending {
 		waiting += j.Waiting()
-		queue = append(queue, item{j, j.Guaranteed(), p.Goals.LatestStart(j, now)})
-	}
-	sort.Slice(queue, func(a, b int) bool {
-		x, y := queue[a], queue[b]
-		switch {
-		case x.j.Level != y.j.Level:
-			return x.j.Level < y.j.Level
-		case x.guar != y.guar:
-			return x.guar
-		case x.late != y.late:
-			return x.late < y.late
-		}
-		return x.j.Spec.ID < y.j.Spec.ID
-	})
-	machines := p.C.List()
-	if waiting > p.Props.SampleAbove {
-		machines = p.sample(machines)
+		queue = append(queue, item{j, j.Guar, p.aged(j, now), p.Goals.LatestStart(j, now)})
 	}
-	full := map[shape]bool{}
+	sort.Slice(queue, func(a, b int) bool { return before(&queue[a], &queue[b]) })
+	p.sampling = p.Busy && waiting > p.Props.SampleAbove
+	full := blocked{}
 	placed := 0
 	for _, it := range queue {
 		j := it.j
-		if j.State != model.Active || j.NotBefore > now || j.GangStop {
+		if j.State != model.Active || j.NotBefore > now || j.GangStop || full.has(j) {
 			continue
 		}
-		sh := shapeOf(&j.Spec)
-		if full[sh] && !j.Spec.OneZone && !j.Spec.Spread {
-			continue
-		}
-		n, blocked := 0, false
+		n, none := 0, false
 		if j.Spec.Kind == wire.Gang {
-			n, blocked = p.gang(j, machines, now)
+			n, none = p.gang(j, now)
 		} else {
-			n, blocked = p.tasks(j, machines, now)
+			n, none = p.tasks(j, now)
 		}
 		placed += n
-		if blocked {
-			full[sh] = true
+		if none {
+			full.add(j)
+			if it.aged {
+				p.gather(j, now)
+			}
 		}
 	}
 	return placed
 }
 
-// sample draws machines at random: under overload a full search for each task
-// costs more than the better fit is worth.
-func (p *Placer) sample(all []*model.Machine) []*model.Machine {
-	if len(all) <= p.Props.SampleSize {
-		return all
+func before(x, y *item) bool {
+	if a, b := x.j.Level == 0, y.j.Level == 0; a != b {
+		return a
 	}
-	out := make([]*model.Machine, 0, p.Props.SampleSize)
-	for _, i := range p.Rand.Perm(len(all))[:p.Props.SampleSize] {
-		out = append(out, all[i])
+	switch {
+	case x.aged != y.aged:
+		return x.aged
+	case x.aged && x.j.Submitted != y.j.Submitted:
+		return x.j.Submitted < y.j.Submitted
+	case x.j.Level != y.j.Level:
+		return x.j.Level < y.j.Level
+	case x.guar != y.guar:
+		return x.guar
+	case x.late != y.late:
+		return x.late < y.late
 	}
-	return out
+	return x.j.Spec.ID < y.j.Spec.ID
 }
 
-// room is what a plan has taken of a machine beyond what places hold.
-type room struct{ cpu, gpu, mem, scaled float64 }
+// blocked remembers what found no room in this pass: whatever asks for as much
+// or more finds none either.
+type blocked map[blockedKey][]blockedAmount
+
+type blockedKey struct {
+	types, zone, class string
+	spot, saves        bool
+	gpu                bool
+	level              int
+}
+
+type blockedAmount struct {
+	cpu, gpu, mem float64
+	n             int
+}
+
+func keyOf(j *model.Job) (blockedKey, blockedAmount) {
+	s := &j.Spec
+	k := blockedKey{class: s.Class, spot: s.Spot, saves: s.CheckpointS > 0, gpu: s.GPUs > 0, level: j.Level}
+	if s.Zone != nil {
+		k.zone = *s.Zone
+	}
+	for _, t := range s.Types {
+		k.types += t + " "
+	}
+	a := blockedAmount{s.CPUs, s.GPUs, s.MemoryGB, 1}
+	if s.Kind == wire.Gang {
+		a.n = len(j.Tasks)
+	}
+	return k, a
+}
+
+func (b blocked) has(j *model.Job) bool {
+	if len(b) == 0 || (j.Spec.OneZone || j.Spec.Spread) && j.HeldN > 0 {
+		return false
+	}
+	k, a := keyOf(j)
+	for _, x := range b[k] {
+		if x.cpu <= a.cpu && x.gpu <= a.gpu && x.mem <= a.mem && x.n <= a.n {
+			return true
+		}
+	}
+	return false
+}
+
+func (b blocked) add(j *model.Job) {
+	if (j.Spec.OneZone || j.Spec.Spread) && j.HeldN > 0 || len(j.FailedOn) > 0 {
+		return // it alone may have found no room
+	}
+	k, a := keyOf(j)
+	b[k] = append(b[k], a)
+}
 
 // tasks places a job's independent tasks one by one.
-func (p *Placer) tasks(j *model.Job, machines []*model.Machine, now micro.Time) (placed int, blocked bool) {
+func (p *Placer) tasks(j *model.Job, now micro.Time) (placed int, none bool) {
 	for {
 		next := j.Next(now, placeBatch) // not all of a huge job at once
 		if len(next) == 0 {
 			return placed, false
 		}
-		for _, i := range next {
+		for k, i := range next {
 			if j.Team != nil && !j.Team.Allows(j.Spec.CPUs, j.Spec.GPUs, 1) {
 				return placed, false
 			}
-			m := p.pick(j, machines, nil, nil, "", now)
+			m := p.pick(j, nil, nil, "", true, now)
 			if m == nil {
-				coming := j.Level < 3 && p.preempt(j, []int{i}, "", now)
+				coming := j.Level < 3 && p.preempt(j, next[k:], "", now)
 				if !coming && j.Level == 0 {
 					// Dear room is better than none for the first rank.
-					m = p.pickAny(j, machines, now)
+					m = p.pick(j, nil, nil, "", false, now)
 				}
 				if m == nil {
 					return placed, true
@@ -145,12 +188,14 @@
 func (p *Placer) put(j *model.Job, i int, m *model.Machine, attempt uint32, now micro.Time) {
 	scaled := Scaled(j.Spec.CPUs, m.Type.K, m.Type.CPUs)
 	p.C.NewPlace(j, i, m, attempt, scaled, now)
-	p.C.Log("place", "task", wire.TaskName(j.Spec.ID, i), "try", attempt, "machine", m.Name,
-		"score", Score(j.Spec.CPUs, m.Type.K, p.Props.ScoreL1, p.Props.ScoreL2), "room_left", m.Type.CPUs-m.UsedScaled)
+	if p.C.Verbose {
+		p.C.Log("place", "task", wire.TaskName(j.Spec.ID, i), "try", attempt, "machine", m.Name,
+			"score", Score(j.Spec.CPUs, m.Type.K, p.Props.ScoreL1, p.Props.ScoreL2), "room_left", m.Type.CPUs-m.UsedScaled)
+	}
 }
 
 // gang places all of a gang's tasks or none.
-func (p *Placer) gang(j *model.Job, machines []*model.Machine, now micro.Time) (placed int, blocked bool) {
+func (p *Placer) gang(j *model.Job, now micro.Time) (placed int, none bool) {
 	n := len(j.Tasks)
 	if j.HeldN > 0 || j.Waiting() < n {
 		return 0, false
@@ -162,15 +207,12 @@
 	if len(idx) < n {
 		return 0, false
 	}
-	zones := []string{""}
-	if j.Spec.OneZone {
-		zones = p.zones(machines)
-	}
+	zones := p.zonesFor(j)
 	for _, z := range zones {
 		extra, zoneN := map[*model.Machine]*room{}, map[string]int{}
-		var chosen []*model.Machine
+		chosen := make([]*model.Machine, 0, n)
 		for range idx {
-			m := p.pick(j, machines, extra, zoneN, z, now)
+			m := p.pick(j, extra, zoneN, z, true, now)
 			if m == nil {
 				break
 			}
@@ -198,13 +240,17 @@
 	return 0, true
 }
 
-func (p *Placer) zones(machines []*model.Machine) []string {
+// zonesFor lists the zones to try one by one, "" for all at once.
+func (p *Placer) zonesFor(j *model.Job) []string {
+	if !j.Spec.OneZone {
+		return []string{""}
+	}
 	var out []string
 	seen := map[string]bool{}
-	for _, m := range machines {
-		if m.Zone != "" && !seen[m.Zone] {
-			seen[m.Zone] = true
-			out = append(out, m.Zone)
+	for _, pool := range p.C.Pools {
+		if pool.N > 0 && pool.Zone != "" && !seen[pool.Zone] && Allowed(&j.Spec, pool.Type, pool.Zone, pool.Spot) {
+			seen[pool.Zone] = true
+			out = append(out, pool.Zone)
 		}
 	}
 	sort.Strings(out)
@@ -217,16 +263,12 @@
 		r = &room{}
 		extra[m] = r
 	}
-	r.cpu += j.Spec.CPUs
-	r.gpu += j.Spec.GPUs
-	r.mem += j.Spec.MemoryGB
-	r.scaled += Scaled(j.Spec.CPUs, m.Type.K, m.Type.CPUs)
+	r.Add(need(&j.Spec, m.Type), 1)
 	zoneN[m.Zone]++
 }
 
 // Allowed reports whether the job may use machines of a type, zone and kind.
 func Allowed(s *wire.Job, typ *model.Type, zone string, spot bool) bool {
-	const eps = 1e-9
 	if spot && !s.Spot || s.Zone != nil && *s.Zone != zone {
 		return false
 	}
@@ -264,16 +306,16 @@
 
 // fits checks the scaled request, which guides, and the raw one, which the
 // worker enforces.
-func fits(j *model.Job, m *model.Machine, r *room, freed room) bool {
+func fits(w room, m *model.Machine, taken *room, freed room) bool {
 	var x room
-	if r != nil {
-		x = *r
+	if taken != nil {
+		x = *taken
 	}
 	t := m.Type
-	return m.UsedCPU+x.cpu-freed.cpu+j.Spec.CPUs <= t.CPUs+eps &&
-		m.UsedGPU+x.gpu-freed.gpu+j.Spec.GPUs <= t.GPUs+eps &&
-		m.UsedMem+x.mem-freed.mem+j.Spec.MemoryGB <= t.MemoryGB+eps &&
-		m.UsedScaled+x.scaled-freed.scaled+Scaled(j.Spec.CPUs, t.K, t.CPUs) <= t.CPUs+eps
+	return m.UsedScaled+x.Scaled-freed.Scaled+w.Scaled <= t.CPUs+eps &&
+		m.UsedCPU+x.CPU-freed.CPU+w.CPU <= t.CPUs+eps &&
+		m.UsedGPU+x.GPU-freed.GPU+w.GPU <= t.GPUs+eps &&
+		m.UsedMem+x.Mem-freed.Mem+w.Mem <= t.MemoryGB+eps
 }
 
 // yieldFactor is how many save times an objective on starting must leave.
@@ -304,69 +346,143 @@
 	return true
 }
 
-// pickAny is pick without regard to what a machine costs.
-func (p *Placer) pickAny(j *model.Job, machines []*model.Machine, now micro.Time) *model.Machine {
-	keep := p.Affordable
-	p.Affordable = nil
-	defer func() { p.Affordable = keep }()
-	return p.pick(j, machines, nil, nil, "", now)
+// grade ranks what all machines of a pool share: the exceptions' tier, then the
+// design's score.
+type grade struct {
+	tier  int
+	score float64
+}
+
+func (g grade) over(o grade) bool {
+	if g.tier != o.tier {
+		return g.tier < o.tier
+	}
+	return g.score > o.score
+}
+
+func (p *Placer) grade(s *wire.Job, pool *model.Pool) grade {
+	g := grade{score: Score(s.CPUs, pool.Type.K, p.Props.ScoreL1, p.Props.ScoreL2)}
+	if g.score == 0 {
+		g.tier += 8
+	}
+	if s.GPUs == 0 && pool.Type.GPUs > 0 {
+		g.tier += 4
+	}
+	if s.Spot && !pool.Spot {
+		g.tier++
+	}
+	return g
+}
+
+// candidate is the best machine so far.
+type candidate struct {
+	m     *model.Machine
+	left  float64
+	image bool
+}
+
+// over decides ties of the score: the least scaled room left, then a machine
+// that has the image, then the one created first.
+func (c *candidate) over(o *candidate) bool {
+	switch {
+	case o.m == nil:
+		return true
+	case c.left < o.left-eps || c.left > o.left+eps:
+		return c.left < o.left
+	case c.image != o.image:
+		return c.image
+	}
+	return c.m.Name < o.m.Name
 }
 
 // pick chooses the machine for one task: the design's score decides, ties go to
 // the least scaled room left. Exceptions come first: machines whose GPUs or
 // ordinary kind others need are looked at after the rest, and a machine of
-// score 0 last.
-func (p *Placer) pick(j *model.Job, machines []*model.Machine, extra map[*model.Machine]*room, zoneN map[string]int, zone string, now micro.Time) *model.Machine {
-	var best *model.Machine
-	var bestTier int
-	var bestScore, bestLeft float64
-	var bestImage bool
-	for _, m := range machines {
-		if !m.Usable(now) || zone != "" && m.Zone != zone || !Allowed(&j.Spec, m.Type, m.Zone, m.Spot) {
-			continue
-		}
-		if m.Reserve != nil && m.Reserve != j && m.Reserve.Level <= j.Level && m.Reserve.State == model.Active {
+// score 0 last. The score is the same for all machines of a pool, whose rows
+// are in order of room: the first row that has a machine with room holds the
+// pool's tightest fit.
+func (p *Placer) pick(j *model.Job, extra map[*model.Machine]*room, zoneN map[string]int, zone string, thrift bool, now micro.Time) *model.Machine {
+	var best candidate
+	var bestGrade grade
+	for _, pool := range p.C.Pools {
+		w := need(&j.Spec, pool.Type)
+		from := int(w.Scaled - eps)
+		if pool.N == 0 || from >= pool.Rows() || zone != "" && pool.Zone != zone || !Allowed(&j.Spec, pool.Type, pool.Zone, pool.Spot) {
 			continue
 		}
-		if j.FailedOn[m.Name] && len(j.FailedOn) < len(machines)/2 {
+		g := p.grade(&j.Spec, pool)
+		if best.m != nil && bestGrade.over(g) {
 			continue
 		}
-		if !fits(j, m, extra[m], room{}) || !ZoneOK(j, m.Zone, zoneN) || !p.spares(j, m) ||
-			p.Affordable != nil && !p.Affordable(j, m, now) {
+		if !ZoneOK(j, pool.Zone, zoneN) || thrift && p.Affordable != nil && !p.Affordable(j, pool.Type, pool.Spot, now) {
 			continue
 		}
-		score := Score(j.Spec.CPUs, m.Type.K, p.Props.ScoreL1, p.Props.ScoreL2)
-		left := m.Type.CPUs - m.UsedScaled - Scaled(j.Spec.CPUs, m.Type.K, m.Type.CPUs)
-		if r := extra[m]; r != nil {
-			left -= r.scaled
-		}
-		tier := 0
-		if score == 0 {
-			tier += 8
+		c := p.tightest(j, pool, w, from, extra, now)
+		for m, r := range extra { // their rows do not know what the plan took
+			if m.Type == pool.Type && m.Zone == pool.Zone && m.Spot == pool.Spot && p.may(j, m, now) && fits(w, m, r, room{}) {
+				if x := p.candidate(j, m, w, r.Scaled); x.over(&c) {
+					c = x
+				}
+			}
 		}
-		if j.Spec.GPUs == 0 && m.Type.GPUs > 0 {
-			tier += 4
+		if c.m != nil && (best.m == nil || g.over(bestGrade) || c.over(&best)) {
+			best, bestGrade = c, g
 		}
-		if j.Spec.Spot && !m.Spot {
-			tier++
+	}
+	return best.m
+}
+
+func (p *Placer) candidate(j *model.Job, m *model.Machine, w room, taken float64) candidate {
+	_, image := m.Images[j.Spec.Image]
+	return candidate{m, m.Type.CPUs - m.UsedScaled - taken - w.Scaled, image}
+}
+
+// tightest finds the machine of a pool with the least room left.
+func (p *Placer) tightest(j *model.Job, pool *model.Pool, w room, from int, extra map[*model.Machine]*room, now micro.Time) candidate {
+	var best candidate
+	for r := from; r < pool.Rows(); r++ {
+		list := pool.Row(r)
+		n, at := len(list), 0
+		if p.sampling && n > p.Props.SampleSize {
+			// A full search for each task would cost more than the better fit
+			// among like machines is worth.
+			n, at = p.Props.SampleSize, p.Rand.IntN(len(list))
 		}
-		_, image := m.Images[j.Spec.Image]
-		better := best == nil
-		if !better {
-			switch {
-			case tier != bestTier:
-				better = tier < bestTier
-			case score != bestScore:
-				better = score > bestScore
-			case left < bestLeft-eps || left > bestLeft+eps:
-				better = left < bestLeft
-			default:
-				better = image && !bestImage
+		for k := range n {
+			m := list[(at+k)%len(list)]
+			p.Looked++
+			if !fits(w, m, nil, room{}) || len(extra) > 0 && extra[m] != nil || !p.may(j, m, now) {
+				continue
+			}
+			if c := p.candidate(j, m, w, 0); c.over(&best) {
+				best = c
 			}
 		}
-		if better {
-			best, bestTier, bestScore, bestLeft, bestImage = m, tier, score, left, image
+		if best.m != nil {
+			break
 		}
 	}
 	return best
 }
+
+// may reports whether a machine of a suitable pool may take the job's tasks.
+func (p *Placer) may(j *model.Job, m *model.Machine, now micro.Time) bool {
+	if m.Avoid > now || m.Reserve != nil && m.Reserve != j && closed(m, j) {
+		return false
+	}
+	if len(j.FailedOn) > 0 && j.FailedOn[m.Name] && len(j.FailedOn) < len(p.C.Machines)/2 {
+		return false
+	}
+	return p.spares(j, m)
+}
+
+// closed reports whether a machine reserved for another job is closed to this
+// one: one that is being cleared by preemption to its rank and those below, one
+// that is gathered for work that waited long to all but the first rank.
+func closed(m *model.Machine, j *model.Job) bool {
+	r := m.Reserve
+	if r.State != model.Active {
+		return false
+	}
+	return r.Level <= j.Level || m.Gathered && j.Level > 0
+}
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -11,23 +11,59 @@
 // reserveLife is how long a machine that is being cleared stays reserved.
 const reserveLife = 20 * micro.Second
 
-// preempt stops work of lower rank so that the given tasks fit, if that is
-// possible for all of them, and reports whether room is coming.
-func (p *Placer) preempt(j *model.Job, idx []int, zone string, now micro.Time) bool {
-	coming := 0
-	for _, m := range p.C.List() {
+// Preemption looks at no more machines than this that could make room, and an
+// array clears no more than so many at a time.
+const (
+	victimSample = 24
+	clearAtOnce  = 16
+)
+
+// hold reserves a machine for a job.
+func (p *Placer) hold(m *model.Machine, j *model.Job, gathered bool, now micro.Time) {
+	if p.reserved == nil {
+		p.reserved = map[*model.Machine]bool{}
+	}
+	m.Reserve, m.ReserveAt, m.Gathered = j, now, gathered
+	p.reserved[m] = true
+}
+
+// tidy gives up reservations that are used, over or too old.
+func (p *Placer) tidy(now micro.Time) {
+	for m := range p.reserved {
+		r := m.Reserve
+		if r != nil && (r.State != model.Active || r.Waiting() == 0 || now-m.ReserveAt > reserveLife || !m.Usable(now)) {
+			m.Reserve = nil
+		}
 		if m.Reserve == nil {
-			continue
+			m.Gathered = false
+			delete(p.reserved, m)
 		}
-		if m.Reserve.State != model.Active || now-m.ReserveAt > reserveLife {
-			m.Reserve = nil
-		} else if m.Reserve == j {
-			coming++
+	}
+}
+
+// reservedFor is how many machines are reserved for a job.
+func (p *Placer) reservedFor(j *model.Job) int {
+	n := 0
+	for m := range p.reserved {
+		if m.Reserve == j {
+			n++
 		}
 	}
-	if coming >= len(idx) || j.Spec.Kind != wire.Gang && coming > 0 {
+	return n
+}
+
+// preempt stops work of lower rank so that the given tasks fit, if that is
+// possible for all of them (for an array: for some), and reports whether room is
+// coming.
+func (p *Placer) preempt(j *model.Job, idx []int, zone string, now micro.Time) bool {
+	coming := p.reservedFor(j)
+	gang := j.Spec.Kind == wire.Gang
+	if coming >= len(idx) || !gang && coming > 0 {
 		return true
 	}
+	if !gang {
+		idx = idx[:min(len(idx), clearAtOnce)]
+	}
 	extra, zoneN := map[*model.Machine]*room{}, map[string]int{}
 	freed := map[*model.Machine]*room{}
 	chosen := map[*model.Place]bool{}
@@ -35,7 +71,10 @@
 	for range idx {
 		m, victims := p.victims(j, extra, zoneN, freed, chosen, zone, now)
 		if m == nil {
-			return false
+			if gang {
+				return false
+			}
+			break
 		}
 		p.reserve(extra, zoneN, j, m)
 		f := freed[m]
@@ -45,10 +84,13 @@
 		}
 		for _, v := range victims {
 			chosen[v] = true
-			addRoom(f, v)
+			f.Add(roomOf(v), 1)
 		}
 		targets = append(targets, m)
 	}
+	if len(targets) == 0 {
+		return false
+	}
 	for v := range chosen {
 		grace := 0.0
 		if v.Job.Spec.CheckpointS > 0 {
@@ -66,67 +108,83 @@
 		}
 	}
 	for _, m := range targets {
-		m.Reserve, m.ReserveAt = j, now
+		p.hold(m, j, false, now)
 	}
 	return true
 }
 
-func addRoom(f *room, v *model.Place) {
-	f.cpu += v.Job.Spec.CPUs
-	f.gpu += v.Job.Spec.GPUs
-	f.mem += v.Job.Spec.MemoryGB
-	f.scaled += v.Scaled
+func roomOf(v *model.Place) room {
+	s := &v.Job.Spec
+	return room{CPU: s.CPUs, GPU: s.GPUs, Mem: s.MemoryGB, Scaled: v.Scaled}
 }
 
-// victims finds the machine where making room for one task loses least.
+// victims finds the machine where making room for one task loses least, among a
+// sample of those that could make it.
 func (p *Placer) victims(j *model.Job, extra map[*model.Machine]*room, zoneN map[string]int, freed map[*model.Machine]*room, chosen map[*model.Place]bool, zone string, now micro.Time) (*model.Machine, []*model.Place) {
 	var best *model.Machine
 	var bestVictims []*model.Place
-	bestCost := 0.0
-	for _, m := range p.C.List() {
-		if !m.Usable(now) || zone != "" && m.Zone != zone || !Allowed(&j.Spec, m.Type, m.Zone, m.Spot) || !ZoneOK(j, m.Zone, zoneN) {
+	bestCost, seen := 0.0, 0
+	for _, pool := range p.C.Pools {
+		if pool.N == 0 || zone != "" && pool.Zone != zone || !Allowed(&j.Spec, pool.Type, pool.Zone, pool.Spot) || !ZoneOK(j, pool.Zone, zoneN) {
 			continue
 		}
-		if m.Reserve != nil && m.Reserve != j {
-			continue
-		}
-		if j.FailedOn[m.Name] {
-			continue
-		}
-		var f room
-		if freed[m] != nil {
-			f = *freed[m]
-		}
-		var cands []*model.Place
-		for _, v := range m.Sorted() {
-			if v.Job == nil || chosen[v] {
-				continue
-			}
-			if v.Stopping {
-				addRoom(&f, v) // goes anyway
-			} else if v.Job.Level > j.Level {
-				cands = append(cands, v)
-			}
-		}
-		sort.SliceStable(cands, func(a, b int) bool { return p.loss(cands[a], now) < p.loss(cands[b], now) })
-		var victims []*model.Place
-		cost := 0.0
-		for _, v := range cands {
-			if fits(j, m, extra[m], f) {
-				break
+		w := need(&j.Spec, pool.Type)
+		start := p.Rand.IntN(pool.Rows())
+		for k := range pool.Rows() {
+			for _, m := range pool.Row((start + k) % pool.Rows()) {
+				if seen >= victimSample {
+					return best, bestVictims
+				}
+				if !fits(w, m, extra[m], m.Yields(j.Level)) || m.Reserve != nil && m.Reserve != j || m.Avoid > now || j.FailedOn[m.Name] {
+					continue
+				}
+				seen++
+				victims, cost, ok := p.clear(j, m, w, extra[m], freed[m], chosen, now)
+				if ok && (best == nil || cost < bestCost) {
+					best, bestVictims, bestCost = m, victims, cost
+				}
 			}
-			victims = append(victims, v)
-			addRoom(&f, v)
-			cost += p.loss(v, now)
 		}
-		if !fits(j, m, extra[m], f) {
+	}
+	return best, bestVictims
+}
+
+// clear lists what must go from a machine for a task to fit.
+func (p *Placer) clear(j *model.Job, m *model.Machine, w room, extra, freed *room, chosen map[*model.Place]bool, now micro.Time) (victims []*model.Place, cost float64, ok bool) {
+	var f room
+	if freed != nil {
+		f = *freed
+	}
+	type cand struct {
+		v    *model.Place
+		loss float64
+	}
+	var cands []cand
+	for _, v := range m.Places {
+		if v.Job == nil || chosen[v] {
 			continue
 		}
-		if best == nil || cost < bestCost {
-			best, bestVictims, bestCost = m, victims, cost
+		if v.Stopping {
+			f.Add(roomOf(v), 1) // goes anyway
+		} else if v.Job.Level > j.Level {
+			cands = append(cands, cand{v, p.loss(v, now)})
 		}
 	}
-	return best, bestVictims
+	sort.Slice(cands, func(a, b int) bool {
+		if cands[a].loss != cands[b].loss {
+			return cands[a].loss < cands[b].loss
+		}
+		return cands[a].v.Name < cands[b].v.Name
+	})
+	for _, c := range cands {
+		if fits(w, m, extra, f) {
+			break
+		}
+		victims = append(victims, c.v)
+		f.Add(roomOf(c.v), 1)
+		cost += c.loss
+	}
+	return victims, cost, fits(w, m, extra, f)
 }
 
 // loss is what stopping a place costs: work that is not saved, weighted by rank.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -38,7 +38,8 @@
 const (
 	Leadership Class = iota
 	Urgent           // cancellations, starts
-	Routine          // completions, reads for users
+	Routine          // other writes, reads for users
+	Lazy             // what can wait: completions, records of what is over
 )
 
 // reserve is the part of the burst that a class must leave untouched.
@@ -48,6 +49,8 @@
 		return -1 // may borrow: renewal is never held back
 	case Urgent:
 		return 0.05
+	case Lazy:
+		return 0.5
 	}
 	return 0.2
 }
@@ -82,7 +85,7 @@
 	return &Client{
 		base: "http://" + addr,
 		http: &fasthttp.Client{
-			MaxConnsPerHost: 64, MaxIdleConnDuration: 20 * time.Second,
+			MaxConnsPerHost: 48, MaxIdleConnDuration: 20 * time.Second,
 			MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
 			RetryIfErr:             func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			MaxResponseBodySize:    16 << 20,
