--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -138,13 +138,32 @@
 	}
 }
 
-// LeaderShare is the part of the store's limits that the leader may use, and
-// FollowerShare that of each other node: together they are the whole.
-func (c *Config) LeaderShare() float64 { return 0.65 }
+// The leader writes nearly all there is to write, but answers questions from
+// memory: most reads are the others'.
+const (
+	leaderReads  = 0.4
+	leaderWrites = 0.7
+)
+
+// LeaderShare is the part of the store's limits on requests and on writes that
+// the leader may use. With the shares of the others it makes the whole.
+func (c *Config) LeaderShare() (reads, writes float64) {
+	if len(c.Peers) == 0 {
+		return 1, 1
+	}
+	return leaderReads, leaderWrites
+}
 
 // FollowerShare is each other node's part.
-func (c *Config) FollowerShare() float64 {
-	return (1 - c.LeaderShare()) / float64(max(len(c.Peers), 1))
+func (c *Config) FollowerShare() (reads, writes float64) {
+	n := float64(max(len(c.Peers), 1))
+	return (1 - leaderReads) / n, (1 - leaderWrites) / n
+}
+
+// EqualShare is each node's part while it is not known who leads.
+func (c *Config) EqualShare() (reads, writes float64) {
+	x := 1 / float64(len(c.Peers)+1)
+	return x, x
 }
 
 func parsePlatform(text string, p *Platform) error {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -26,8 +26,9 @@
 	"notchmux.dev/notchmux/wire"
 )
 
-// Sharer is a store client whose share of the limits can be set.
-type Sharer interface{ SetShare(float64) }
+// Sharer is a store client whose share of the limits, for requests and for
+// writes, can be set.
+type Sharer interface{ SetShare(reads, writes float64) }
 
 // Node is one controller.
 type Node struct {
@@ -46,7 +47,7 @@
 	catalog  atomic.Pointer[wire.Catalog]
 	finals   finals
 	badPeer  sync.Map // node: time until which it is not asked
-	resigned atomic.Int64
+	health   health
 }
 
 // New makes a node that speaks to the real services.
@@ -66,7 +67,7 @@
 		Now:     micro.Now,
 		Wall:    micro.Wall,
 	}
-	n.Store.(Sharer).SetShare(1 / float64(len(cfg.Peers)+1)) // until it is known who leads
+	n.Store.(Sharer).SetShare(cfg.EqualShare()) // until it is known who leads
 	n.Init()
 	return n
 }
@@ -74,6 +75,7 @@
 // Init completes a node whose parts were given.
 func (n *Node) Init() {
 	n.finals.m = map[string]wire.JobStatus{}
+	n.health.log = n.Log.Info
 	n.election = &election.Election{
 		Node: n.Cfg.Node, Nonce: rand.Text(), Store: n.Store,
 		TTL: n.Cfg.LeaderLease, Renew: n.Cfg.LeaderRenew, Log: n.Log, Now: n.Now,
@@ -98,6 +100,7 @@
 	g.Go(func() error { return peer.Serve(ctx, peers, n.peerCall, func(w io.Writer) { n.Metrics.Write(w) }) })
 	g.Go(func() error { return n.election.Run(ctx) })
 	g.Go(func() error { return n.fetchCatalog(ctx) })
+	g.Go(func() error { return n.watchHealth(ctx) })
 	n.Log.Info("serving", "node", n.Cfg.Node, "zone", n.Cfg.Zone, "public", n.Cfg.PublicAddr, "peers", n.Cfg.PeerListen)
 	return g.Wait()
 }
@@ -154,9 +157,6 @@
 	}
 }
 
-// Ready reports whether the node can take requests.
-func (n *Node) Ready() bool { return true }
-
 // finals remembers final states, which alone may be cached.
 type finals struct {
 	mu sync.Mutex
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -316,6 +316,8 @@
 func (n *Node) peerCall(_ context.Context, call string, body []byte) (int, []byte) {
 	var r front.Reply
 	switch call {
+	case peer.Ping:
+		return 200, nil
 	case peer.Submit:
 		r = n.submit(body, false)
 	case peer.Read:
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -35,6 +35,7 @@
 	rev    uint64
 	nextID uint64
 	out    bool
+	cut    bool
 	lose   int        // so many commits run, but their answers are lost
 	late   int        // so many commits are held back, and answered by nothing
 	held   []wire.Txn // those commits
@@ -58,6 +59,20 @@
 	}
 }
 
+// Cut makes the store silent, as for a node that the network keeps from it.
+func (s *Store) Cut(on bool) { s.mu.Lock(); s.cut = on; s.mu.Unlock() }
+
+// away is why the store does not answer.
+func (s *Store) away() error {
+	switch {
+	case s.cut:
+		return store.ErrUncertain
+	case s.out:
+		return store.ErrRefused
+	}
+	return nil
+}
+
 // LoseAnswers lets the next n commits run without an answer.
 func (s *Store) LoseAnswers(n int) { s.mu.Lock(); s.lose = n; s.mu.Unlock() }
 
@@ -107,8 +122,8 @@
 func (s *Store) Get(_ context.Context, _ store.Class, key string) (wire.Item, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.out {
-		return wire.Item{}, store.ErrRefused
+	if err := s.away(); err != nil {
+		return wire.Item{}, err
 	}
 	s.expire()
 	v, ok := s.keys[key]
@@ -122,8 +137,8 @@
 func (s *Store) Range(_ context.Context, _ store.Class, prefix, after string, limit int) (wire.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.out {
-		return wire.Page{}, store.ErrRefused
+	if err := s.away(); err != nil {
+		return wire.Page{}, err
 	}
 	s.expire()
 	var names []string
@@ -148,8 +163,8 @@
 func (s *Store) Commit(_ context.Context, _ store.Class, t wire.Txn) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.out {
-		return 0, store.ErrRefused
+	if err := s.away(); err != nil {
+		return 0, err
 	}
 	if s.late > 0 {
 		s.late--
@@ -194,8 +209,8 @@
 func (s *Store) Grant(_ context.Context, ttl micro.Time) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.out {
-		return 0, store.ErrRefused
+	if err := s.away(); err != nil {
+		return 0, err
 	}
 	s.nextID++
 	s.leases[s.nextID] = &lease{ttl, s.Now() + ttl}
@@ -206,8 +221,8 @@
 func (s *Store) Renew(_ context.Context, id uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.out {
-		return store.ErrRefused
+	if err := s.away(); err != nil {
+		return err
 	}
 	s.expire()
 	l := s.leases[id]
@@ -222,8 +237,8 @@
 func (s *Store) Revoke(_ context.Context, id uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.out {
-		return store.ErrRefused
+	if err := s.away(); err != nil {
+		return err
 	}
 	s.end(id)
 	return nil
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,7 +21,6 @@
 	Status     int
 	Body       any
 	RetryAfter int // seconds; 0: none
-	Close      bool
 }
 
 // Later tells the sender to come back.
@@ -41,6 +40,8 @@
 	Withdraw(id string) Reply
 	Beat(body []byte) Reply
 	Ready() bool
+	// Cut reports whether this node refuses because of what it cannot reach.
+	Cut() bool
 }
 
 // Server answers on the public address.
@@ -91,7 +92,9 @@
 	if reply.RetryAfter > 0 {
 		ctx.Response.Header.Set("Retry-After", strconv.Itoa(reply.RetryAfter))
 	}
-	if reply.Close {
+	if reply.Status == 503 && name != "beat" && s.Service.Cut() {
+		// The load balancer leaves open connections where they are: a user
+		// would ask a node that is cut off again and again.
 		ctx.SetConnectionClose()
 	}
 	ctx.SetStatusCode(reply.Status)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -23,6 +23,7 @@
 	Submit   = "/peer/submit"   // submit on behalf of a node the store refuses
 	Read     = "/peer/read"     // a job's status, from the store
 	Notify   = "/peer/notify"   // a job was accepted
+	Ping     = "/peer/ping"     // is anybody there
 	Metrics  = "/metrics"       // latency histograms, for operators
 )
 
@@ -92,7 +93,7 @@
 // Serve answers the other nodes on a listener until the context ends.
 func Serve(ctx context.Context, ln net.Listener, h Handler, metrics func(io.Writer)) error {
 	mux := http.NewServeMux()
-	for _, call := range []string{Show, Withdraw, Submit, Read, Notify} {
+	for _, call := range []string{Show, Withdraw, Submit, Read, Notify, Ping} {
 		mux.HandleFunc("POST "+call, func(w http.ResponseWriter, r *http.Request) {
 			body, err := io.ReadAll(io.LimitReader(r.Body, wire.MaxBody+1))
 			if err != nil || len(body) > wire.MaxBody {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -77,6 +78,8 @@
 	writes  *rate.Limiter
 	rps     float64
 	wps     float64
+
+	answered atomic.Int64
 }
 
 // NewClient makes a client for the service at addr, allowed the given rates in
@@ -99,16 +102,19 @@
 }
 
 // SetShare sets the part of the service's limits that this node may use.
-func (c *Client) SetShare(share float64) {
+func (c *Client) SetShare(reads, writes float64) {
 	for _, l := range []struct {
 		lim *rate.Limiter
 		all float64
-	}{{c.reads, c.rps}, {c.writes, c.wps}} {
-		l.lim.SetLimit(rate.Limit(l.all * share))
-		l.lim.SetBurst(max(1, int(l.all*share)))
+	}{{c.reads, c.rps * reads}, {c.writes, c.wps * writes}} {
+		l.lim.SetLimit(rate.Limit(l.all))
+		l.lim.SetBurst(max(1, int(l.all)))
 	}
 }
 
+// Answered is when the store last answered with anything but a refusal.
+func (c *Client) Answered() micro.Time { return micro.Time(c.answered.Load()) }
+
 // WriteRoom is how many puts and deletes the budget allows now.
 func (c *Client) WriteRoom(class Class) int {
 	return int(c.writes.Tokens() - max(class.reserve(), 0)*float64(c.writes.Burst()))
@@ -149,6 +155,9 @@
 		return 0, fmt.Errorf("%w: %v", ErrUncertain, err)
 	}
 	code := resp.StatusCode()
+	if code != 503 {
+		c.answered.Store(int64(micro.Now()))
+	}
 	switch code {
 	case 200, 409, 400, 404:
 		if out != nil {
