Gather room for work that waited long, send rentals in turn

Rentals now go in turn, one whose offer was refused meanwhile is dropped, refusals back off. Old work no longer goes before all other (in a burst that made everything late): room, and a team's limit, are gathered for a few of the oldest at a time.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -51,8 +51,9 @@
 			NoDefaultUserAgentHeader: true, MaxResponseBodySize: 16 << 20,
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		},
-		// Bursts of a second's worth, and a margin for the other nodes' calls.
-		lim: rate.NewLimiter(rate.Limit(rps*0.75), max(1, int(rps))),
+		// Bursts of a second's worth, and a margin for the other nodes, which
+		// read the catalog once.
+		lim: rate.NewLimiter(rate.Limit(rps*0.9), max(1, int(rps))),
 	}
 }
 
--- a/internal/config/properties.go
+++ b/internal/config/properties.go
@@ -14,7 +14,7 @@
 	LeaderLease   micro.Time // life of the leader's lease
 	LeaderRenew   micro.Time // time between its renewals
 	SilentAfter   micro.Time // a machine unheard of for so long counts as silent; 0: from the workers' settings
-	AgeAfter      micro.Time // work that has waited so long comes before other work
+	AgeAfter      micro.Time // room is gathered for work that has waited so long
 	IdleReturn    micro.Time // an idle rented machine is returned after this
 	BootPatience  float64    // multiple of the type's boot time after which a booting machine is given up
 	PriceRatio    float64    // dearest room for work below the first rank, over the cheapest ordinary room
@@ -55,7 +55,7 @@
 	{"speed.write.s", 10, 10, 3600, "least time between writes of the learnt speeds", span(func(p *Properties) *micro.Time { return &p.SpeedWrite })},
 	{"score.l1", 60, 1, 99, "score L1 of the design", func(p *Properties, v float64) { p.ScoreL1 = v }},
 	{"score.l2", 30, 1, 99, "score L2 of the design; under L1", func(p *Properties, v float64) { p.ScoreL2 = v }},
-	{"sched.age.s", 150, 10, 86400, "work that has waited so long comes before other work, the largest after half of it", span(func(p *Properties) *micro.Time { return &p.AgeAfter })},
+	{"sched.age.s", 180, 10, 86400, "room is gathered for work that has waited so long, for the largest after half of it", span(func(p *Properties) *micro.Time { return &p.AgeAfter })},
 	{"sched.sample.above", 2000, 0, 1e9, "pending tasks above which machines are sampled", func(p *Properties, v float64) { p.SampleAbove = int(v) }},
 	{"sched.sample.size", 16, 2, 1e4, "machines sampled per task then", func(p *Properties, v float64) { p.SampleSize = int(v) }},
 	{"sched.sample.pass.ms", 30, 0, 1e5, "machines are sampled only after a placement pass that took longer than this", func(p *Properties, v float64) { p.SampleBusy = micro.Time(v * float64(micro.Millisecond)) }},
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -30,7 +30,7 @@
 // The states of a rental.
 const (
 	HireWriting HireState = iota // its record is being written
-	HireAsking                   // the request is out
+	HireAsking                   // the request waits for its turn, or is out
 	HireHeld                     // machines were rented
 	HireOver                     // refused, or all its machines are gone
 )
@@ -41,6 +41,7 @@
 	state HireState
 	rec   hireRecord
 	asked micro.Time
+	sent  bool // the cloud may know of it
 	cell  *cell
 }
 
@@ -53,7 +54,8 @@
 	switch to {
 	case HireAsking:
 		h.asked = l.n.Now()
-		go l.rent(h, h.rec.Rental)
+		l.asking = append(l.asking, h)
+		l.pump(h.asked)
 	case HireHeld:
 		delete(l.planner.Asked, h.rec.Rental.Request)
 		h.cell.touch(l.n.Now(), lazy)
@@ -94,6 +96,7 @@
 	l.hires[rec.Rental.Request] = h
 	l.hireCell(h).stamp = uint64(it.Version)
 	if !rec.Answered {
+		h.sent = true // perhaps: only the same name again can tell
 		l.planner.Asked[rec.Rental.Request] = scale.Ask{Offer: scale.Offer{Type: rec.Rental.Type, Zone: rec.Rental.Zone, Spot: rec.Rental.Spot}, Count: rec.Rental.Count}
 		l.become(h, HireAsking)
 		return
@@ -134,6 +137,26 @@
 	l.sendReturns()
 }
 
+// maxRenting bounds the rentals under way: they share the cloud's rate with
+// returns and lists.
+const maxRenting = 3
+
+// pump sends rentals in turn. One whose offer was refused meanwhile is dropped.
+func (l *Lead) pump(now micro.Time) {
+	for l.renting < maxRenting && len(l.asking) > 0 {
+		h := l.asking[0]
+		l.asking = l.asking[1:]
+		r := h.rec.Rental
+		if !h.sent && l.planner.Refused[scale.Offer{Type: r.Type, Zone: r.Zone, Spot: r.Spot}] > now {
+			l.become(h, HireOver)
+			continue
+		}
+		h.sent = true
+		l.renting++
+		go l.rent(h, r)
+	}
+}
+
 // rent sends a rental until it is answered for good.
 func (l *Lead) rent(h *hire, r wire.Rental) {
 	refusals := 0
@@ -164,15 +187,14 @@
 	}
 }
 
-// refusedFor is how long an offer that was refused is not asked for again.
-const refusedFor = 15 * micro.Second
-
 func (l *Lead) rented(h *hire, names []string) {
 	now := l.n.Now()
 	r := h.rec.Rental
 	l.log.Info("rented", "request", r.Request, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(names))
+	l.renting--
+	defer l.pump(now)
+	l.planner.Answered(scale.Offer{Type: r.Type, Zone: r.Zone, Spot: r.Spot}, r.Count, len(names), now)
 	if len(names) < r.Count {
-		l.planner.Refused[scale.Offer{Type: r.Type, Zone: r.Zone, Spot: r.Spot}] = now + refusedFor
 		for j := range l.c.Pending {
 			if j.Level == 0 {
 				l.lastPlan = 0 // the next best offer is asked for at once
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -59,6 +59,8 @@
 	lastSpeed micro.Time
 	hires     map[string]*hire
 	hireN     int
+	asking    []*hire    // rentals whose turn is to come
+	renting   int        // rentals under way
 	first     string     // the first machine that the service ever rented
 	listAt    micro.Time // when the list that was read last was asked for
 	returns   map[*model.Machine]bool
@@ -87,7 +89,7 @@
 	l.goals = sched.NewGoals(n.Cfg.Facts.Objectives)
 	l.speeds = sched.NewSpeeds()
 	l.placer = &sched.Placer{C: l.c, Goals: l.goals, Props: &n.Cfg.Properties, Rand: rand.New(rand.NewPCG(t.Stamp, 1))}
-	l.planner = &scale.Planner{C: l.c, Goals: l.goals, Props: &n.Cfg.Properties, Refused: map[scale.Offer]micro.Time{}, Asked: map[string]scale.Ask{}}
+	l.planner = &scale.Planner{C: l.c, Goals: l.goals, Props: &n.Cfg.Properties, Refused: map[scale.Offer]micro.Time{}, Dry: map[scale.Offer]int{}, Asked: map[string]scale.Ask{}}
 	l.placer.Affordable = l.planner.Affordable
 	l.w = newWriter(l)
 	return l
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -23,6 +23,8 @@
 	CPUs, CPUsMax    float64
 	GPUs, GPUsMax    float64
 	UsedCPU, UsedGPU float64
+	Saving           *Job // its limit's room is kept for this job, which waited long
+	SavingAt         micro.Time
 	unfinished       []*Job
 }
 
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -32,6 +32,7 @@
 	Goals   *sched.Goals
 	Props   *config.Properties
 	Refused map[Offer]micro.Time // until when not to ask again
+	Dry     map[Offer]int        // refusals in a row
 	Asked   map[string]Ask       // rentals without an answer yet, by request
 
 	own bool // operators keep machines of their own, by the last plan
@@ -110,12 +111,35 @@
 // count as room to come; beyond it another is rented.
 const expectFactor = 1.6
 
-// maxNew bounds what one plan rents, and maxAsk what one request does.
+// maxNew bounds what one plan rents, maxAsk what one request does, and maxOffer
+// what is asked of one offer at a time: how much there is shows only by asking.
 const (
-	maxNew = 250
-	maxAsk = 50
+	maxNew   = 250
+	maxAsk   = 50
+	maxOffer = 200
 )
 
+// refusedFor is how long an offer that was refused is not asked for again;
+// longer each time that it had nothing at all.
+const (
+	refusedFor = 15 * micro.Second
+	maxDry     = 2
+)
+
+// Answered takes in what came of a rental.
+func (p *Planner) Answered(o Offer, asked, got int, now micro.Time) {
+	switch {
+	case got == asked:
+		delete(p.Dry, o)
+	case got > 0:
+		p.Dry[o] = 1
+		p.Refused[o] = now + refusedFor
+	default:
+		p.Refused[o] = now + refusedFor<<min(p.Dry[o], maxDry)
+		p.Dry[o]++
+	}
+}
+
 // group is the room of machines of one offer that are expected to come up.
 type group struct {
 	Offer
@@ -198,6 +222,10 @@
 	demands := p.demands(now)
 	thrifty, bill := p.thrifty(), p.bill()
 	rented := map[Offer]int{}
+	open := map[Offer]int{} // asked for and not answered
+	for _, a := range p.Asked {
+		open[a.Offer] += a.Count
+	}
 	var order []Offer
 	total := 0
 	for i := range demands {
@@ -226,7 +254,10 @@
 			}
 			per := b.fits(d.spec)
 			want := min(left, zoneRoom(d, b.zone, zoneN))
-			n := min((want+per-1)/per, maxNew-total)
+			n := min((want+per-1)/per, maxNew-total, p.atOnce(b.offer)-open[b.offer]-rented[b.offer])
+			if n <= 0 {
+				break // its answers first: the next best may not be needed
+			}
 			if left <= soon || thrifty && soon > 0 {
 				n = min(n, max((left-soon+per-1)/per, 1))
 			}
@@ -250,6 +281,14 @@
 	return asks, p.idle(now)
 }
 
+// atOnce is how much of an offer may be asked for at a time.
+func (p *Planner) atOnce(o Offer) int {
+	if p.Dry[o] > 0 {
+		return maxAsk
+	}
+	return maxOffer
+}
+
 // comesFree is how many of n tasks fit on running machines by a time; it takes
 // what it counts.
 func comesFree(running []*bin, s *wire.Job, n int, at micro.Time) int {
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -24,7 +24,7 @@
 		{Name: "gpu", CPUs: 24, GPUs: 4, MemoryGB: 96, Price: 60, SpotPrice: 50, BootS: 30, FetchGBPerS: 1, Zones: []string{"a"}},
 	}})
 	props := config.Defaults()
-	return &Planner{C: c, Goals: sched.NewGoals(nil), Props: &props, Refused: map[Offer]micro.Time{}, Asked: map[string]Ask{}}
+	return &Planner{C: c, Goals: sched.NewGoals(nil), Props: &props, Refused: map[Offer]micro.Time{}, Dry: map[Offer]int{}, Asked: map[string]Ask{}}
 }
 
 func (p *Planner) submit(id string, tasks int, cpus float64, spot bool) *model.Job {
--- a/internal/sched/age.go
+++ b/internal/sched/age.go
@@ -9,12 +9,58 @@
 )
 
 // Ranks alone would let work of the last rank, and the largest gangs and arrays
-// of any, wait for ever behind a stream of other work. So age counts: a job that
-// has waited long comes first, and where it finds no room, room is gathered for
-// it: machines soon free take nothing else until it fits.
+// of any, wait for ever behind a stream of other work. So age counts: for those
+// that have waited longest, room is gathered, whatever their rank: machines soon
+// free take nothing else until they fit. Only a few are gathered for at a time:
+// most of the room still goes by rank and objective.
 
 // maxGather bounds the jobs that room is gathered for at a time.
-const maxGather = 3
+const maxGather = 4
+
+// gatherFor gathers room for the oldest jobs that still wait.
+func (p *Placer) gatherFor(old []*model.Job, now micro.Time) {
+	others := map[*model.Job]bool{}
+	for m := range p.reserved {
+		if m.Gathered && m.Reserve != nil {
+			others[m.Reserve] = true
+		}
+	}
+	if len(others) >= maxGather || len(old) == 0 {
+		return
+	}
+	sort.Slice(old, func(a, b int) bool {
+		if old[a].Submitted != old[b].Submitted {
+			return old[a].Submitted < old[b].Submitted
+		}
+		return old[a].Spec.ID < old[b].Spec.ID
+	})
+	for _, j := range old {
+		if len(others) >= maxGather {
+			return
+		}
+		if others[j] || j.State != model.Active || j.Waiting() == 0 {
+			continue
+		}
+		n := 1
+		if j.Spec.Kind == wire.Gang {
+			n = len(j.Tasks)
+		}
+		if t := j.Team; t != nil && !t.Allows(j.Spec.CPUs, j.Spec.GPUs, n) {
+			if t.Saving == nil && j.HeldN == 0 {
+				// Its smaller jobs would use up each bit of its limit that comes
+				// free.
+				t.Saving, t.SavingAt = j, now
+			}
+			continue
+		}
+		if p.gather(j, n, now) {
+			others[j] = true
+		}
+	}
+}
+
+// gathered reports whether machines are reserved for the job.
+func (p *Placer) gathered(j *model.Job) bool { return p.reservedFor(j) > 0 }
 
 // large reports whether a job is among the largest of its class.
 func (p *Placer) large(j *model.Job) bool {
@@ -39,23 +85,7 @@
 
 // gather reserves the machines that are soonest free for a job that waited long,
 // enough for a gang in one zone, or for one task of another job.
-func (p *Placer) gather(j *model.Job, now micro.Time) {
-	n := 1
-	if j.Spec.Kind == wire.Gang {
-		n = len(j.Tasks)
-	}
-	others := map[*model.Job]bool{}
-	for m := range p.reserved {
-		if m.Reserve == j {
-			return // under way
-		}
-		if m.Gathered && m.Reserve != nil {
-			others[m.Reserve] = true
-		}
-	}
-	if len(others) >= maxGather {
-		return
-	}
+func (p *Placer) gather(j *model.Job, n int, now micro.Time) bool {
 	type spot struct {
 		m    *model.Machine
 		n    int // tasks it could hold
@@ -101,6 +131,7 @@
 	if len(best) > 0 {
 		p.C.Log("gather", "job", j.Spec.ID, "machines", len(best), "in_s", (bestAt - now).Seconds())
 	}
+	return len(best) > 0
 }
 
 // freeAt is when a machine is expected to be clear of all but services, and how
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -40,13 +40,12 @@
 type item struct {
 	j    *model.Job
 	guar bool
-	aged bool
 	late micro.Time
 }
 
 // Pass places what it can, in order of rank, guarantee and nearness of the
-// objective, and reports how many tasks it placed. Work that has waited too
-// long comes before other work of any rank but the first.
+// objective, and reports how many tasks it placed. For work that has waited too
+// long and found no room, room is gathered.
 func (p *Placer) Pass(now micro.Time) int {
 	p.C.MarkGuarantees()
 	p.tidy(now)
@@ -54,15 +53,22 @@
 	waiting := 0
 	for j := range p.C.Pending {
 		waiting += j.Waiting()
-		queue = append(queue, item{j, j.Guar, p.aged(j, now), p.Goals.LatestStart(j, now)})
+		queue = append(queue, item{j, j.Guar, p.Goals.LatestStart(j, now)})
 	}
 	sort.Slice(queue, func(a, b int) bool { return before(&queue[a], &queue[b]) })
 	p.sampling = p.Busy && waiting > p.Props.SampleAbove
 	full := blocked{}
 	placed := 0
+	var old []*model.Job
 	for _, it := range queue {
 		j := it.j
-		if j.State != model.Active || j.NotBefore > now || j.GangStop || full.has(j) {
+		if j.State != model.Active || j.NotBefore > now || j.GangStop {
+			continue
+		}
+		if p.aged(j, now) {
+			old = append(old, j)
+		}
+		if full.has(j) && !p.gathered(j) {
 			continue
 		}
 		n, none := 0, false
@@ -74,23 +80,14 @@
 		placed += n
 		if none {
 			full.add(j)
-			if it.aged {
-				p.gather(j, now)
-			}
 		}
 	}
+	p.gatherFor(old, now)
 	return placed
 }
 
 func before(x, y *item) bool {
-	if a, b := x.j.Level == 0, y.j.Level == 0; a != b {
-		return a
-	}
 	switch {
-	case x.aged != y.aged:
-		return x.aged
-	case x.aged && x.j.Submitted != y.j.Submitted:
-		return x.j.Submitted < y.j.Submitted
 	case x.j.Level != y.j.Level:
 		return x.j.Level < y.j.Level
 	case x.guar != y.guar:
@@ -162,7 +159,7 @@
 			return placed, false
 		}
 		for k, i := range next {
-			if j.Team != nil && !j.Team.Allows(j.Spec.CPUs, j.Spec.GPUs, 1) {
+			if !allows(j, 1) {
 				return placed, false
 			}
 			m := p.pick(j, nil, nil, "", true, now)
@@ -182,6 +179,19 @@
 	}
 }
 
+// allows reports whether the team's limits leave room for n more of a job's
+// tasks, and are not being saved up for another of its jobs.
+func allows(j *model.Job, n int) bool {
+	t := j.Team
+	if t == nil {
+		return true
+	}
+	if o := t.Saving; o != nil && o != j && j.Level > 0 && (o.Spec.GPUs > 0 && j.Spec.GPUs > 0 || t.CPUsMax > 0) {
+		return false
+	}
+	return t.Allows(j.Spec.CPUs, j.Spec.GPUs, n)
+}
+
 // placeBatch is how many tasks of a job are looked at together.
 const placeBatch = 32
 
@@ -200,7 +210,7 @@
 	if j.HeldN > 0 || j.Waiting() < n {
 		return 0, false
 	}
-	if j.Team != nil && !j.Team.Allows(j.Spec.CPUs, j.Spec.GPUs, n) {
+	if !allows(j, n) {
 		return 0, false
 	}
 	idx := j.Next(now, n)
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -8,8 +8,12 @@
 	"notchmux.dev/notchmux/wire"
 )
 
-// reserveLife is how long a machine that is being cleared stays reserved.
-const reserveLife = 20 * micro.Second
+// reserveLife is how long a machine that is being cleared stays reserved, and
+// gatherLife one that is waited for.
+const (
+	reserveLife = 20 * micro.Second
+	gatherLife  = micro.Minute
+)
 
 // Preemption looks at no more machines than this that could make room, and an
 // array clears no more than so many at a time.
@@ -29,9 +33,17 @@
 
 // tidy gives up reservations that are used, over or too old.
 func (p *Placer) tidy(now micro.Time) {
+	for _, t := range p.C.Teams {
+		if j := t.Saving; j != nil && (j.State != model.Active || j.Waiting() == 0 || j.HeldN > 0 || now-t.SavingAt > gatherLife) {
+			t.Saving = nil
+		}
+	}
 	for m := range p.reserved {
-		r := m.Reserve
-		if r != nil && (r.State != model.Active || r.Waiting() == 0 || now-m.ReserveAt > reserveLife || !m.Usable(now)) {
+		r, life := m.Reserve, reserveLife
+		if m.Gathered {
+			life = gatherLife
+		}
+		if r != nil && (r.State != model.Active || r.Waiting() == 0 || now-m.ReserveAt > life || !m.Usable(now)) {
 			m.Reserve = nil
 		}
 		if m.Reserve == nil {
