--- a/internal/config/properties.go
+++ b/internal/config/properties.go
@@ -49,7 +49,7 @@
 	{"machine.silent.s", 0, 0, 120, "a machine unheard of for so long counts as silent; 0: a late report and one lost answer", span(func(p *Properties) *micro.Time { return &p.SilentAfter })},
 	{"scale.idle.s", 45, 0, 86400, "an idle rented machine is returned after this", span(func(p *Properties) *micro.Time { return &p.IdleReturn })},
 	{"scale.boot.patience", 4, 1.6, 100, "a booting machine is given up after this many times its type's boot time", func(p *Properties, v float64) { p.BootPatience = v }},
-	{"scale.price.ratio", 3.3, 1, 1000, "dearest room rented for work below the first rank, over the cheapest ordinary room", func(p *Properties, v float64) { p.PriceRatio = v }},
+	{"scale.price.ratio", 1.8, 1, 1000, "dearest room rented for work below the first rank, over the cheapest ordinary room", func(p *Properties, v float64) { p.PriceRatio = v }},
 	{"scale.small.share", 0.04, 0, 1, "share of the hourly bill up to which a machine is rented without asking whether room comes free soon", func(p *Properties, v float64) { p.SmallShare = v }},
 	{"scale.headroom", 1.5, 0, 20, "room kept for quick starts, times the expected arrivals", func(p *Properties, v float64) { p.Headroom = v }},
 	{"speed.write.s", 10, 10, 3600, "least time between writes of the learnt speeds", span(func(p *Properties) *micro.Time { return &p.SpeedWrite })},
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -505,6 +505,7 @@
 		if quick >= boot*3/2+bootMargin {
 			continue
 		}
+		ratio := p.ratio(nil, now)
 		want := 1 + int(math.Ceil(Rate(cl.Arrivals, now)*boot.Seconds()*p.Props.Headroom))
 		have := 0
 		level := cl.Last.Priority.Level()
@@ -512,8 +513,8 @@
 			if have >= want {
 				break
 			}
-			if !m.Usable(now) {
-				continue
+			if !m.Usable(now) || p.thrifty() && cl.Last.GPUs == 0 && m.Type.GPUs > 0 && p.dear(cl.Last, m.Type, m.Spot, ratio) {
+				continue // counted on, it would never be returned
 			}
 			y := m.Yields(level)
 			b := bin{typ: m.Type, zone: m.Zone, spot: m.Spot,
@@ -547,7 +548,7 @@
 }
 
 // pressingRatio is how much more room may cost for work that would be late.
-const pressingRatio = 2.2
+const pressingRatio = 1.2
 
 // longWait is how long work waits before it counts as pressing.
 const longWait = micro.Minute
@@ -566,15 +567,21 @@
 }
 
 // Affordable reports whether work that needs no GPU may sit on a machine with
-// GPUs. An ordinary one is dear, and work that sits on it keeps it from being
-// returned: a service for as long as it lives.
+// GPUs. Most are dear, and work that sits on one keeps it from being returned: a
+// service for as long as it lives.
 func (p *Planner) Affordable(j *model.Job, t *model.Type, spot bool, now micro.Time) bool {
 	s := &j.Spec
-	if s.GPUs > 0 || t.GPUs == 0 || spot || !p.thrifty() {
+	if s.GPUs > 0 || t.GPUs == 0 || !p.thrifty() {
 		return true
 	}
+	return !p.dear(s, t, spot, p.ratio(j, now))
+}
+
+// dear reports whether a machine's room costs more than so many times the
+// cheapest ordinary room, for tasks like this.
+func (p *Planner) dear(s *wire.Job, t *model.Type, spot bool, ratio float64) bool {
 	k := newBin(t, "", false).room(s)
-	return k > 0 && t.Price/float64(k) <= p.ratio(j, now)*p.cheapest(s, math.MaxInt32)
+	return k == 0 || priceOf(Offer{Spot: spot}, t)/float64(k) > ratio*p.cheapest(s, math.MaxInt32)
 }
 
 // ratio is the most that room for a job's tasks may cost, over the cheapest
