Keep the machines' images over a takeover, hedge submissions, dear room where it helps

Cause: each new leader knew of no images, so gangs fetched for 14 s and more what a free machine had; and a node whose store did not answer waited 1.5 s before it asked a peer. Gathering for all old work held machines for gangs past their objective; now only for the starved.

--- a/internal/config/properties.go
+++ b/internal/config/properties.go
@@ -18,6 +18,7 @@
 	IdleReturn    micro.Time // an idle rented machine is returned after this
 	BootPatience  float64    // multiple of the type's boot time after which a booting machine is given up
 	PriceRatio    float64    // dearest room for work below the first rank, over the cheapest ordinary room
+	DearRatio     float64    // room dearer than this, over the cheapest, only for what cannot wait
 	SmallShare    float64    // share of the bill up to which a machine is not worth waiting for
 	Headroom      float64    // spare room for quick starts, as a multiple of the expected arrivals
 	SpeedWrite    micro.Time // least time between writes of the learnt speeds
@@ -49,7 +50,8 @@
 	{"machine.silent.s", 0, 0, 120, "a machine unheard of for so long counts as silent; 0: a late report and one lost answer", span(func(p *Properties) *micro.Time { return &p.SilentAfter })},
 	{"scale.idle.s", 45, 0, 86400, "an idle rented machine is returned after this", span(func(p *Properties) *micro.Time { return &p.IdleReturn })},
 	{"scale.boot.patience", 4, 1.6, 100, "a booting machine is given up after this many times its type's boot time", func(p *Properties, v float64) { p.BootPatience = v }},
-	{"scale.price.ratio", 1.8, 1, 1000, "dearest room rented for work below the first rank, over the cheapest ordinary room", func(p *Properties, v float64) { p.PriceRatio = v }},
+	{"scale.price.ratio", 3.3, 1, 1000, "dearest room rented for work below the first rank, over the cheapest ordinary room", func(p *Properties, v float64) { p.PriceRatio = v }},
+	{"scale.dear.ratio", 1.8, 1, 1000, "room dearer than so many times the cheapest ordinary room is rented only for work that could not start in time on room that comes free", func(p *Properties, v float64) { p.DearRatio = v }},
 	{"scale.small.share", 0.04, 0, 1, "share of the hourly bill up to which a machine is rented without asking whether room comes free soon", func(p *Properties, v float64) { p.SmallShare = v }},
 	{"scale.headroom", 1.5, 0, 20, "room kept for quick starts, times the expected arrivals", func(p *Properties, v float64) { p.Headroom = v }},
 	{"speed.write.s", 10, 10, 3600, "least time between writes of the learnt speeds", span(func(p *Properties) *micro.Time { return &p.SpeedWrite })},
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -51,7 +52,9 @@
 }
 
 // node makes a node; its process is dead once the returned function was called.
-func (b *bed) node(name string) (*Node, func()) {
+func (b *bed) node(name string) (*Node, func()) { return b.nodeWith(name, func(*Node) {}) }
+
+func (b *bed) nodeWith(name string, set func(*Node)) (*Node, func()) {
 	cfg := &config.Config{Properties: config.Defaults()}
 	cfg.Node = name
 	cfg.LeaderLease, cfg.LeaderRenew = 600*micro.Millisecond, 100*micro.Millisecond
@@ -60,6 +63,7 @@
 	n := &Node{Cfg: cfg, Store: b.store, Cloud: b.cloud, Agent: b.hosts, Peers: peer.NewClient(nil),
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.New(), Now: micro.Now, Wall: micro.Wall}
 	n.Init()
+	set(n)
 	cat, _ := b.cloud.Catalog(context.Background())
 	n.catalog.Store(cat)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -70,6 +74,26 @@
 	return n, cancel
 }
 
+// servePeer lets a node answer its peers on loopback.
+func (b *bed) servePeer(n *Node) string {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.t.Cleanup(cancel)
+	go func() { _ = peer.Serve(ctx, ln, n.peerCall, n.Metrics.Write) }()
+	return ln.Addr().String()
+}
+
+// slow is a store that answers no transaction until its caller gives up.
+type slow struct{ store.Store }
+
+func (slow) Commit(ctx context.Context, _ store.Class, _ wire.Txn) (uint64, error) {
+	<-ctx.Done()
+	return 0, store.ErrUncertain
+}
+
 // wait polls; the time is only a bound on a hang.
 func wait(t *testing.T, what string, ok func() bool) {
 	t.Helper()
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -39,36 +39,38 @@
 	known        sync.Map // ids of jobs in the model
 
 	// Owned by the loop.
-	c         *model.Cluster
-	placer    *sched.Placer
-	planner   *scale.Planner
-	speeds    *sched.Speeds
-	goals     *sched.Goals
-	w         *writer
-	token     uint64
-	tokenAt   micro.Time
-	raisedAt  micro.Time
-	changed   bool
-	kicked    map[*model.Machine]bool
-	lastPass  micro.Time
-	passGap   micro.Time // least time between passes, by what the last one took
-	watched   int        // next machine to look over for overrunning tasks
-	directs   int        // direct orders under way
-	lastScan  micro.Time
-	lastPlan  micro.Time
-	lastSpeed micro.Time
-	hires     map[string]*hire
-	hireN     int
-	asking    []*hire    // rentals whose turn is to come
-	renting   int        // rentals under way
-	first     string     // the first machine that the service ever rented
-	listAt    micro.Time // when the list that was read last was asked for
-	returns   map[*model.Machine]bool
-	lapsed    bool
-	resumed   micro.Time // when this node last came to listen again
-	lastTick  micro.Time
-	deaf      micro.Time // since when no worker reports; 0: some do
-	waiters   map[string][]chan front.Reply
+	c          *model.Cluster
+	placer     *sched.Placer
+	planner    *scale.Planner
+	speeds     *sched.Speeds
+	goals      *sched.Goals
+	w          *writer
+	token      uint64
+	tokenAt    micro.Time
+	raisedAt   micro.Time
+	changed    bool
+	kicked     map[*model.Machine]bool
+	lastPass   micro.Time
+	passGap    micro.Time // least time between passes, by what the last one took
+	watched    int        // next machine to look over for overrunning tasks
+	directs    int        // direct orders under way
+	lastScan   micro.Time
+	lastPlan   micro.Time
+	lastSpeed  micro.Time
+	lastStats  micro.Time
+	lastImages micro.Time
+	hires      map[string]*hire
+	hireN      int
+	asking     []*hire    // rentals whose turn is to come
+	renting    int        // rentals under way
+	first      string     // the first machine that the service ever rented
+	listAt     micro.Time // when the list that was read last was asked for
+	returns    map[*model.Machine]bool
+	lapsed     bool
+	resumed    micro.Time // when this node last came to listen again
+	lastTick   micro.Time
+	deaf       micro.Time // since when no worker reports; 0: some do
+	waiters    map[string][]chan front.Reply
 }
 
 func newLead(n *Node, t *election.Term) *Lead {
@@ -229,6 +231,14 @@
 		}
 		l.pendingTasks.Store(int64(waiting))
 	}
+	if now-l.lastImages >= imagesEvery {
+		l.lastImages = now
+		l.w.images.touch(now, lazy)
+	}
+	if now-l.lastStats >= statsEvery {
+		l.lastStats = now
+		l.stats()
+	}
 	if now-l.lastSpeed >= l.n.Cfg.SpeedWrite {
 		l.lastSpeed = now
 		if l.speeds.Dirty() {
@@ -261,6 +271,22 @@
 // machine that hears nothing shows by not having seen it.
 const challenge = 10 * micro.Second
 
+// statsEvery is how often the leader says how it fares.
+const statsEvery = 20 * micro.Second
+
+// imagesEvery is how often the machines' images are written.
+const imagesEvery = 20 * micro.Second
+
+func (l *Lead) stats() {
+	up := 0
+	for _, p := range l.c.Pools {
+		up += p.N
+	}
+	l.log.Info("leading", "live", len(l.c.Live), "pending", len(l.c.Pending), "tasks", l.pendingTasks.Load(), "usable", up, "known", len(l.c.Machines),
+		"writes_first", len(l.w.queues[first]), "writes_soon", len(l.w.queues[soon]), "writes_lazy", len(l.w.queues[lazy]),
+		"pass_gap_ms", int64(l.passGap/micro.Millisecond), "events", len(l.events), "asks", len(l.asks), "directs", l.directs, "kicked", len(l.kicked), "hires_waiting", len(l.asking))
+}
+
 func (l *Lead) resign(why string) {
 	l.log.Info("resigning", "why", why)
 	l.term.End()
@@ -353,6 +379,12 @@
 					l.speeds.Restore(r)
 					l.w.speed.stamp = uint64(it.Version)
 				}
+			case imageKey:
+				var r model.ImageRecord
+				if wire.Unmarshal(it.Value, &r) == nil {
+					l.c.RestoreImages(r, now)
+				}
+				l.w.images.stamp = uint64(it.Version)
 			case firstKey:
 				var r firstRecord
 				if wire.Unmarshal(it.Value, &r) == nil {
--- /dev/null
+++ b/internal/controller/restart_test.go
@@ -0,0 +1,70 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/peer"
+	"notchmux.dev/notchmux/wire"
+)
+
+// long makes a lease that outlives the test, so that whoever leads does not owe
+// it to an expiry.
+func long(n *Node) { n.election.TTL, n.election.Renew = 10*micro.Minute, 50*micro.Millisecond }
+
+// A leader was back a fraction of a second after its end, and waited for its own
+// old lease.
+func TestLeaderRestartedBeforeItsLeaseEndedLeadsAgainAtOnce(t *testing.T) {
+	b := newBed(t)
+	n, kill := b.nodeWith("n-0", long)
+	wait(t, "leading", func() bool { return n.leading() != nil })
+	old := n.leading().term
+	n.Submit(submission("j-1", wire.Array))
+	kill()
+	again, _ := b.nodeWith("n-0", long)
+	wait(t, "leading again", func() bool { return again.leading() != nil })
+	if term := again.leading().term; term.Stamp <= old.Stamp {
+		t.Fatalf("the new term's tokens are no higher: %d, %d", term.Stamp, old.Stamp)
+	}
+	wait(t, "its job", func() bool { return again.Show("j-1").Status == 200 })
+}
+
+// A node was restarted in mid-election: its own campaign, sent by the process
+// that ended, took effect after the new one had begun.
+func TestNodeRestartedInMidElectionGetsOverItsOwnLateCampaign(t *testing.T) {
+	b := newBed(t)
+	b.store.HoldBack(1)
+	_, kill := b.nodeWith("n-0", long)
+	wait(t, "campaign on its way", func() bool { return b.store.Held() == 1 })
+	kill()
+	b.store.Deliver()
+	again, _ := b.nodeWith("n-0", long)
+	wait(t, "leads", func() bool { return again.leading() != nil })
+	other, _ := b.nodeWith("n-1", long)
+	wait(t, "known to the other", func() bool { return other.election.Leader() == "n-0" })
+	if other.leading() != nil {
+		t.Fatal("two lead")
+	}
+}
+
+// The store took a second over a submission, or never answered this node: a
+// user waited for it though a peer could have stored the job at once.
+func TestSubmissionGoesToAPeerWhileTheStoreKeepsThisNodeWaiting(t *testing.T) {
+	b := newBed(t)
+	lead, _ := b.node("n-1")
+	wait(t, "leading", func() bool { return lead.leading() != nil })
+	addr := b.servePeer(lead)
+	cut, _ := b.node("n-0")
+	wait(t, "known", func() bool { return cut.election.Leader() == "n-1" })
+	cut.Peers = peer.NewClient(map[string]string{"n-1": addr})
+	cut.Store = slow{cut.Store}
+	from := time.Now()
+	r := cut.Submit(submission("j-1", wire.Array))
+	if r.Status != 201 {
+		t.Fatalf("%+v after %v", r, time.Since(from))
+	}
+	if r := lead.Show("j-1"); r.Status != 200 {
+		t.Fatalf("the peer knows nothing of it: %+v", r)
+	}
+}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -52,12 +52,37 @@
 		}
 	}
 	job.SubmittedAt = int64(n.Wall())
-	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
-	defer cancel()
-	_, err = n.Store.Commit(ctx, store.Urgent, wire.Txn{
-		If:   []wire.Guard{{Key: specKey(job.ID)}},
-		Then: []wire.Change{{Put: specKey(job.ID), Value: job}},
-	})
+	stored := make(chan error, 1)
+	go func() { stored <- n.keep(job) }()
+	relayed := make(chan front.Reply, 1)
+	tried := false
+	if relay {
+		after := time.Duration(0)
+		if !n.Cut() {
+			after = hedgeAfter.Std()
+		}
+		hedge := time.NewTimer(after)
+		defer hedge.Stop()
+		select {
+		case err = <-stored:
+			stored <- err
+		case <-hedge.C:
+			// The store may be out of this node's reach alone. Whichever way is
+			// first creates the key; the other finds it.
+			tried = true
+			go func() {
+				r, ok := n.relay(peer.Submit, body)
+				if ok {
+					relayed <- r
+				}
+			}()
+		}
+	}
+	select {
+	case err = <-stored:
+	case r := <-relayed:
+		return r
+	}
 	switch {
 	case err == nil:
 		n.accepted(job)
@@ -69,7 +94,13 @@
 		return front.Later(503, 2)
 	}
 	n.Log.Debug("submission not stored", "job", job.ID, "err", err)
-	if relay {
+	if tried {
+		select {
+		case r := <-relayed:
+			return r
+		case <-time.After(askWait.Std()):
+		}
+	} else if relay {
 		// The store may refuse this node alone: another may reach it.
 		if r, ok := n.relay(peer.Submit, body); ok {
 			return r
@@ -81,6 +112,21 @@
 	return front.Later(503, 1)
 }
 
+// hedgeAfter is how long the store may take over a submission before a peer is
+// asked as well.
+const hedgeAfter = 100 * micro.Millisecond
+
+// keep writes a job's description, once.
+func (n *Node) keep(job *wire.Job) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	_, err := n.Store.Commit(ctx, store.Urgent, wire.Txn{
+		If:   []wire.Guard{{Key: specKey(job.ID)}},
+		Then: []wire.Change{{Put: specKey(job.ID), Value: job}},
+	})
+	return err
+}
+
 // accepted tells the leader of a new job; its watch would find it as well.
 func (n *Node) accepted(job *wire.Job) {
 	if l := n.leading(); l != nil {
@@ -186,19 +232,33 @@
 			}
 		}
 	}
+	cut := n.Cut()
+	if cut { // the store is not worth waiting for before others were asked
+		if r, ok := n.readElsewhere(id); ok {
+			return r
+		}
+	}
 	r, err := n.read(id)
 	if err != nil {
-		if r, ok := n.relay(peer.Read, []byte(id)); ok {
-			if s, ok := r.Body.(wire.JobStatus); ok {
-				n.finals.put(s)
+		if !cut {
+			if r, ok := n.readElsewhere(id); ok {
+				return r
 			}
-			return r
 		}
 		return front.Later(503, 1)
 	}
 	return r
 }
 
+// readElsewhere asks the other nodes for what they read from the store.
+func (n *Node) readElsewhere(id string) (front.Reply, bool) {
+	r, ok := n.relay(peer.Read, []byte(id))
+	if s, is := r.Body.(wire.JobStatus); ok && is {
+		n.finals.put(s)
+	}
+	return r, ok
+}
+
 // read answers from the store: the job's own keys tell whether it exists and
 // how it ended, the records of its tasks how far it is.
 func (n *Node) read(id string) (front.Reply, error) {
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -14,6 +14,7 @@
 const (
 	speedKey = "fleet/speed"
 	firstKey = "fleet/first"
+	imageKey = "fleet/images"
 )
 
 type firstRecord struct {
@@ -65,6 +66,7 @@
 	chunks map[*model.Chunk]*cell
 	speed  *cell
 	first  *cell
+	images *cell
 	flight bool
 	next   micro.Time
 	idle   micro.Time // no look at the lazy queue before
@@ -76,6 +78,11 @@
 	w.speed.build = func() (any, int, uint64) { return l.speeds.Record(), 1024, 0 }
 	w.first = w.cell(firstKey)
 	w.first.build = func() (any, int, uint64) { return firstRecord{l.first}, 128, 0 }
+	w.images = w.cell(imageKey)
+	w.images.build = func() (any, int, uint64) {
+		size := int(l.n.Cfg.Facts.State.ValueKB*1024) / 2
+		return l.c.Images(size), size, 0
+	}
 	return w
 }
 
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -79,6 +79,9 @@
 // HoldBack keeps the next n commits, unanswered, until Deliver.
 func (s *Store) HoldBack(n int) { s.mu.Lock(); s.late = n; s.mu.Unlock() }
 
+// Held is how many commits are held back.
+func (s *Store) Held() int { s.mu.Lock(); defer s.mu.Unlock(); return len(s.held) }
+
 // Deliver runs what was held back and says how many took effect.
 func (s *Store) Deliver() int {
 	s.mu.Lock()
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -57,7 +57,6 @@
 	FirstHeard micro.Time
 	LostSess   uint64 // sessions up to this one surely ended
 	Places     map[PlaceKey]*Place
-	Images     map[string]micro.Time // images fetched, last use
 	UsedCPU    float64
 	UsedGPU    float64
 	UsedMem    float64
@@ -83,11 +82,12 @@
 	Gathered   bool // reserved for a job that has waited long
 	Hire       string
 
-	told  uint64 // the token of the last answer, 0: not known
-	pool  *Pool  // where placement finds it, nil: nowhere
-	row   int
-	at    int
-	exits map[PlaceKey]*exit
+	images map[string]image // images fetched
+	told   uint64           // the token of the last answer, 0: not known
+	pool   *Pool            // where placement finds it, nil: nowhere
+	row    int
+	at     int
+	exits  map[PlaceKey]*exit
 }
 
 var machineMoves = map[MachineState][]MachineState{
@@ -121,7 +121,7 @@
 	if m == nil {
 		m = &Machine{
 			Name: name, Places: map[PlaceKey]*Place{}, exits: map[PlaceKey]*exit{},
-			Images: map[string]micro.Time{}, Errors: map[string]bool{}, Rented: now, IdleSince: now, Prove: c.BaseTok,
+			images: map[string]image{}, Errors: map[string]bool{}, Rented: now, IdleSince: now, Prove: c.BaseTok,
 		}
 		c.Machines[name] = m
 		c.list = nil
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -25,6 +25,7 @@
 	UsedCPU, UsedGPU float64
 	Saving           *Job // its limit's room is kept for this job, which waited long
 	SavingAt         micro.Time
+	Placed           micro.Time // when one of its tasks was last placed
 	unfinished       []*Job
 }
 
@@ -44,6 +45,7 @@
 	Arrivals []micro.Time // times of recent submissions, a time per task
 	Last     *wire.Job
 	Quick    micro.Time // tightest objective on starting; 0: none
+	Placed   micro.Time // when one of its tasks was last placed
 }
 
 // Effects are what a change of the model asks its owner to do.
--- a/internal/model/place.go
+++ b/internal/model/place.go
@@ -83,7 +83,10 @@
 		}
 		if to == Running {
 			p.Job.RunningN++
-			p.Job.Started = true
+			if !p.Job.Started {
+				p.Job.Started = true
+				c.Log("job runs", "job", p.Job.Spec.ID)
+			}
 		}
 	}
 	return true
--- a/internal/model/report.go
+++ b/internal/model/report.go
@@ -132,7 +132,7 @@
 		wire.TaskFetching: Fetching, wire.TaskWaiting: Waiting, wire.TaskRunning: Running, wire.TaskSaving: Saving,
 	}[t.State]
 	if c.move(p, state) && state >= Waiting && p.known {
-		m.Images[p.Job.Spec.Image] = now
+		m.fetched(p.Job.Spec.Image, p.Job.Spec.ImageGB, now)
 	}
 	if state == Running && p.RunFrom == 0 {
 		p.RunFrom = now
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -241,6 +241,7 @@
 			}
 			soon = comesFree(running, d.spec, left, now+p.readyIn(d.spec)/2)
 		}
+		waited := false
 		for left > 0 && total < maxNew {
 			b := p.choose(d, left, zoneN, true, now)
 			if b == nil && d.level == 0 {
@@ -252,7 +253,27 @@
 			if left <= soon && priceOf(b.offer, b.typ) > p.Props.SmallShare*bill {
 				break
 			}
+			if thrifty && d.level > 0 && !waited && p.dear(d.spec, b.typ, b.spot, p.Props.DearRatio) {
+				// Not for what it cannot help, nor for what can start in time on room
+				// that comes free.
+				if !p.helps(d, b.typ, now) {
+					break
+				}
+				waited = true
+				if running == nil {
+					running = p.running(now)
+				}
+				by := max(min(d.late, now+dearWait), now+p.readyIn(d.spec)/2)
+				soon += comesFree(running, d.spec, left-soon, by)
+			}
 			per := b.fits(d.spec)
+			if waited {
+				if left <= soon {
+					break
+				}
+				left -= soon
+				soon = 0
+			}
 			want := min(left, zoneRoom(d, b.zone, zoneN))
 			n := min((want+per-1)/per, maxNew-total, p.atOnce(b.offer)-open[b.offer]-rented[b.offer])
 			if n <= 0 {
@@ -289,6 +310,23 @@
 	return maxOffer
 }
 
+// dearWait is the longest that work waits for room to come free where only dear
+// room can be rented.
+const dearWait = 2 * micro.Minute
+
+// slowBoot is how many times its type's boot time a machine may well take.
+const slowBoot = 1.5
+
+// helps reports whether a machine rented now would let a demand meet an
+// objective. Work that has waited very long gets one in any case.
+func (p *Planner) helps(d *demand, t *model.Type, now micro.Time) bool {
+	if d.job != nil && now-d.job.Submitted > dearWait {
+		return true
+	}
+	ready := now + micro.Of(slowBoot*t.BootS+d.spec.ImageGB/t.FetchGBPerS)
+	return d.late >= ready && d.late < now+sched.Distant/2
+}
+
 // comesFree is how many of n tasks fit on running machines by a time; it takes
 // what it counts.
 func comesFree(running []*bin, s *wire.Job, n int, at micro.Time) int {
@@ -548,7 +586,7 @@
 }
 
 // pressingRatio is how much more room may cost for work that would be late.
-const pressingRatio = 1.2
+const pressingRatio = 2.2
 
 // longWait is how long work waits before it counts as pressing.
 const longWait = micro.Minute
--- a/internal/sched/age.go
+++ b/internal/sched/age.go
@@ -14,8 +14,23 @@
 // free take nothing else until they fit. Only a few are gathered for at a time:
 // most of the room still goes by rank and objective.
 
-// maxGather bounds the jobs that room is gathered for at a time.
-const maxGather = 4
+// Room is gathered for at most maxGather jobs at a time, and for no more than
+// one to so many machines.
+const (
+	maxGather   = 4
+	gatherShare = 16
+)
+
+// starved reports whether an old job will not be reached in its turn: the
+// largest, which what comes free is never enough for, and those of a class or a
+// team none of whose tasks has been placed for long.
+func (p *Placer) starved(j *model.Job, now micro.Time) bool {
+	if !p.aged(j, now) {
+		return false
+	}
+	since := now - p.Props.AgeAfter/2
+	return p.large(j) && !j.Started || j.Class.Placed < since || j.Team != nil && j.Team.Placed < since
+}
 
 // gatherFor gathers room for the oldest jobs that still wait.
 func (p *Placer) gatherFor(old []*model.Job, now micro.Time) {
@@ -25,7 +40,8 @@
 			others[m.Reserve] = true
 		}
 	}
-	if len(others) >= maxGather || len(old) == 0 {
+	most := min(maxGather, max(len(p.C.Machines)/gatherShare, 1))
+	if len(others) >= most || len(old) == 0 {
 		return
 	}
 	sort.Slice(old, func(a, b int) bool {
@@ -35,7 +51,7 @@
 		return old[a].Spec.ID < old[b].Spec.ID
 	})
 	for _, j := range old {
-		if len(others) >= maxGather {
+		if len(others) >= most {
 			return
 		}
 		if others[j] || j.State != model.Active || j.Waiting() == 0 {
--- a/internal/sched/goals.go
+++ b/internal/sched/goals.go
@@ -46,14 +46,15 @@
 	return micro.Time(float64(micro.Of(j.Spec.EstimateS)) * j.Class.Bias)
 }
 
-const distant = 24 * 3600 * micro.Second
+// Distant is beyond any objective: the latest start of work that can meet none.
+const Distant = 24 * 3600 * micro.Second
 
 // LatestStart is the latest time at which the job's tasks can start and still
 // meet the nearest objective that can be met; a job past them all comes later
 // than any that is not.
 func (g *Goals) LatestStart(j *model.Job, now micro.Time) micro.Time {
 	run := Estimate(j) + micro.Of(j.Spec.ImageGB)
-	best := distant + j.Submitted
+	best := Distant + j.Submitted
 	look := func(t micro.Time) {
 		if t >= now && t < best {
 			best = t
--- a/internal/sched/large_test.go
+++ b/internal/sched/large_test.go
@@ -79,17 +79,19 @@
 		r := rand.New(rand.NewPCG(seed, 7))
 		c := model.New(silent{})
 		c.SetCatalog(&wire.Catalog{Types: []wire.MachineType{
-			{Name: "small", CPUs: 4, MemoryGB: 16}, {Name: "large", CPUs: 32, MemoryGB: 100}, {Name: "gpu", CPUs: 24, GPUs: 4, MemoryGB: 192}}})
+			{Name: "small", CPUs: 4, MemoryGB: 16}, {Name: "large", CPUs: 32, MemoryGB: 100}, {Name: "gpu", CPUs: 24, GPUs: 4, MemoryGB: 192, FetchGBPerS: 1}}})
 		c.Types["large"].K, c.Types["gpu"].K = 0.5+r.Float64(), 0.5+r.Float64()
 		names := []string{"small", "large", "gpu"}
+		has, index := model.ImageRecord{Names: []string{"image"}, GB: []float64{9}, Machines: map[string][]int{}}, []int{0}
 		for i := range 60 {
 			m := c.Machine("i-"+strconv.Itoa(100+i), 1)
 			c.Describe(m, names[r.IntN(3)], []string{"a", "b"}[r.IntN(2)], r.IntN(3) == 0)
 			c.Become(m, model.Up, "reports")
 			if r.IntN(4) == 0 {
-				m.Images["image"] = 1
+				has.Machines[m.Name] = index
 			}
 		}
+		c.RestoreImages(has, 1)
 		props := config.Defaults()
 		p := &Placer{C: c, Goals: NewGoals(nil), Props: &props, Rand: r}
 		var held []*model.Place
@@ -97,7 +99,7 @@
 		for n := range 400 {
 			now := micro.Time(n) * micro.Second
 			spec := wire.Job{ID: "j-" + strconv.Itoa(n), Class: "c", Kind: wire.Array, Priority: wire.Normal, Tasks: 1, CPUs: float64(1+r.IntN(60)) / 10,
-				MemoryGB: float64(r.IntN(200)) / 10, Image: "image", Spot: r.IntN(2) == 0, Spread: r.IntN(3) == 0}
+				MemoryGB: float64(r.IntN(200)) / 10, Image: "image", ImageGB: float64(r.IntN(9)), Spot: r.IntN(2) == 0, Spread: r.IntN(3) == 0}
 			if r.IntN(4) == 0 {
 				spec.GPUs = float64(1 + r.IntN(4))
 			}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -65,7 +65,7 @@
 		if j.State != model.Active || j.NotBefore > now || j.GangStop {
 			continue
 		}
-		if p.aged(j, now) {
+		if p.starved(j, now) {
 			old = append(old, j)
 		}
 		if full.has(j) && !p.gathered(j) {
@@ -198,6 +198,10 @@
 func (p *Placer) put(j *model.Job, i int, m *model.Machine, attempt uint32, now micro.Time) {
 	scaled := Scaled(j.Spec.CPUs, m.Type.K, m.Type.CPUs)
 	p.C.NewPlace(j, i, m, attempt, scaled, now)
+	j.Class.Placed = now
+	if j.Team != nil {
+		j.Team.Placed = now
+	}
 	if p.C.Verbose {
 		p.C.Log("place", "task", wire.TaskName(j.Spec.ID, i), "try", attempt, "machine", m.Name,
 			"score", Score(j.Spec.CPUs, m.Type.K, p.Props.ScoreL1, p.Props.ScoreL2), "room_left", m.Type.CPUs-m.UsedScaled)
@@ -389,14 +393,27 @@
 	m     *model.Machine
 	left  float64
 	image bool
+	whole bool // the task takes a whole machine, and its image takes long
+}
+
+// longFetch is how long an image takes that is worth looking for.
+const longFetch = 4 * micro.Second
+
+// takesWhole reports whether a task takes all GPUs of a machine, so that how
+// tightly it fits is of no use to anyone, while its image would take long.
+func takesWhole(s *wire.Job, t *model.Type) bool {
+	return s.GPUs > 0 && s.GPUs >= t.GPUs-eps && s.ImageGB > longFetch.Seconds()*t.FetchGBPerS
 }
 
 // over decides ties of the score: the least scaled room left, then a machine
-// that has the image, then the one created first.
+// that has the image, then the one created first. For tasks that take a whole
+// machine the image comes before the room.
 func (c *candidate) over(o *candidate) bool {
 	switch {
 	case o.m == nil:
 		return true
+	case c.whole && o.whole && c.image != o.image:
+		return c.image
 	case c.left < o.left-eps || c.left > o.left+eps:
 		return c.left < o.left
 	case c.image != o.image:
@@ -443,8 +460,7 @@
 }
 
 func (p *Placer) candidate(j *model.Job, m *model.Machine, w room, taken float64) candidate {
-	_, image := m.Images[j.Spec.Image]
-	return candidate{m, m.Type.CPUs - m.UsedScaled - taken - w.Scaled, image}
+	return candidate{m, m.Type.CPUs - m.UsedScaled - taken - w.Scaled, m.HasImage(j.Spec.Image), takesWhole(&j.Spec, m.Type)}
 }
 
 // tightest finds the machine of a pool with the least room left.
@@ -468,7 +484,7 @@
 				best = c
 			}
 		}
-		if best.m != nil {
+		if best.m != nil && (best.image || !best.whole) {
 			break
 		}
 	}
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -15,8 +15,9 @@
 	gatherLife  = micro.Minute
 )
 
-// Preemption looks at no more machines than this that could make room, and an
-// array clears no more than so many at a time.
+// Preemption looks at no more machines than this that could make room. Work of
+// the first rank clears so many at a time; other arrays one: the work they stop
+// has objectives of its own.
 const (
 	victimSample = 24
 	clearAtOnce  = 16
@@ -74,7 +75,11 @@
 		return true
 	}
 	if !gang {
-		idx = idx[:min(len(idx), clearAtOnce)]
+		most := 1
+		if j.Level == 0 {
+			most = clearAtOnce
+		}
+		idx = idx[:min(len(idx), most)]
 	}
 	extra, zoneN := map[*model.Machine]*room{}, map[string]int{}
 	freed := map[*model.Machine]*room{}
