Count the turnover of cheap machines to come before dear ones are rented

Cause: at a cold start nothing runs yet, so nothing seemed to come free, and the last rank's work had all 270 ordinary GPU machines of the small kind rented (log: 375 asked for it).

--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -129,7 +129,7 @@
 		l.hires[h.rec.Rental.Request] = h
 		l.planner.Asked[h.rec.Rental.Request] = a
 		l.hireCell(h).touch(now, soon)
-		l.log.Info("rent", "request", h.rec.Rental.Request, "type", a.Type, "zone", a.Zone, "spot", a.Spot, "count", a.Count)
+		l.log.Info("rent", "request", h.rec.Rental.Request, "type", a.Type, "zone", a.Zone, "spot", a.Spot, "count", a.Count, "for", a.For)
 	}
 	for _, m := range idle {
 		l.giveBack(m, "idle")
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"strconv"
@@ -279,12 +280,29 @@
 
 func (l *Lead) stats() {
 	up := 0
+	var fleet strings.Builder
 	for _, p := range l.c.Pools {
+		if p.N == 0 {
+			continue
+		}
 		up += p.N
+		empty := 0
+		for r := range p.Rows() {
+			for _, m := range p.Row(r) {
+				if len(m.Places) == 0 {
+					empty++
+				}
+			}
+		}
+		kind := "ordinary"
+		if p.Spot {
+			kind = "spot"
+		}
+		fmt.Fprintf(&fleet, "%s %s %s %d, %d empty; ", p.Type.Name, p.Zone, kind, p.N, empty)
 	}
 	l.log.Info("leading", "live", len(l.c.Live), "pending", len(l.c.Pending), "tasks", l.pendingTasks.Load(), "usable", up, "known", len(l.c.Machines),
 		"writes_first", len(l.w.queues[first]), "writes_soon", len(l.w.queues[soon]), "writes_lazy", len(l.w.queues[lazy]),
-		"pass_gap_ms", int64(l.passGap/micro.Millisecond), "events", len(l.events), "asks", len(l.asks), "directs", l.directs, "kicked", len(l.kicked), "hires_waiting", len(l.asking))
+		"pass_gap_ms", int64(l.passGap/micro.Millisecond), "events", len(l.events), "asks", len(l.asks), "directs", l.directs, "kicked", len(l.kicked), "hires_waiting", len(l.asking), "fleet", fleet.String())
 }
 
 func (l *Lead) resign(why string) {
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -138,6 +138,8 @@
 		j.Team.unfinished = u
 	}
 	j.Class.Last = &j.Spec
+	j.Class.jobs++
+	j.Class.ImageGB += (spec.ImageGB - j.Class.ImageGB) / j.Class.jobs
 	for range min(spec.Tasks, 50) {
 		j.Class.Arrivals = append(j.Class.Arrivals, submitted)
 	}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -46,6 +46,8 @@
 	Last     *wire.Job
 	Quick    micro.Time // tightest objective on starting; 0: none
 	Placed   micro.Time // when one of its tasks was last placed
+	ImageGB  float64    // mean size of its jobs' images
+	jobs     float64
 }
 
 // Effects are what a change of the model asks its owner to do.
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -24,6 +24,7 @@
 type Ask struct {
 	Offer
 	Count int
+	For   string // the class whose work asked for the first of them
 }
 
 // Planner remembers what the cloud refused and what is under way.
@@ -144,8 +145,10 @@
 type group struct {
 	Offer
 	typ   *model.Type
-	empty int    // whole machines
-	parts []*bin // those that the plan has put something on
+	all   int        // all its machines
+	empty int        // whole machines that the plan has put nothing on
+	parts []*bin     // those that it has put something on
+	busy  micro.Time // how long what the plan has put on them takes, over all machines
 }
 
 // stock is all room that is expected to come up, by offer.
@@ -175,6 +178,7 @@
 
 // take puts up to n of a demand's tasks into the stock and says how many fit.
 func (s *stock) take(d *demand, n int, zoneN map[string]int) int {
+	takes := d.takes()
 	took := 0
 	for _, g := range s.groups {
 		if took == n {
@@ -184,12 +188,53 @@
 			continue
 		}
 		k := g.take(d.spec, min(n-took, zoneRoom(d, g.Zone, zoneN)))
+		if per := newBin(g.typ, g.Zone, g.Spot).fits(d.spec); per > 0 {
+			g.busy += takes * micro.Time(k) / micro.Time(per)
+		}
 		zoneN[g.Zone] += k
 		took += k
 	}
 	return took
 }
 
+// takes is how long a machine is taken by one of a demand's tasks.
+func (d *demand) takes() micro.Time {
+	if d.job == nil || d.spec.Kind == wire.Service {
+		return forGood
+	}
+	return sched.Estimate(d.job) + micro.Of(d.spec.ImageGB)
+}
+
+// forGood stands for the time that a service takes.
+const forGood = 10 * micro.Minute
+
+// turnover is how many of n tasks the machines of the stock could start by a
+// time, after what the plan has put on them, on room that is not dear. It takes
+// what it counts.
+func (s *stock) turnover(d *demand, n int, now, by micro.Time, dear func(*group) bool) int {
+	takes := d.takes()
+	took := 0
+	for _, g := range s.groups {
+		per := newBin(g.typ, g.Zone, g.Spot).fits(d.spec)
+		if took == n || per == 0 || dear(g) {
+			continue
+		}
+		free := micro.Time(g.all)*(by-now-micro.Of(g.typ.BootS)) - g.busy
+		if free <= 0 || takes <= 0 {
+			continue
+		}
+		k := min(n-took, int(free*micro.Time(per)/takes))
+		g.busy += takes * micro.Time(k) / micro.Time(per)
+		took += k
+	}
+	return took
+}
+
+func (g *group) add(n int) {
+	g.all += n
+	g.empty += n
+}
+
 func (g *group) take(s *wire.Job, n int) int {
 	took := 0
 	for _, b := range g.parts {
@@ -221,7 +266,7 @@
 	var running []*bin
 	demands := p.demands(now)
 	thrifty, bill := p.thrifty(), p.bill()
-	rented := map[Offer]int{}
+	rented, class := map[Offer]int{}, map[Offer]string{}
 	open := map[Offer]int{} // asked for and not answered
 	for _, a := range p.Asked {
 		open[a.Offer] += a.Count
@@ -265,6 +310,7 @@
 				}
 				by := max(min(d.late, now+dearWait), now+p.readyIn(d.spec)/2)
 				soon += comesFree(running, d.spec, left-soon, by)
+				soon += coming.turnover(d, left-soon, now, by, func(g *group) bool { return p.dear(d.spec, g.typ, g.Spot, p.Props.DearRatio) })
 			}
 			per := b.fits(d.spec)
 			if waited {
@@ -284,19 +330,21 @@
 			}
 			if rented[b.offer] == 0 {
 				order = append(order, b.offer)
+				class[b.offer] = d.spec.Class
 			}
 			rented[b.offer] += n
 			total += n
 			g := coming.group(b.offer, b.typ)
-			g.empty += n
+			g.add(n)
 			k := g.take(d.spec, min(want, n*per))
+			g.busy += d.takes() * micro.Time(k) / micro.Time(per)
 			zoneN[b.zone] += k
 			left -= k
 		}
 	}
 	for _, o := range order {
 		for n := rented[o]; n > 0; n -= maxAsk {
-			asks = append(asks, Ask{o, min(n, maxAsk)})
+			asks = append(asks, Ask{o, min(n, maxAsk), class[o]})
 		}
 	}
 	return asks, p.idle(now)
@@ -312,7 +360,7 @@
 
 // dearWait is the longest that work waits for room to come free where only dear
 // room can be rented.
-const dearWait = 2 * micro.Minute
+const dearWait = 3 * micro.Minute
 
 // slowBoot is how many times its type's boot time a machine may well take.
 const slowBoot = 1.5
@@ -357,7 +405,7 @@
 		if now-m.Rented > micro.Time(float64(micro.Of(m.Type.BootS))*expectFactor)+2*micro.Second {
 			continue
 		}
-		out.group(Offer{m.TypeName, m.Zone, m.Spot}, m.Type).empty++
+		out.group(Offer{m.TypeName, m.Zone, m.Spot}, m.Type).add(1)
 	}
 	names := make([]string, 0, len(p.Asked))
 	for r := range p.Asked {
@@ -367,7 +415,7 @@
 	for _, r := range names {
 		a := p.Asked[r]
 		if t := p.C.Types[a.Type]; t != nil {
-			out.group(a.Offer, t).empty += a.Count
+			out.group(a.Offer, t).add(a.Count)
 		}
 	}
 	return out
@@ -523,6 +571,22 @@
 // bootMargin is what may pass beside a machine's boot until a task starts.
 const bootMargin = 10 * micro.Second
 
+// fetchOf is how long a class's images take where they are fetched fastest.
+func (p *Planner) fetchOf(cl *model.Class) micro.Time {
+	best := math.Inf(1)
+	for _, t := range p.C.Order {
+		for _, z := range t.Zones {
+			if sched.Allowed(cl.Last, t, z, true) && t.FetchGBPerS > 0 {
+				best = min(best, cl.ImageGB/t.FetchGBPerS)
+			}
+		}
+	}
+	if math.IsInf(best, 1) {
+		return 0
+	}
+	return micro.Of(best)
+}
+
 // headroom asks for room for the starts expected of classes whose starts are
 // wanted sooner than a slowly booting machine is ready. Room that lower ranks hold counts: they
 // can be preempted.
@@ -540,11 +604,16 @@
 			continue
 		}
 		boot := p.bootOf(cl.Last)
-		if quick >= boot*3/2+bootMargin {
-			continue
+		prompt := boot*3/2 + bootMargin
+		if quick >= prompt+p.fetchOf(cl)*4/3 {
+			continue // a machine rented then is ready in time
 		}
 		ratio := p.ratio(nil, now)
-		want := 1 + int(math.Ceil(Rate(cl.Arrivals, now)*boot.Seconds()*p.Props.Headroom))
+		expected := Rate(cl.Arrivals, now) * boot.Seconds()
+		want := 1 + int(math.Ceil(expected*p.Props.Headroom))
+		if quick >= prompt {
+			want = int(math.Ceil(expected)) // in time unless the image is to be fetched
+		}
 		have := 0
 		level := cl.Last.Priority.Level()
 		for _, m := range p.C.List() {
