--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -47,6 +47,7 @@
 	Quick    micro.Time // tightest objective on starting; 0: none
 	Placed   micro.Time // when one of its tasks was last placed
 	ImageGB  float64    // mean size of its jobs' images
+	Held     int        // places that its tasks hold
 	jobs     float64
 }
 
--- a/internal/model/place.go
+++ b/internal/model/place.go
@@ -130,6 +130,7 @@
 	}
 	j.Tasks[p.Index].Held++
 	j.HeldN++
+	j.Class.Held++
 	j.ZoneHeld[m.Zone]++
 	ch := j.Chunk(p.Index)
 	ch.Places = append(ch.Places, p)
@@ -166,6 +167,7 @@
 	}
 	j.Tasks[p.Index].Held--
 	j.HeldN--
+	j.Class.Held--
 	j.ZoneHeld[m.Zone]--
 	ch := j.Chunk(p.Index)
 	for i, x := range ch.Places {
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -681,7 +681,7 @@
 	if s.GPUs > 0 || t.GPUs == 0 || !p.thrifty() {
 		return true
 	}
-	return !p.dear(s, t, spot, p.ratio(j, now))
+	return !p.dear(s, t, spot, p.ratio(nil, now))
 }
 
 // dear reports whether a machine's room costs more than so many times the
@@ -759,7 +759,11 @@
 		if m.State != model.Up || m.Base || len(m.Places) > 0 || m.Reserve != nil || m.NoticeAt != 0 {
 			continue
 		}
-		if now-m.IdleSince > after && now-m.Wanted > 5*micro.Second {
+		keep := after
+		if p.thrifty() && m.Type != nil && m.Type.GPUs > 0 {
+			keep /= 2 // the dearest; those that are expected to be needed are wanted
+		}
+		if now-m.IdleSince > keep && now-m.Wanted > 5*micro.Second {
 			out = append(out, m)
 		}
 	}
--- a/internal/sched/age_test.go
+++ b/internal/sched/age_test.go
@@ -111,3 +111,22 @@
 		t.Fatalf("begun after %v s", took.Seconds())
 	}
 }
+
+// In a burst, all gangs were started in the order of their latest starts, each
+// just too late: most start in time if the shortest come first.
+func TestOverloadedClassStartsTheShortestFirst(t *testing.T) {
+	s := newStream(t, 4)
+	s.p.Goals = NewGoals([]config.Objective{{Kind: "wait", Class: "c" + string(wire.High), WithinS: 60}})
+	var jobs []*model.Job
+	for i := range 12 {
+		j := s.submit(wire.Gang, wire.High, 1, micro.Time(i)*micro.Second)
+		j.Spec.EstimateS = float64(200 - 10*i)
+		jobs = append(jobs, j)
+	}
+	s.p.Pass(20 * micro.Second)
+	for i, j := range jobs {
+		if want := i >= 8; (j.HeldN > 0) != want {
+			t.Errorf("the job of %v s holds %d places", j.Spec.EstimateS, j.HeldN)
+		}
+	}
+}
--- a/internal/sched/goals.go
+++ b/internal/sched/goals.go
@@ -8,20 +8,23 @@
 
 // Goals are the objectives by class.
 type Goals struct {
-	wait     map[string][]micro.Time
-	finished map[string][]micro.Time
-	deadline map[string][]float64
+	wait      map[string][]micro.Time
+	finished  map[string][]micro.Time
+	deadline  map[string][]float64
+	guarantee micro.Time // within which work within a guarantee should start; 0: not said
 }
 
 // NewGoals reads the settings' objectives.
 func NewGoals(list []config.Objective) *Goals {
-	g := &Goals{map[string][]micro.Time{}, map[string][]micro.Time{}, map[string][]float64{}}
+	g := &Goals{wait: map[string][]micro.Time{}, finished: map[string][]micro.Time{}, deadline: map[string][]float64{}}
 	for _, o := range list {
 		switch o.Kind {
 		case "wait":
 			g.wait[o.Class] = append(g.wait[o.Class], micro.Of(o.WithinS))
 		case "finished":
 			g.finished[o.Class] = append(g.finished[o.Class], micro.Of(o.WithinS))
+		case "guarantee":
+			g.guarantee = micro.Of(o.WithinS)
 		case "deadline":
 			g.deadline[o.Class] = append(g.deadline[o.Class], max(o.Times, 1))
 		}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -40,6 +40,7 @@
 type item struct {
 	j    *model.Job
 	guar bool
+	hope bool // it can still start in time, or its class is not overloaded
 	late micro.Time
 }
 
@@ -51,9 +52,16 @@
 	p.tidy(now)
 	queue := make([]item, 0, len(p.C.Pending))
 	waiting := 0
+	over := p.overloaded()
 	for j := range p.C.Pending {
 		waiting += j.Waiting()
-		queue = append(queue, item{j, j.Guar, p.Goals.LatestStart(j, now)})
+		it := item{j: j, hope: true, guar: j.Guar, late: p.Goals.LatestStart(j, now)}
+		if quick := over[j.Class]; quick > 0 {
+			it.late = now + Estimate(j)
+			it.hope = now <= j.Submitted+quick
+			it.guar = it.guar && (p.Goals.guarantee == 0 || now <= j.Submitted+p.Goals.guarantee)
+		}
+		queue = append(queue, it)
 	}
 	sort.Slice(queue, func(a, b int) bool { return before(&queue[a], &queue[b]) })
 	p.sampling = p.Busy && waiting > p.Props.SampleAbove
@@ -90,6 +98,8 @@
 	switch {
 	case x.j.Level != y.j.Level:
 		return x.j.Level < y.j.Level
+	case x.hope != y.hope:
+		return x.hope
 	case x.guar != y.guar:
 		return x.guar
 	case x.late != y.late:
@@ -98,6 +108,34 @@
 	return x.j.Spec.ID < y.j.Spec.ID
 }
 
+// overloaded finds the classes that wait longer than their objective on starting
+// allows, with that objective: what waits, over what runs. Taken in the order of
+// their latest starts, all their jobs would start just too late; the shortest
+// first, most start in time. Those that can no longer come after those that can,
+// whatever their guarantee: when all teams ask for theirs at once, there may be
+// more guaranteed than there is.
+func (p *Placer) overloaded() map[*model.Class]micro.Time {
+	work := map[*model.Class]micro.Time{}
+	for j := range p.C.Pending {
+		if j.Spec.Kind == wire.Gang {
+			work[j.Class] += Estimate(j) * micro.Time(j.Waiting())
+		}
+	}
+	for cl, w := range work {
+		quick := p.Goals.Quick(cl.Name)
+		if quick == 0 || w/micro.Time(max(cl.Held, 1)) < quick/overloadPart {
+			delete(work, cl)
+			continue
+		}
+		work[cl] = quick
+	}
+	return work
+}
+
+// overloadPart is the part of the objective at which a class counts as
+// overloaded: in good time before it is missed.
+const overloadPart = 2
+
 // blocked remembers what found no room in this pass: whatever asks for as much
 // or more finds none either.
 type blocked map[blockedKey][]blockedAmount
