Rent ahead for guaranteed GPU work, write deletions when idle, split large files

Guaranteed GPU work is wanted sooner than a machine boots: headroom counts it now. Rentals of the first rank are written before submissions. A node that hears no worker after its takeover hands over too.

--- /dev/null
+++ b/internal/controller/answer.go
@@ -0,0 +1,165 @@
+package controller
+
+import (
+	"notchmux.dev/notchmux/internal/front"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
+	"notchmux.dev/notchmux/wire"
+)
+
+// maxDirects bounds the direct orders under way: each takes a socket.
+const maxDirects = 96
+
+// show answers a poll from memory.
+func (l *Lead) show(id string) (wire.JobStatus, bool) {
+	r, ok := l.ask(l.asks, 400*micro.Millisecond, func(reply func(front.Reply)) {
+		if j := l.c.Jobs[id]; j != nil {
+			reply(front.Reply{Status: 200, Body: j.Status()})
+			return
+		}
+		reply(front.Reply{Status: 404})
+	})
+	if !ok || r.Status != 200 {
+		return wire.JobStatus{}, false
+	}
+	return r.Body.(wire.JobStatus), true
+}
+
+// withdraw cancels a job: its end is created before anyone is told.
+func (l *Lead) withdraw(id string) front.Reply {
+	r, ok := l.ask(l.events, 1500*micro.Millisecond, func(reply func(front.Reply)) {
+		j := l.c.Jobs[id]
+		switch {
+		case j == nil:
+			reply(front.Reply{Status: 404})
+		case j.State == model.Done || j.State == model.Aborted:
+			reply(front.Reply{Status: 200, Body: j.Status()})
+		default:
+			ch := make(chan front.Reply, 1)
+			l.waiters[id] = append(l.waiters[id], ch)
+			go func() {
+				select {
+				case r := <-ch:
+					reply(r)
+				case <-l.done:
+				}
+			}()
+			if j.State == model.Active {
+				l.c.BeginAbort(j)
+				l.w.end(j, wire.JobAborted)
+			}
+		}
+	})
+	if !ok {
+		return front.Later(503, 1)
+	}
+	return r
+}
+
+// ended settles a job whose end is in the store.
+func (l *Lead) ended(j *model.Job, state wire.JobState) {
+	now := l.n.Now()
+	l.c.End(j, state == wire.JobAborted, now)
+	if state == wire.JobDone && len(l.c.Order) > 0 {
+		l.speeds.Finish(j.Spec.ID, l.c.Order[0].Name)
+	} else {
+		l.speeds.Forget(j.Spec.ID)
+	}
+	l.log.Info("job over", "job", j.Spec.ID, "state", string(state), "after_s", (now - j.Submitted).Seconds())
+	for _, ch := range j.Chunks {
+		l.Touch(ch)
+	}
+	for _, ch := range l.waiters[j.Spec.ID] {
+		ch <- front.Reply{Status: 200, Body: j.Status()}
+	}
+	delete(l.waiters, j.Spec.ID)
+}
+
+// maxOrders bounds the orders in one message.
+const maxOrders = 400
+
+// beat answers a worker's report.
+func (l *Lead) beat(r *wire.Report) front.Reply {
+	from := l.n.Now()
+	rep, ok := l.ask(l.events, 2*micro.Second, func(reply func(front.Reply)) {
+		now := l.n.Now()
+		if !l.term.Valid(now) {
+			reply(front.Later(503, 1))
+			return
+		}
+		m, verdict := l.c.Apply(r, model.Beat, now)
+		if m == nil || verdict == model.Refused || verdict == model.Stale && uint64(r.Session) != m.Session {
+			reply(front.Later(503, 1))
+			return
+		}
+		orders := l.c.Orders(m, l.token, false, now)
+		if len(orders) > maxOrders {
+			orders = orders[:maxOrders]
+		}
+		if now-from < promptly {
+			l.c.Told(m, l.token)
+		} else {
+			l.c.Told(m, 0) // the worker may have given up waiting
+		}
+		reply(front.Reply{Status: 200, Body: wire.Orders{Token: wire.Count(l.token), Orders: orders}})
+	})
+	if !ok {
+		return front.Later(503, 1)
+	}
+	return rep
+}
+
+// promptly is how soon an answer must be ready to count as one that the worker
+// takes.
+const promptly = micro.Second
+
+// direct sends a machine its orders without waiting for its next report.
+func (l *Lead) direct(m *model.Machine, now micro.Time) {
+	if m.State != model.Up || m.Addr == "" {
+		return
+	}
+	if m.Busy {
+		m.Again = true
+		return
+	}
+	if m.RetryAt > now {
+		return // the next report brings them
+	}
+	orders := l.c.Orders(m, l.token, true, now)
+	if len(orders) == 0 {
+		return
+	}
+	if len(orders) > maxOrders {
+		orders = orders[:maxOrders]
+	}
+	m.Busy, m.Again = true, false
+	l.directs++
+	msg := wire.Orders{Token: wire.Count(l.token), Session: wire.Count(m.Session), Orders: orders}
+	addr := m.Addr
+	go func() {
+		if !l.valid() {
+			l.post(func() { l.directs--; m.Busy = false })
+			return
+		}
+		r, executed, err := l.n.Agent.Send(addr, msg)
+		l.post(func() {
+			m.Busy = false
+			l.directs--
+			now := l.n.Now()
+			if err != nil {
+				l.log.Debug("direct orders", "machine", m.Name, "err", err)
+				m.RetryAt = now + 2*micro.Second
+				return
+			}
+			if r.Machine == m.Name {
+				l.c.Apply(r, model.Answer, now)
+			}
+			if m.Again || !executed {
+				l.kicked[m] = true
+			}
+			if !executed {
+				m.RetryAt = now + 500*micro.Millisecond
+			}
+		})
+	}()
+}
--- /dev/null
+++ b/internal/controller/effects.go
@@ -0,0 +1,58 @@
+package controller
+
+import (
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
+	"notchmux.dev/notchmux/internal/sched"
+	"notchmux.dev/notchmux/wire"
+)
+
+// The model's effects.
+
+// Touch notes that a chunk must be written.
+func (l *Lead) Touch(ch *model.Chunk) {
+	if ch.Job.Over() && len(ch.Places) > 0 {
+		return // goes once its last place is free
+	}
+	c := l.w.chunk(ch)
+	if ch.Job.Over() {
+		c.putOff(l.n.Now())
+		return
+	}
+	c.touch(l.n.Now(), lazy)
+}
+
+// Press notes that a start waits for a chunk.
+func (l *Lead) Press(ch *model.Chunk) {
+	h := soon
+	if ch.Job.Level == 0 {
+		h = first
+	}
+	l.w.chunk(ch).touch(l.n.Now(), h)
+}
+
+// Kick notes that a machine has orders worth sending directly.
+func (l *Lead) Kick(m *model.Machine) { l.kicked[m] = true }
+
+// Finished writes the end of a job whose tasks are all done.
+func (l *Lead) Finished(j *model.Job) { l.w.end(j, wire.JobDone) }
+
+// Ran learns from a completed run.
+func (l *Lead) Ran(p *model.Place, took micro.Time) {
+	j := p.Job
+	p.Machine.InTime(took, sched.Estimate(j))
+	if j.Spec.EstimateS > 1 && j.Spec.CheckpointS == 0 || j.Spec.Kind == wire.Array && p.Attempt == 1 {
+		if j.Spec.EstimateS > 1 {
+			j.Class.Learn(took.Seconds() / j.Spec.EstimateS)
+		}
+	}
+	if j.Spec.Kind == wire.Array && p.Machine.Type != nil && len(l.c.Order) > 0 && p.Attempt == 1 {
+		l.speeds.Sample(j.Spec.ID, p.Machine.Type.Name, took.Seconds(), j.Spec.CPUs)
+	}
+}
+
+// Changed notes that placement may find more than before.
+func (l *Lead) Changed() { l.changed = true }
+
+// Log writes one line for operators.
+func (l *Lead) Log(event string, args ...any) { l.log.Info(event, args...) }
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -128,7 +128,11 @@
 			Request: fmt.Sprintf("r-%d-%d", l.term.Stamp, l.hireN), Type: a.Type, Zone: a.Zone, Spot: a.Spot, Count: a.Count}}}
 		l.hires[h.rec.Rental.Request] = h
 		l.planner.Asked[h.rec.Rental.Request] = a
-		l.hireCell(h).touch(now, soon)
+		haste := soon
+		if a.Level == 0 {
+			haste = first
+		}
+		l.hireCell(h).touch(now, haste)
 		l.log.Info("rent", "request", h.rec.Rental.Request, "type", a.Type, "zone", a.Zone, "spot", a.Spot, "count", a.Count, "for", a.For)
 	}
 	for _, m := range idle {
@@ -397,6 +401,9 @@
 		if quiet > overdue {
 			z.missing++
 		}
+		if m.State == model.Unheard && len(m.Places) > 0 && quiet > cfg.SilentAfter {
+			silent++ // not one report since the takeover
+		}
 		if m.State == model.Up {
 			up++
 			if m.MayBeDeaf() {
--- a/internal/controller/health.go
+++ b/internal/controller/health.go
@@ -32,7 +32,7 @@
 	outAfter  = 3
 	backAfter = 2
 	lookEvery = micro.Second
-	stale     = 2 * micro.Second // how old the store's last answer may be
+	stale     = 900 * micro.Millisecond // how old the store's last answer may be
 )
 
 // reach is what one look found.
@@ -48,7 +48,8 @@
 type health struct {
 	mu    sync.Mutex
 	state Fitness
-	run   int // looks in a row that speak for a change
+	run   int  // looks in a row that speak for a change
+	away  bool // the last look found no answer from the store
 	log   func(msg string, args ...any)
 }
 
@@ -66,6 +67,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	good := r.store || r.refused || r.peer
+	h.away = !r.store
 	switch {
 	case h.state == Fit && good:
 		h.run = 0
@@ -145,12 +147,10 @@
 // Ready reports whether the node can take requests.
 func (n *Node) Ready() bool { return n.health.fitness() != Out }
 
-// Cut reports whether this node refuses because of what it cannot reach: its
-// users do better with a new connection, which may lead to another node.
+// Cut reports whether the store was out of reach at the last look. What this node
+// then refuses, others may serve: its users do better with a new connection.
 func (n *Node) Cut() bool {
-	if n.health.fitness() != Fit {
-		return true
-	}
-	s, ok := n.Store.(Answerer)
-	return ok && n.Now()-s.Answered() > stale
+	n.health.mu.Lock()
+	defer n.health.mu.Unlock()
+	return n.health.away
 }
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -120,7 +120,11 @@
 func (n *Node) keep(job *wire.Job) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 	defer cancel()
-	_, err := n.Store.Commit(ctx, store.Urgent, wire.Txn{
+	class := store.Urgent
+	if n.leading() != nil {
+		class = store.Routine // a crowd of submissions must not hold up starts and rentals
+	}
+	_, err := n.Store.Commit(ctx, class, wire.Txn{
 		If:   []wire.Guard{{Key: specKey(job.ID)}},
 		Then: []wire.Change{{Put: specKey(job.ID), Value: job}},
 	})
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -27,7 +27,8 @@
 const (
 	first haste = iota // withdrawals, and starts of the first rank
 	soon               // other starts, ends, rentals
-	lazy               // completions, which workers keep until they are written, and records of what is over
+	lazy               // completions, which workers keep until they are written
+	idle               // records of what is over, which only the next takeover would read
 	hastes
 )
 
@@ -58,6 +59,15 @@
 	c.w.queues[h] = append(c.w.queues[h], c)
 }
 
+// putOff makes a change wait until there is time for it, whatever its haste was.
+func (c *cell) putOff(now micro.Time) {
+	if c.dirty && c.haste == idle {
+		return
+	}
+	c.dirty = false // its place in the other queue is passed over
+	c.touch(now, idle)
+}
+
 // writer batches the leader's writes, one transaction at a time.
 type writer struct {
 	l      *Lead
@@ -69,7 +79,7 @@
 	images *cell
 	flight bool
 	next   micro.Time
-	idle   micro.Time // no look at the lazy queue before
+	later  micro.Time // no look at what is not pressing before
 }
 
 func newWriter(l *Lead) *writer {
@@ -146,6 +156,9 @@
 	del  bool
 }
 
+// idleBelow is how few lazy changes wait when there is time for idle ones.
+const idleBelow = 50
+
 // maxTxnBytes keeps a transaction under the store's limit for one.
 const maxTxnBytes = 60 << 10
 
@@ -163,7 +176,7 @@
 		return
 	}
 	pressing := len(w.queues[first])+len(w.queues[soon]) > 0
-	if !pressing && (len(w.queues[lazy]) == 0 || now < w.idle) {
+	if !pressing && (len(w.queues[lazy])+len(w.queues[idle]) == 0 || now < w.later) {
 		return
 	}
 	st := w.l.n.Store
@@ -173,7 +186,10 @@
 	w.fill(&b, soon, min(most, st.WriteRoom(store.Routine)), now)
 	// What is lazy leaves most of the budget to what comes next.
 	w.fill(&b, lazy, min(most, st.WriteRoom(store.Lazy)), now-coalesce)
-	w.idle = now + 200*micro.Millisecond
+	if len(w.queues[lazy]) < idleBelow {
+		w.fill(&b, idle, min(most, st.WriteRoom(store.Lazy)), now)
+	}
+	w.later = now + 200*micro.Millisecond
 	switch {
 	case len(b.verify) > 0:
 		// Put what was batched back: what is uncertain is cleared up first.
--- a/internal/model/images.go
+++ b/internal/model/images.go
@@ -44,6 +44,13 @@
 	return ok
 }
 
+// EachImage calls f with the name of each image that the machine has.
+func (m *Machine) EachImage(f func(name string)) {
+	for n := range m.images {
+		f(n)
+	}
+}
+
 // ImageRecord is what the store keeps of the machines' images, so that a new
 // leader still places work where its image is. It is a hint: a machine that lost
 // an image fetches it again.
--- /dev/null
+++ b/internal/scale/demand.go
@@ -0,0 +1,189 @@
+package scale
+
+import (
+	"math"
+	"sort"
+
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
+	"notchmux.dev/notchmux/internal/sched"
+	"notchmux.dev/notchmux/wire"
+)
+
+// demand is a number of like tasks that need room.
+type demand struct {
+	job   *model.Job // nil: headroom
+	spec  *wire.Job
+	n     int
+	late  micro.Time
+	level int
+}
+
+// demands lists the tasks that found no room, and the headroom that is short.
+func (p *Planner) demands(now micro.Time) []demand {
+	var out []demand
+	quota := map[*model.Team][2]float64{}
+	jobs := make([]*model.Job, 0, len(p.C.Pending))
+	for j := range p.C.Pending {
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(a, b int) bool { return jobs[a].Spec.ID < jobs[b].Spec.ID })
+	for _, j := range jobs {
+		if j.NotBefore > now+10*micro.Second {
+			continue
+		}
+		n := j.Waiting()
+		if t := j.Team; t != nil {
+			q := quota[t]
+			if t.CPUsMax > 0 && j.Spec.CPUs > 0 {
+				n = min(n, int((t.CPUsMax-t.UsedCPU-q[0])/j.Spec.CPUs+1e-9))
+			}
+			if t.GPUsMax > 0 && j.Spec.GPUs > 0 {
+				n = min(n, int((t.GPUsMax-t.UsedGPU-q[1])/j.Spec.GPUs+1e-9))
+			}
+			if n <= 0 || j.Spec.Kind == wire.Gang && n < len(j.Tasks) {
+				continue
+			}
+			q[0] += float64(n) * j.Spec.CPUs
+			q[1] += float64(n) * j.Spec.GPUs
+			quota[t] = q
+		}
+		late := p.Goals.LatestStart(j, now)
+		if !p.pressing(j, late, now) {
+			continue
+		}
+		out = append(out, demand{j, &j.Spec, n, late, j.Level})
+	}
+	out = append(out, p.headroom(now)...)
+	sort.SliceStable(out, func(a, b int) bool {
+		if out[a].level != out[b].level {
+			return out[a].level < out[b].level
+		}
+		return out[a].late < out[b].late
+	})
+	return out
+}
+
+// patience is how long a job with time in hand waits for room to come free
+// before room is rented for it.
+const patience = 8 * micro.Second
+
+func (p *Planner) pressing(j *model.Job, late, now micro.Time) bool {
+	if now-j.Submitted > patience {
+		return true
+	}
+	boot := p.bootOf(&j.Spec)
+	return late-now < 2*boot+30*micro.Second
+}
+
+// bootOf is the shortest boot time among the types that the job may use.
+func (p *Planner) bootOf(s *wire.Job) micro.Time {
+	best := micro.Time(math.MaxInt64 / 4)
+	for _, t := range p.C.Order {
+		for _, z := range t.Zones {
+			if sched.Allowed(s, t, z, false) {
+				best = min(best, micro.Of(t.BootS))
+			}
+		}
+	}
+	return best
+}
+
+// bootMargin is what may pass beside a machine's boot until a task starts.
+const bootMargin = 10 * micro.Second
+
+// guaranteed reports whether any team is guaranteed GPUs.
+func (p *Planner) guaranteed() bool {
+	for _, t := range p.C.Teams {
+		if t.GPUs > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// fetchOf is how long a class's images take where they are fetched fastest.
+func (p *Planner) fetchOf(cl *model.Class) micro.Time {
+	best := math.Inf(1)
+	for _, t := range p.C.Order {
+		for _, z := range t.Zones {
+			if sched.Allowed(cl.Last, t, z, true) && t.FetchGBPerS > 0 {
+				best = min(best, cl.ImageGB/t.FetchGBPerS)
+			}
+		}
+	}
+	if math.IsInf(best, 1) {
+		return 0
+	}
+	return micro.Of(best)
+}
+
+// headroom asks for room for the starts expected of classes whose starts are
+// wanted sooner than a slowly booting machine is ready. Room that lower ranks hold counts: they
+// can be preempted.
+func (p *Planner) headroom(now micro.Time) []demand {
+	var out []demand
+	names := make([]string, 0, len(p.C.Classes))
+	for name := range p.C.Classes {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		cl := p.C.Classes[name]
+		quick := p.Goals.Quick(name)
+		if cl.Last == nil || quick == 0 {
+			continue
+		}
+		if g := p.Goals.Guarantee(); g > 0 && cl.Last.GPUs > 0 && p.guaranteed() {
+			quick = min(quick, g)
+		}
+		boot := p.bootOf(cl.Last)
+		prompt := boot*3/2 + bootMargin
+		if quick >= prompt+p.fetchOf(cl)*4/3 {
+			continue // a machine rented then is ready in time
+		}
+		ratio := p.ratio(nil, now)
+		expected := Rate(cl.Arrivals, now) * boot.Seconds()
+		want := 1 + int(math.Ceil(expected*p.Props.Headroom))
+		if quick >= prompt {
+			want = int(math.Ceil(expected)) // in time unless the image is to be fetched
+		}
+		have := 0
+		level := cl.Last.Priority.Level()
+		for _, m := range p.C.List() {
+			if have >= want {
+				break
+			}
+			if !m.Usable(now) || p.thrifty() && cl.Last.GPUs == 0 && m.Type.GPUs > 0 && p.dear(cl.Last, m.Type, m.Spot, ratio) {
+				continue // counted on, it would never be returned
+			}
+			y := m.Yields(level)
+			b := bin{typ: m.Type, zone: m.Zone, spot: m.Spot,
+				cpu: min(m.Type.CPUs-m.UsedScaled+y.Scaled, m.Type.CPUs-m.UsedCPU+y.CPU),
+				gpu: m.Type.GPUs - m.UsedGPU + y.GPU, mem: m.Type.MemoryGB - m.UsedMem + y.Mem}
+			if k := b.fits(cl.Last); k > 0 {
+				have += k
+				m.Wanted = now
+			}
+		}
+		if have < want {
+			spec := *cl.Last
+			out = append(out, demand{nil, &spec, want - have, now + boot, level})
+		}
+	}
+	return out
+}
+
+// Rate is the arrivals a second, robust against a single burst: the mean of the
+// middle two of the last four half-minutes.
+func Rate(arrivals []micro.Time, now micro.Time) float64 {
+	const window = 30 * micro.Second
+	var n [4]int
+	for _, t := range arrivals {
+		if k := (now - t) / window; t <= now && k >= 0 && k < 4 {
+			n[k]++
+		}
+	}
+	sort.Ints(n[:])
+	return float64(n[1]+n[2]) / 2 / window.Seconds()
+}
--- /dev/null
+++ b/internal/scale/price.go
@@ -0,0 +1,164 @@
+package scale
+
+import (
+	"math"
+
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
+	"notchmux.dev/notchmux/internal/sched"
+	"notchmux.dev/notchmux/wire"
+)
+
+// dearWait is the longest that work waits for room to come free where only dear
+// room can be rented.
+const dearWait = 3 * micro.Minute
+
+// slowBoot is how many times its type's boot time a machine may well take.
+const slowBoot = 1.5
+
+// helps reports whether a machine rented now would let a demand meet an
+// objective. Work that has waited very long gets one in any case.
+func (p *Planner) helps(d *demand, t *model.Type, now micro.Time) bool {
+	if d.job != nil && now-d.job.Submitted > dearWait {
+		return true
+	}
+	ready := now + micro.Of(slowBoot*t.BootS+d.spec.ImageGB/t.FetchGBPerS)
+	return d.late >= ready && d.late < now+sched.Distant/2
+}
+
+func priceOf(o Offer, t *model.Type) float64 {
+	if o.Spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
+// bill is what the fleet costs an hour.
+func (p *Planner) bill() float64 {
+	sum := 0.0
+	for _, m := range p.C.Machines {
+		if m.Type != nil {
+			sum += priceOf(Offer{Spot: m.Spot}, m.Type)
+		}
+	}
+	return sum
+}
+
+// readyIn is how soon a rented machine could run the job's task.
+func (p *Planner) readyIn(s *wire.Job) micro.Time {
+	best := micro.Time(math.MaxInt64 / 4)
+	for _, t := range p.C.Order {
+		for _, z := range t.Zones {
+			if sched.Allowed(s, t, z, false) {
+				best = min(best, micro.Of(t.BootS+s.ImageGB/t.FetchGBPerS))
+			}
+		}
+	}
+	return best
+}
+
+// cheapest is what the cheapest ordinary type asks for a task's room, where n
+// like it are waiting.
+func (p *Planner) cheapest(s *wire.Job, n int) float64 {
+	best := math.Inf(1)
+	for _, t := range p.C.Order {
+		for _, z := range t.Zones {
+			b := newBin(t, z, false)
+			if k := b.fits(s); k > 0 {
+				best = min(best, t.Price/float64(min(k, n)))
+			}
+		}
+	}
+	return best
+}
+
+// pressingRatio is how much more room may cost for work that would be late.
+const pressingRatio = 2.2
+
+// longWait is how long work waits before it counts as pressing.
+const longWait = micro.Minute
+
+// thrifty reports whether money is looked at: where operators keep a fleet of
+// their own, readiness wins.
+func (p *Planner) thrifty() bool { return !p.own }
+
+func (p *Planner) hasOwn() bool {
+	for _, m := range p.C.Machines {
+		if m.Base {
+			return true
+		}
+	}
+	return false
+}
+
+// Affordable reports whether work that needs no GPU may sit on a machine with
+// GPUs. Most are dear, and work that sits on one keeps it from being returned: a
+// service for as long as it lives.
+func (p *Planner) Affordable(j *model.Job, t *model.Type, spot bool, now micro.Time) bool {
+	s := &j.Spec
+	if s.GPUs > 0 || t.GPUs == 0 || !p.thrifty() {
+		return true
+	}
+	return !p.dear(s, t, spot, p.ratio(nil, now))
+}
+
+// dear reports whether a machine's room costs more than so many times the
+// cheapest ordinary room, for tasks like this.
+func (p *Planner) dear(s *wire.Job, t *model.Type, spot bool, ratio float64) bool {
+	k := newBin(t, "", false).room(s)
+	return k == 0 || priceOf(Offer{Spot: spot}, t)/float64(k) > ratio*p.cheapest(s, math.MaxInt32)
+}
+
+// ratio is the most that room for a job's tasks may cost, over the cheapest
+// ordinary room. Work that has waited long and would soon be late may cost more:
+// then the cheap room has run out.
+func (p *Planner) ratio(j *model.Job, now micro.Time) float64 {
+	r := p.Props.PriceRatio * 1.4
+	if j != nil && now-j.Submitted > longWait {
+		if late := p.Goals.LatestStart(j, now); late-now < p.readyIn(&j.Spec)+longWait {
+			r *= pressingRatio
+		}
+	}
+	return r
+}
+
+// choose finds the offer that costs least per task.
+func (p *Planner) choose(d *demand, left int, zoneN map[string]int, thrift bool, now micro.Time) *bin {
+	var best *bin
+	bestCost := 0.0
+	limit := math.Inf(1)
+	if thrift && p.thrifty() {
+		limit = p.ratio(d.job, now) * p.cheapest(d.spec, left)
+	}
+	for _, t := range p.C.Order {
+		for _, z := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				o := Offer{t.Name, z, spot}
+				if p.Refused[o] > now || !sched.Allowed(d.spec, t, z, spot) {
+					continue
+				}
+				if d.job != nil && !sched.ZoneOK(d.job, z, zoneN) {
+					continue
+				}
+				b := newBin(t, z, spot)
+				k := b.fits(d.spec)
+				if k == 0 {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice * 1.2 // it may be taken back
+				}
+				if price/float64(min(k, left)) > limit {
+					continue
+				}
+				cost := price / float64(min(k, left)) * (1 + t.BootS/300)
+				if best == nil || cost < bestCost {
+					b.offer = o
+					best, bestCost = b, cost
+				}
+			}
+		}
+	}
+	return best
+}
--- a/internal/sched/goals.go
+++ b/internal/sched/goals.go
@@ -43,6 +43,10 @@
 	return q
 }
 
+// Guarantee is within how long work within a guarantee should start, 0 if nothing
+// is said.
+func (g *Goals) Guarantee() micro.Time { return g.guarantee }
+
 // Estimate is how long a task of the job is expected to run, from its owner's
 // estimate and what its class has shown.
 func Estimate(j *model.Job) micro.Time {
