--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -42,6 +43,7 @@
 	rec   hireRecord
 	asked micro.Time
 	sent  bool // the cloud may know of it
+	level int  // the rank of the work that asked for it
 	cell  *cell
 }
 
@@ -54,7 +56,8 @@
 	switch to {
 	case HireAsking:
 		h.asked = l.n.Now()
-		l.asking = append(l.asking, h)
+		at := sort.Search(len(l.asking), func(i int) bool { return l.asking[i].level > h.level })
+		l.asking = slices.Insert(l.asking, at, h)
 		l.pump(h.asked)
 	case HireHeld:
 		delete(l.planner.Asked, h.rec.Rental.Request)
@@ -124,7 +127,7 @@
 	asks, idle := l.planner.Plan(now)
 	for _, a := range asks { // each at most what one call rents
 		l.hireN++
-		h := &hire{rec: hireRecord{At: int64(l.n.Wall()), Rental: wire.Rental{
+		h := &hire{level: a.Level, rec: hireRecord{At: int64(l.n.Wall()), Rental: wire.Rental{
 			Request: fmt.Sprintf("r-%d-%d", l.term.Stamp, l.hireN), Type: a.Type, Zone: a.Zone, Spot: a.Spot, Count: a.Count}}}
 		l.hires[h.rec.Rental.Request] = h
 		l.planner.Asked[h.rec.Rental.Request] = a
