Gather room from what comes free, drain dear machines while nothing waits

Now machines of one zone are kept as they come free; in overload for one job at a time, those first that can still begin in time.

--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -69,6 +69,7 @@
 	Listed     micro.Time // last list that showed it; 0: none
 	ListState  wire.MachineState
 	NoticeAt   micro.Time      // the cloud takes it then; 0: no notice
+	Drained    bool            // takes no new tasks, to go back once it is empty
 	Deaf       bool            // reports, but hears nothing: takes no new tasks
 	Overruns   int             // attempts in a row that ran far over what was expected
 	Errors     map[string]bool // jobs that failed here
@@ -148,7 +149,7 @@
 
 // Usable reports whether new tasks may be placed on the machine.
 func (m *Machine) Usable(now micro.Time) bool {
-	return m.State == Up && m.Type != nil && !m.Deaf && m.NoticeAt == 0 && m.Avoid <= now
+	return m.State == Up && m.Type != nil && !m.Deaf && !m.Drained && m.NoticeAt == 0 && m.Avoid <= now
 }
 
 // lastSign is the latest time from which the worker's lease may count: the last
@@ -156,6 +157,18 @@
 // which another leader may have answered it.
 func (c *Cluster) lastSign(m *Machine) micro.Time { return max(m.Answered, c.Began) }
 
+// SetDrained lets a machine take new tasks no more, or again.
+func (c *Cluster) SetDrained(m *Machine, drained bool) {
+	if m.Drained == drained {
+		return
+	}
+	m.Drained = drained
+	c.shelve(m)
+	if !drained {
+		c.Changed()
+	}
+}
+
 // Told notes the token of an answer that went out in good time; 0: it may have
 // come too late for the worker to take it.
 func (c *Cluster) Told(m *Machine, token uint64) { m.told = token }
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -33,7 +33,8 @@
 	Dry     map[Offer]int        // refusals in a row
 	Asked   map[string]Ask       // rentals without an answer yet, by request
 
-	own bool // operators keep machines of their own, by the last plan
+	own  bool       // operators keep machines of their own, by the last plan
+	calm micro.Time // since when nothing has waited for room; 0: something does
 }
 
 // maxNew bounds what one plan rents, maxAsk what one request does, and maxOffer
@@ -153,6 +154,13 @@
 			asks = append(asks, Ask{o, min(n, maxAsk), first[o].spec.Class, first[o].level})
 		}
 	}
+	stop, again := p.drain(demands, now)
+	for _, m := range stop {
+		p.C.SetDrained(m, true)
+	}
+	for _, m := range again {
+		p.C.SetDrained(m, false)
+	}
 	return asks, p.idle(now)
 }
 
@@ -178,6 +186,10 @@
 		if m.State != model.Up || m.Base || len(m.Places) > 0 || m.Reserve != nil || m.NoticeAt != 0 {
 			continue
 		}
+		if m.Drained {
+			out = append(out, m)
+			continue
+		}
 		keep := after
 		if p.thrifty() && m.Type != nil && m.Type.GPUs > 0 {
 			keep /= 2 // the dearest; those that are expected to be needed are wanted
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -13,6 +13,8 @@
 type quiet struct{ model.Effects }
 
 func (quiet) Changed()           {}
+func (quiet) Touch(*model.Chunk) {}
+func (quiet) Press(*model.Chunk) {}
 func (quiet) Log(string, ...any) {}
 
 const now = 1000 * micro.Second
@@ -108,3 +110,34 @@
 		t.Errorf("rate %v, want 0.1", r)
 	}
 }
+
+// Short tasks kept a dear machine from ever being empty, long after the burst
+// that it was rented for.
+func TestDearMachinesAreDrainedOnceNothingWaitsAndTakenBackIfSomethingDoes(t *testing.T) {
+	p := planner()
+	for _, name := range []string{"i-1", "i-2", "i-3", "i-gpu"} {
+		m := p.C.Machine(name, now)
+		typ := "small"
+		if name == "i-gpu" {
+			typ = "gpu"
+		}
+		p.C.Describe(m, typ, "a", false)
+		p.C.Become(m, model.Up, "reports")
+	}
+	j := p.submit("j-1", 2, 1, false)
+	p.C.NewPlace(j, 0, p.C.Machines["i-gpu"], 1, 1, now)
+	p.C.NewPlace(j, 1, p.C.Machines["i-1"], 1, 1, now)
+	p.Plan(now)
+	if p.C.Machines["i-gpu"].Drained {
+		t.Fatal("drained before it is known that nothing waits")
+	}
+	p.Plan(now + calmFor)
+	if !p.C.Machines["i-gpu"].Drained || p.C.Machines["i-1"].Drained {
+		t.Fatal("the dearest machine that is not needed should take nothing more, and it alone")
+	}
+	p.submit("j-2", 40, 4, false)
+	p.Plan(now + calmFor + micro.Second)
+	if p.C.Machines["i-gpu"].Drained {
+		t.Fatal("work waits, and the machine still takes none")
+	}
+}
--- a/internal/sched/age.go
+++ b/internal/sched/age.go
@@ -21,8 +21,12 @@
 	gatherShare = 16
 )
 
+// The largest jobs should begin within this. Of those for which room is gathered
+// the ones that still can come first.
+const beginWithin = 225 * micro.Second
+
 // starved reports whether an old job will not be reached in its turn: the
-// largest, which what comes free is never enough for, and those of a class or a
+// largest, which what comes free is seldom enough for, and those of a class or a
 // team none of whose tasks has been placed for long.
 func (p *Placer) starved(j *model.Job, now micro.Time) bool {
 	if !p.aged(j, now) {
@@ -32,36 +36,96 @@
 	return p.large(j) && !j.Started || j.Class.Placed < since || j.Team != nil && j.Team.Placed < since
 }
 
-// gatherFor gathers room for the oldest jobs that still wait.
-func (p *Placer) gatherFor(old []*model.Job, now micro.Time) {
-	others := map[*model.Job]bool{}
-	for m := range p.reserved {
-		if m.Gathered && m.Reserve != nil {
-			others[m.Reserve] = true
+// gathering is a job that room is gathered for: machines of a zone as they come
+// free, one by one.
+type gathering struct {
+	zone  string // "": any
+	since micro.Time
+}
+
+// clearAfter is how long room may be gathered from what comes free by itself.
+// After that machines are cleared for the job.
+const clearAfter = 15 * micro.Second
+
+// collect reserves what came free for the jobs that room is gathered for.
+func (p *Placer) collect(now micro.Time) {
+	jobs := make([]*model.Job, 0, len(p.gatherings))
+	for j := range p.gatherings {
+		if j.State != model.Active || j.Waiting() == 0 || j.Spec.Kind == wire.Gang && j.HeldN > 0 {
+			delete(p.gatherings, j)
+			continue
 		}
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(a, b int) bool {
+		return p.gatherings[jobs[a]].since < p.gatherings[jobs[b]].since || p.gatherings[jobs[a]].since == p.gatherings[jobs[b]].since && jobs[a].Spec.ID < jobs[b].Spec.ID
+	})
+	for _, j := range jobs {
+		g := p.gatherings[j]
+		missing := wants(j) - p.reservedFor(j)
+		for _, pool := range p.C.Pools {
+			if missing <= 0 || pool.N == 0 || g.zone != "" && pool.Zone != g.zone || !Allowed(&j.Spec, pool.Type, pool.Zone, pool.Spot) || !ZoneOK(j, pool.Zone, nil) {
+				continue
+			}
+			w := need(&j.Spec, pool.Type)
+			for r := int(w.Scaled - eps); r < pool.Rows() && missing > 0; r++ {
+				for _, m := range pool.Row(r) {
+					if missing > 0 && m.Reserve == nil && fits(w, m, nil, room{}) && p.may(j, m, now) {
+						p.hold(m, j, true, now)
+						missing--
+					}
+				}
+			}
+		}
+		if now-g.since > clearAfter && p.reservedFor(j) == 0 {
+			p.gather(j, wants(j), now)
+		}
+		if now-g.since > gatherLife {
+			delete(p.gatherings, j) // another zone, perhaps
+		}
+	}
+}
+
+// wants is how many places a job needs at once.
+func wants(j *model.Job) int {
+	if j.Spec.Kind == wire.Gang {
+		return len(j.Tasks)
 	}
+	return 1
+}
+
+// gatherFor begins to gather room for the oldest jobs that still wait.
+func (p *Placer) gatherFor(old []*model.Job, overloaded bool, now micro.Time) {
 	most := min(maxGather, max(len(p.C.Machines)/gatherShare, 1))
-	if len(others) >= most || len(old) == 0 {
+	if overloaded {
+		// What comes free soon is enough for one at a time, and all else waits
+		// for it meanwhile.
+		most = 1
+	}
+	if len(p.gatherings) >= most || len(old) == 0 {
 		return
 	}
+	if p.gatherings == nil {
+		p.gatherings = map[*model.Job]gathering{}
+	}
 	sort.Slice(old, func(a, b int) bool {
-		if old[a].Submitted != old[b].Submitted {
-			return old[a].Submitted < old[b].Submitted
+		x, y := old[a].Submitted, old[b].Submitted
+		if late := now - beginWithin; (x < late) != (y < late) {
+			return y < late
+		}
+		if x != y {
+			return x < y
 		}
 		return old[a].Spec.ID < old[b].Spec.ID
 	})
 	for _, j := range old {
-		if len(others) >= most {
+		if len(p.gatherings) >= most {
 			return
 		}
-		if others[j] || j.State != model.Active || j.Waiting() == 0 {
+		if _, ok := p.gatherings[j]; ok || j.State != model.Active || j.Waiting() == 0 {
 			continue
 		}
-		n := 1
-		if j.Spec.Kind == wire.Gang {
-			n = len(j.Tasks)
-		}
-		if t := j.Team; t != nil && !t.Allows(j.Spec.CPUs, j.Spec.GPUs, n) {
+		if t := j.Team; t != nil && !t.Allows(j.Spec.CPUs, j.Spec.GPUs, wants(j)) {
 			if t.Saving == nil && j.HeldN == 0 {
 				// Its smaller jobs would use up each bit of its limit that comes
 				// free.
@@ -69,12 +133,37 @@
 			}
 			continue
 		}
-		if p.gather(j, n, now) {
-			others[j] = true
+		if z, ok := p.zoneToGather(j); ok {
+			p.gatherings[j] = gathering{z, now}
+			p.C.Log("gather", "job", j.Spec.ID, "places", wants(j), "zone", z)
 		}
 	}
 }
 
+// zoneToGather is the zone with most machines for the job, over what is being
+// gathered there already.
+func (p *Placer) zoneToGather(j *model.Job) (zone string, ok bool) {
+	best := 0.0
+	for _, z := range p.zonesFor(j) {
+		n := 0
+		for _, pool := range p.C.Pools {
+			if (z == "" || pool.Zone == z) && Allowed(&j.Spec, pool.Type, pool.Zone, pool.Spot) {
+				n += pool.N
+			}
+		}
+		busy := 1
+		for _, g := range p.gatherings {
+			if g.zone == z {
+				busy++
+			}
+		}
+		if x := float64(n) / float64(busy); n >= 1 && x > best {
+			zone, best, ok = z, x, true
+		}
+	}
+	return zone, ok
+}
+
 // gathered reports whether machines are reserved for the job.
 func (p *Placer) gathered(j *model.Job) bool { return p.reservedFor(j) > 0 }
 
@@ -99,9 +188,10 @@
 	return now-j.Submitted > after
 }
 
-// gather reserves the machines that are soonest free for a job that waited long,
+// gather reserves the machines that are soonest free for a job that waited long
+// and that nothing came free for,
 // enough for a gang in one zone, or for one task of another job.
-func (p *Placer) gather(j *model.Job, n int, now micro.Time) bool {
+func (p *Placer) gather(j *model.Job, n int, now micro.Time) {
 	type spot struct {
 		m    *model.Machine
 		n    int // tasks it could hold
@@ -144,10 +234,6 @@
 	for _, s := range best {
 		p.hold(s.m, j, true, now)
 	}
-	if len(best) > 0 {
-		p.C.Log("gather", "job", j.Spec.ID, "machines", len(best), "in_s", (bestAt - now).Seconds())
-	}
-	return len(best) > 0
 }
 
 // freeAt is when a machine is expected to be clear of all but services, and how
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -22,6 +22,7 @@
 func (p *Placer) Pass(now micro.Time) int {
 	p.C.MarkGuarantees()
 	p.tidy(now)
+	p.collect(now)
 	queue := make([]item, 0, len(p.C.Pending))
 	waiting := 0
 	over := p.overloaded()
@@ -30,13 +31,14 @@
 		waiting += j.Waiting()
 		it := item{j: j, hope: true, guar: j.Guar, late: p.Goals.LatestStart(j, now)}
 		if quick := over[j.Class]; quick > 0 {
-			it.late = now + Estimate(j)
+			it.late = Estimate(j)
 			if free == nil {
 				free = p.freeImages()
 			}
 			if !free[j.Spec.Image] {
 				it.late += p.fetchTime(&j.Spec) // as good as a longer run
 			}
+			it.late = now + it.late*micro.Time(len(j.Tasks))
 			it.hope = now <= j.Submitted+quick
 			it.guar = it.guar && (p.Goals.guarantee == 0 || now <= j.Submitted+p.Goals.guarantee)
 		}
@@ -69,7 +71,7 @@
 			full.add(j)
 		}
 	}
-	p.gatherFor(old, now)
+	p.gatherFor(old, len(over) > 0, now)
 	return placed
 }
 
@@ -89,8 +91,8 @@
 
 // overloaded finds the classes that wait longer than their objective on starting
 // allows, with that objective: what waits, over what runs. Taken in the order of
-// their latest starts, all their jobs would start just too late; the shortest
-// first, most start in time. Those that can no longer come after those that can,
+// their latest starts, all their jobs would start just too late; the least
+// work first, most start in time. Those that can no longer come after those that can,
 // whatever their guarantee: when all teams ask for theirs at once, there may be
 // more guaranteed than there is.
 func (p *Placer) overloaded() map[*model.Class]micro.Time {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -23,10 +23,11 @@
 	// of like machines is then looked at in samples.
 	Busy bool
 
-	Looked   int // machines looked at, for tests and metrics
-	sampling bool
-	reserved map[*model.Machine]bool
-	sizes    map[string]int // the most tasks that a class's jobs have
+	Looked     int // machines looked at, for tests and metrics
+	sampling   bool
+	reserved   map[*model.Machine]bool
+	gatherings map[*model.Job]gathering
+	sizes      map[string]int // the most tasks that a class's jobs have
 }
 
 // room is what a plan has taken of a machine beyond what places hold.
