--- a/internal/scale/demand.go
+++ b/internal/scale/demand.go
@@ -22,6 +22,7 @@
 // demands lists the tasks that found no room, and the headroom that is short.
 func (p *Planner) demands(now micro.Time) []demand {
 	var out []demand
+	first := map[*model.Class]int{} // tasks of the first rank that wait
 	quota := map[*model.Team][2]float64{}
 	jobs := make([]*model.Job, 0, len(p.C.Pending))
 	for j := range p.C.Pending {
@@ -53,7 +54,11 @@
 			continue
 		}
 		out = append(out, demand{j, &j.Spec, n, late, j.Level})
+		if j.Level == 0 {
+			first[j.Class] += n
+		}
 	}
+	out = append(out, p.spares(first, now)...)
 	out = append(out, p.headroom(now)...)
 	sort.SliceStable(out, func(a, b int) bool {
 		if out[a].level != out[b].level {
@@ -64,6 +69,24 @@
 	return out
 }
 
+// spareShare is how much more room than it needs is rented for work of the first
+// rank that is wanted sooner than machines boot: boots take 0.6 to 1.5 times as
+// long as they should, and with spares the quickest of them are enough.
+const spareShare = 0.5
+
+func (p *Planner) spares(first map[*model.Class]int, now micro.Time) []demand {
+	var out []demand
+	for cl, n := range first {
+		quick, boot := p.Goals.Quick(cl.Name), p.bootOf(cl.Last)
+		if quick > 0 && quick < boot {
+			spec := *cl.Last
+			out = append(out, demand{nil, &spec, int(math.Ceil(spareShare * float64(n))), now + boot, 0})
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].spec.Class < out[b].spec.Class })
+	return out
+}
+
 // patience is how long a job with time in hand waits for room to come free
 // before room is rented for it.
 const patience = 8 * micro.Second
--- a/internal/scale/price.go
+++ b/internal/scale/price.go
@@ -26,6 +26,68 @@
 	return d.late >= ready && d.late < now+sched.Distant/2
 }
 
+// queue is how many of a class's tasks wait, now and a while ago.
+type queue struct {
+	n, was int
+	at     micro.Time // when was was taken
+	dear   micro.Time // when dear room was last rented because it lasts
+}
+
+// A shortage lasts if, with machines up for lastingFor, no fewer tasks wait than
+// a good while ago. Then dear room is rented for one part in dearPart of the
+// fleet at a time.
+const (
+	queueEvery = 20 * micro.Second
+	lastingFor = 20 * micro.Second
+	dearEvery  = 5 * micro.Second
+	dearPart   = 100
+)
+
+// watch keeps count of what waits.
+func (p *Planner) watch(now micro.Time) {
+	if p.queues == nil {
+		p.queues = map[*model.Class]*queue{}
+	}
+	for _, q := range p.queues {
+		q.n = 0
+	}
+	for j := range p.C.Pending {
+		q := p.queues[j.Class]
+		if q == nil {
+			q = &queue{at: now}
+			p.queues[j.Class] = q
+		}
+		q.n += j.Waiting()
+	}
+	up := 0
+	for _, pool := range p.C.Pools {
+		up += pool.N
+	}
+	for _, q := range p.queues {
+		if up == 0 {
+			q.was, q.at = 0, now // nothing could run yet
+		} else if q.n == 0 {
+			q.was, q.at = 0, now
+		} else if q.was == 0 && now-q.at >= lastingFor || q.was > 0 && now-q.at >= queueEvery {
+			q.was, q.at = q.n, now
+		}
+	}
+}
+
+// lasting is how many dear machines may be rented now because a class's shortage
+// lasts, whatever is expected to come free: other work takes it.
+func (p *Planner) lasting(d *demand, now micro.Time) int {
+	if d.job == nil {
+		return 0
+	}
+	q := p.queues[d.job.Class]
+	if q == nil || q.was == 0 || now-q.at < queueEvery/2 || 10*q.n < 9*q.was || now-q.dear < dearEvery {
+		return 0
+	}
+	q.dear = now
+	return max(len(p.C.Machines)/dearPart, 1)
+}
+
 func priceOf(o Offer, t *model.Type) float64 {
 	if o.Spot {
 		return t.SpotPrice
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -35,6 +35,8 @@
 
 	own  bool       // operators keep machines of their own, by the last plan
 	calm micro.Time // since when nothing has waited for room; 0: something does
+
+	queues map[*model.Class]*queue // how much waits, and waited
 }
 
 // maxNew bounds what one plan rents, maxAsk what one request does, and maxOffer
@@ -69,6 +71,7 @@
 // Plan says what to rent and which machines to return for being idle.
 func (p *Planner) Plan(now micro.Time) (asks []Ask, idle []*model.Machine) {
 	p.own = p.hasOwn()
+	p.watch(now)
 	coming := p.coming(now)
 	var running []*bin
 	demands := p.demands(now)
@@ -93,7 +96,7 @@
 			}
 			soon = comesFree(running, d.spec, left, now+p.readyIn(d.spec)/2)
 		}
-		waited := false
+		waited, counted, lasting := false, false, false
 		for left > 0 && total < maxNew {
 			b := p.choose(d, left, zoneN, true, now)
 			if b == nil && d.level == 0 {
@@ -108,10 +111,16 @@
 			if thrifty && d.level > 0 && !waited && p.dear(d.spec, b.typ, b.spot, p.Props.DearRatio) {
 				// Not for what it cannot help, nor for what can start in time on room
 				// that comes free.
-				if !p.helps(d, b.typ, now) {
+				if n := p.lasting(d, now); n > 0 {
+					// What was to come free does not: a few at a time.
+					left, soon, lasting = min(left, n*b.fits(d.spec)), 0, true
+				} else if !p.helps(d, b.typ, now) {
 					break
 				}
 				waited = true
+			}
+			if waited && !lasting && !counted {
+				counted = true
 				if running == nil {
 					running = p.running(now)
 				}
--- a/internal/sched/age_test.go
+++ b/internal/sched/age_test.go
@@ -130,3 +130,31 @@
 		}
 	}
 }
+
+// Room was cleared for one service at a time: the others were passed over, as if
+// there were none to be had.
+func TestEachServiceOfTheFirstRankHasRoomCleared(t *testing.T) {
+	s := newStream(t, 4)
+	s.submit(wire.Array, wire.Low, 4, 0)
+	s.p.Pass(micro.Second)
+	for ch := range s.c.Live {
+		for _, c := range ch.Chunks {
+			s.c.Persisted(c, c.Ver)
+		}
+	}
+	for range 3 {
+		s.submit(wire.Service, wire.Production, 1, 0)
+	}
+	s.p.Pass(2 * micro.Second)
+	stopping := 0
+	for _, m := range s.c.List() {
+		for _, p := range m.Sorted() {
+			if p.Stopping {
+				stopping++
+			}
+		}
+	}
+	if stopping != 3 {
+		t.Fatalf("%d tasks make room for 3 services", stopping)
+	}
+}
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -180,7 +180,9 @@
 }
 
 func (b blocked) has(j *model.Job) bool {
-	if len(b) == 0 || (j.Spec.OneZone || j.Spec.Spread) && j.HeldN > 0 {
+	// Each job of the first rank is tried by itself: one for which room is being
+	// cleared must not keep the next from having room cleared too.
+	if len(b) == 0 || j.Level == 0 || (j.Spec.OneZone || j.Spec.Spread) && j.HeldN > 0 {
 		return false
 	}
 	k, a := keyOf(j)
