Machines prove themselves by answering an empty order after a takeover

An empty direct order, sent when a machine that is not proven is heard, shows the token in its answer.

--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -92,6 +92,9 @@
 			reply(front.Later(503, 1))
 			return
 		}
+		if m.Unproven(l.token) {
+			l.kicked[m] = true
+		}
 		orders := l.c.Orders(m, l.token, false, now)
 		if len(orders) > maxOrders {
 			orders = orders[:maxOrders]
@@ -115,7 +118,8 @@
 
 // direct sends a machine its orders without waiting for its next report.
 func (l *Lead) direct(m *model.Machine, now micro.Time) {
-	if m.State != model.Up || m.Addr == "" {
+	unproven := m.Unproven(l.token)
+	if m.State != model.Up && !unproven || m.Addr == "" {
 		return
 	}
 	if m.Busy {
@@ -125,8 +129,13 @@
 	if m.RetryAt > now {
 		return // the next report brings them
 	}
-	orders := l.c.Orders(m, l.token, true, now)
-	if len(orders) == 0 {
+	var orders []wire.Order
+	if unproven {
+		// Its next report, which would show the token, may be long in coming: a
+		// worker reports at once of a newer token only now and then. An answer
+		// to an empty order shows it as well.
+		orders = []wire.Order{}
+	} else if orders = l.c.Orders(m, l.token, true, now); len(orders) == 0 {
 		return
 	}
 	if len(orders) > maxOrders {
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"notchmux.dev/notchmux/internal/fake"
 	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
 	"notchmux.dev/notchmux/internal/peer"
 	"notchmux.dev/notchmux/wire"
 )
@@ -68,3 +70,28 @@
 		t.Fatalf("the peer knows nothing of it: %+v", r)
 	}
 }
+
+// After a takeover, half of the machines took no work for six to ten seconds:
+// their workers had just reported of a new token, and did so again only with
+// their next report.
+func TestMachineProvesItselfAliveByAnsweringAnEmptyOrder(t *testing.T) {
+	b := newBed(t)
+	n, _ := b.node("n-0")
+	wait(t, "leading", func() bool { return n.leading() != nil })
+	w := fake.NewWorker("i-9", "small", "a", 30*micro.Second)
+	b.hosts.mu.Lock()
+	b.hosts.w["i-9"] = w
+	r := w.Report()
+	b.hosts.mu.Unlock()
+	n.Beat(wire.MustMarshal(r)) // its answer is of no effect yet
+	usable := func() bool {
+		up := make(chan bool, 1)
+		l := n.leading()
+		l.post(func() { up <- l.c.Machines["i-9"].State == model.Up })
+		return <-up
+	}
+	wait(t, "up without another report", usable)
+	if len(w.Started) != 0 {
+		t.Fatal("the order was to be empty")
+	}
+}
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -173,6 +173,12 @@
 // come too late for the worker to take it.
 func (c *Cluster) Told(m *Machine, token uint64) { m.told = token }
 
+// Unproven reports whether a machine was heard, but has yet to show a token that
+// proves it alive, and the given one would.
+func (m *Machine) Unproven(token uint64) bool {
+	return m.State != Up && m.State != Returning && m.State != Gone && m.Heard > 0 && m.Token < m.Prove && m.Prove <= token
+}
+
 // deafAfter is how many reports in a row show that answers do not arrive.
 const deafAfter = 3
 
