Controllers inside a cut-off zone keep its workers' leases alive

Cause: a zone held cut for 55 to 61 s outlives the workers' leases of 30 and 36 s.

Ruled out: replicas in the other zone (the rule on spreading); a longer wait alone (the leases end at the workers); keeping without a bound (ran_twice: the leader frees a place when the lease ran out; ran_cancelled: a withdrawn job's tasks would be kept alive).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -90,6 +90,15 @@
 // LeaseSpan is the workers' lease.
 func (c *Config) LeaseSpan() micro.Time { return micro.Of(c.Facts.Workers.LeaseS) }
 
+// KeepSpan is how long the controllers of a zone that is cut off keep the leases
+// of its workers alive.
+func (c *Config) KeepSpan() micro.Time {
+	return micro.Time(c.KeepLeases * float64(c.LeaseSpan()))
+}
+
+// CancelSpan is how long the tasks of a withdrawn job may take to be gone.
+func (c *Config) CancelSpan() micro.Time { return micro.Of(c.Facts.Workers.CancelS) }
+
 // Team finds a team by name.
 func (c *Config) Team(name string) *Team {
 	for i := range c.Facts.Teams {
--- a/internal/config/properties.go
+++ b/internal/config/properties.go
@@ -28,6 +28,7 @@
 	SampleSize    int        // machines sampled per task then
 	SampleBusy    micro.Time // only after a pass that took longer than this
 	MaxPending    int        // pending tasks above which new jobs are told to come back
+	KeepLeases    float64    // how long a cut-off zone's controllers keep its workers' leases alive, in leases
 	ErrorMachines int        // different jobs failing on a machine before it is avoided
 }
 
@@ -62,6 +63,7 @@
 	{"sched.sample.size", 16, 2, 1e4, "machines sampled per task then", func(p *Properties, v float64) { p.SampleSize = int(v) }},
 	{"sched.sample.pass.ms", 30, 0, 1e5, "machines are sampled only after a placement pass that took longer than this", func(p *Properties, v float64) { p.SampleBusy = micro.Time(v * float64(micro.Millisecond)) }},
 	{"sched.max.pending", 1e6, 1, 1e9, "pending tasks above which new jobs are told to come back", func(p *Properties, v float64) { p.MaxPending = int(v) }},
+	{"zone.keep.leases", 1.5, 0, 10, "how long the controllers of a zone that is cut off keep its workers' leases alive, in leases; the same on all nodes", func(p *Properties, v float64) { p.KeepLeases = v }},
 	{"machine.error.jobs", 2, 1, 100, "different jobs failing on a machine before it is avoided", func(p *Properties, v float64) { p.ErrorMachines = int(v) }},
 }
 
--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -45,8 +45,7 @@
 				}
 			}()
 			if j.State == model.Active {
-				l.c.BeginAbort(j)
-				l.w.end(j, wire.JobAborted)
+				l.leave(j)
 			}
 		}
 	})
@@ -65,6 +64,9 @@
 	} else {
 		l.speeds.Forget(j.Spec.ID)
 	}
+	if j.HeldN > 0 && state == wire.JobAborted {
+		l.unproven[j] = true
+	}
 	l.log.Info("job over", "job", j.Spec.ID, "state", string(state), "after_s", (now - j.Submitted).Seconds())
 	for _, ch := range j.Chunks {
 		l.Touch(ch)
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -382,6 +382,7 @@
 	// silent: in a cut, the first to be called silent must not look alone.
 	overdue := cfg.Overdue()
 	deaf := 0
+	l.bound(now)
 	for _, m := range l.c.List() {
 		z := zones[m.Zone]
 		if z == nil {
@@ -397,7 +398,7 @@
 		if m.State == model.Unheard && len(m.Places) == 0 || m.State == model.Returning {
 			continue
 		}
-		if quiet > 2*l.c.Lease {
+		if quiet > 2*l.c.Lease && l.c.LeaseOut(m, now) {
 			continue
 		}
 		z.all++
--- /dev/null
+++ b/internal/controller/keep_test.go
@@ -0,0 +1,102 @@
+package controller
+
+import (
+	"context"
+	"testing"
+
+	"notchmux.dev/notchmux/internal/config"
+	"notchmux.dev/notchmux/internal/fake"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/peer"
+	"notchmux.dev/notchmux/wire"
+)
+
+// A zone was cut off for a minute. Its workers' leases ran out after half of it,
+// though two controllers were there with them.
+func TestControllersInACutOffZoneAnswerItsWorkers(t *testing.T) {
+	b := newBed(t)
+	lead, _ := b.nodeWith("n-0", func(n *Node) {
+		n.Cfg.Zone, n.Cfg.Peers = "a", []config.Peer{{Node: "n-1", Zone: "b"}, {Node: "n-2", Zone: "b"}}
+	})
+	wait(t, "leading", func() bool { return lead.leading() != nil })
+	beside, _ := b.node("n-2")
+	now := micro.Minute
+	in, _ := b.nodeWith("n-1", func(n *Node) {
+		n.Cfg.Zone, n.Cfg.Peers = "b", []config.Peer{{Node: "n-0", Zone: "a"}, {Node: "n-2", Zone: "b"}}
+		n.Init()
+		n.Peers = peer.NewClient(map[string]string{"n-0": b.servePeer(lead), "n-2": b.servePeer(beside)})
+	})
+	wait(t, "leader known", func() bool { return in.election.Leader() == "n-0" })
+	in.Now = func() micro.Time { return now }
+	report := func(zone string) int {
+		w := fake.NewWorker("i-9", "small", zone, 30*micro.Second)
+		w.Token = 77
+		r := in.Beat(wire.MustMarshal(w.Report()))
+		if o, ok := r.Body.(wire.Orders); ok && (o.Token != 77 || o.Orders == nil || len(o.Orders) != 0) {
+			t.Fatalf("a keeper may only renew: %+v", o)
+		}
+		return r.Status
+	}
+	wait(t, "in touch", func() bool { // barred until the leader's first look around
+		now += micro.Second
+		in.touch(context.Background())
+		return !in.keeper.OutOfTouch(now)
+	})
+	if got := report("b"); got != 421 {
+		t.Fatalf("the leader is there: status %d", got)
+	}
+	in.Peers = peer.NewClient(map[string]string{"n-2": b.servePeer(beside)})
+	now += 6 * micro.Second
+	in.touch(context.Background())
+	if got := report("a"); got == 200 {
+		t.Fatal("a worker of another zone is not this one's to keep")
+	}
+	if got := report("b"); got != 200 {
+		t.Fatalf("status %d in the cut", got)
+	}
+	now += in.Cfg.KeepSpan()
+	in.touch(context.Background())
+	if got := report("b"); got != 503 {
+		t.Fatalf("status %d once the span is over: naming a leader out of reach costs a worker 4 s", got)
+	}
+}
+
+// A user was told that a job was cancelled; had the zone been cut off then, its
+// keepers would have kept the job's tasks alive for longer than a cancellation
+// may take.
+func TestWithdrawalIsConfirmedOnceNoKeeperCanKeepItsTasksAlive(t *testing.T) {
+	b := newBed(t)
+	n, _ := b.nodeWith("n-0", func(n *Node) {
+		n.Cfg.Zone, n.Cfg.Peers = "b", []config.Peer{{Node: "n-1", Zone: "a"}, {Node: "n-2", Zone: "a"}}
+		n.Cfg.Facts.Zones, n.Cfg.Facts.Workers.CancelS = []string{"a", "b"}, 50
+		n.Cfg.SilentAfter = micro.Minute
+	})
+	wait(t, "leading", func() bool { return n.leading() != nil })
+	n.Submit(submission("j-9", wire.Service))
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		b.work(n, stop)
+		close(stopped)
+	}()
+	wait(t, "running", func() bool { return state(n, "j-9") == wire.JobRunning })
+	close(stop)
+	<-stopped
+	// The workers are out of reach from here on.
+	b.hosts.mu.Lock()
+	far := b.hosts.w
+	b.hosts.w = map[string]*fake.Worker{}
+	b.hosts.mu.Unlock()
+	if r := n.Withdraw("j-9"); r.Status != 503 || r.RetryAfter == 0 {
+		t.Fatalf("its tasks may run on: %+v", r)
+	}
+	if got := state(n, "j-9"); got == wire.JobAborted {
+		t.Fatal("a poll tells the user what the withdrawal does not")
+	}
+	b.hosts.mu.Lock()
+	b.hosts.w = far
+	b.hosts.mu.Unlock()
+	stop = make(chan struct{})
+	defer close(stop)
+	go b.work(n, stop)
+	wait(t, "confirmed", func() bool { return n.Withdraw("j-9").Status == 200 })
+}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -12,6 +12,7 @@
 
 	"notchmux.dev/notchmux/internal/election"
 	"notchmux.dev/notchmux/internal/front"
+	"notchmux.dev/notchmux/internal/keep"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/model"
 	"notchmux.dev/notchmux/internal/scale"
@@ -63,6 +64,10 @@
 	first      string     // the first machine that the service ever rented
 	listAt     micro.Time // when the list that was read last was asked for
 	returns    map[*model.Machine]bool
+	ledger     *keep.Ledger
+	barred     atomic.Pointer[map[string]bool] // zones whose keepers are not answered; nil: all
+	leaving    map[*model.Job]bool             // withdrawn jobs whose users are not told yet
+	unproven   map[*model.Job]bool             // those whose users were told, with places not proven free
 	lapsed     bool
 	resumed    micro.Time // when this node last came to listen again
 	lastTick   micro.Time
@@ -75,10 +80,16 @@
 		n: n, term: t, log: n.Log.With("term", t.Stamp), events: make(chan func(), 4096), asks: make(chan func(), 1024), done: make(chan struct{}),
 		token: t.Stamp << tokenBits, kicked: map[*model.Machine]bool{}, hires: map[string]*hire{},
 		returns: map[*model.Machine]bool{}, waiters: map[string][]chan front.Reply{},
+		leaving: map[*model.Job]bool{}, unproven: map[*model.Job]bool{},
 	}
 	l.c = model.New(l)
 	l.c.BaseTok = l.token
 	l.c.Began = n.Now()
+	zones := map[string]string{}
+	for _, p := range n.Cfg.Peers {
+		zones[p.Node] = p.Zone
+	}
+	l.ledger = keep.NewLedger(t.Stamp, l.c.Began, n.Cfg.KeepSpan(), zones, n.Cfg.Zone)
 	l.c.Lease = n.Cfg.LeaseSpan() + n.Cfg.LeaseSpan()/500 + micro.Second
 	l.c.ErrJobs = n.Cfg.ErrorMachines
 	l.c.Verbose = n.Log.Enabled(context.Background(), slog.LevelDebug)
@@ -184,6 +195,9 @@
 		l.placer.Busy = took > l.n.Cfg.SampleBusy
 		l.n.Metrics.Observe("pass", took)
 	}
+	for j := range l.leaving {
+		l.settle(j, now)
+	}
 	l.w.flush(now)
 	for m := range l.kicked {
 		if l.directs >= maxDirects {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -19,6 +19,7 @@
 	"notchmux.dev/notchmux/internal/config"
 	"notchmux.dev/notchmux/internal/election"
 	"notchmux.dev/notchmux/internal/front"
+	"notchmux.dev/notchmux/internal/keep"
 	"notchmux.dev/notchmux/internal/metrics"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/peer"
@@ -48,6 +49,7 @@
 	finals   finals
 	badPeer  sync.Map // node: time until which it is not asked
 	health   health
+	keeper   keep.Keeper
 }
 
 // New makes a node that speaks to the real services.
@@ -76,6 +78,7 @@
 func (n *Node) Init() {
 	n.finals.m = map[string]wire.JobStatus{}
 	n.health.log = n.Log.Info
+	n.keeper.Node, n.keeper.Span, n.keeper.Log = n.Cfg.Node, n.Cfg.KeepSpan(), n.Log.Info
 	n.election = &election.Election{
 		Node: n.Cfg.Node, Nonce: rand.Text(), Store: n.Store,
 		TTL: n.Cfg.LeaderLease, Renew: n.Cfg.LeaderRenew, Log: n.Log, Now: n.Now,
@@ -101,6 +104,7 @@
 	g.Go(func() error { return n.election.Run(ctx) })
 	g.Go(func() error { return n.fetchCatalog(ctx) })
 	g.Go(func() error { return n.watchHealth(ctx) })
+	g.Go(func() error { return n.keepTouch(ctx) })
 	n.Log.Info("serving", "node", n.Cfg.Node, "zone", n.Cfg.Zone, "public", n.Cfg.PublicAddr, "peers", n.Cfg.PeerListen)
 	return g.Wait()
 }
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -122,6 +122,11 @@
 		}
 	}
 	l.c.Restored(now)
+	for _, j := range l.c.Jobs {
+		if j.State == model.Aborted && j.HeldN > 0 {
+			l.unproven[j] = true
+		}
+	}
 	return rev, true
 }
 
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -382,6 +382,8 @@
 	switch call {
 	case peer.Ping:
 		return 200, nil
+	case peer.Keep:
+		return n.answerKeeper(body)
 	case peer.Submit:
 		r = n.submit(body, false)
 	case peer.Read:
@@ -427,8 +429,11 @@
 func (n *Node) Beat(body []byte) front.Reply {
 	l := n.leading()
 	if l == nil {
+		if r, ok := n.keepLease(body); ok {
+			return r
+		}
 		leader := n.election.Leader()
-		if leader == "" || leader == n.Cfg.Node {
+		if leader == "" || leader == n.Cfg.Node || n.outside(leader) && n.keeper.Parted(n.Now()) {
 			return front.Later(503, 1)
 		}
 		return front.Reply{Status: 421, Body: wire.Redirect{Leader: leader}}
--- /dev/null
+++ b/internal/keep/ledger.go
@@ -0,0 +1,122 @@
+package keep
+
+import (
+	"sync"
+
+	"notchmux.dev/notchmux/internal/micro"
+)
+
+// Ledger is what a leader knows of the other nodes as keepers, in one term.
+type Ledger struct {
+	term uint64
+	span micro.Time
+	self string // the leader's own zone, "" if it can have no keepers
+
+	mu    sync.Mutex
+	zones map[string][]string // the zones that can have keepers, with their nodes
+	nodes map[string]*contact
+}
+
+// contact is the leader's touch with a node.
+type contact struct {
+	answered micro.Time // the latest answer: from it the node may keep for a span
+	sure     micro.Time // the latest answer that surely arrived in time
+	kept     micro.Time // until when it may have kept, as far as it was in touch since
+}
+
+// NewLedger starts a term: answers of earlier terms went out before. Nodes lists the zone of every other node, self is the
+// leader's own zone. A zone of one node has no keeper: a node cut off by itself
+// and a zone cut off look alike to it.
+func NewLedger(term uint64, began, span micro.Time, nodes map[string]string, self string) *Ledger {
+	l := &Ledger{term: term, span: span, zones: map[string][]string{}, nodes: map[string]*contact{}}
+	if span == 0 {
+		return l
+	}
+	all := map[string]int{self: 1}
+	for node, zone := range nodes {
+		all[zone]++
+		l.zones[zone] = append(l.zones[zone], node)
+		l.nodes[node] = &contact{answered: began}
+	}
+	for zone, n := range all {
+		if n < 2 {
+			delete(l.zones, zone)
+		}
+	}
+	if all[self] > 1 {
+		l.self = self
+	}
+	return l
+}
+
+// Answer takes in a node's request and says what it is told; the caller must
+// still have the right to act.
+func (l *Ledger) Answer(r Request, now micro.Time) Echo {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.nodes[r.Node]
+	if c == nil {
+		return Echo{Term: l.term, At: int64(now)}
+	}
+	if r.Echo.Term == l.term {
+		c.sure = max(c.sure, micro.Time(r.Echo.At))
+	}
+	if r.Kept || r.Echo.Term != l.term {
+		// What a process did that was not in touch in this term is not known.
+		c.kept = now
+	}
+	c.answered = now
+	return Echo{Term: l.term, At: int64(now)}
+}
+
+// inTouch reports whether a node surely keeps nothing now. It took the answer
+// given at sure within Wait of its request, keeps nothing for a while after that
+// request, and its next request told what it had kept until then.
+func (c *contact) inTouch(now micro.Time) bool {
+	return c.sure > 0 && now < c.sure+after-Wait-drift(after)
+}
+
+// Until is until when a keeper may have renewed the lease of a worker of a zone;
+// "" stands for a zone that is not known.
+func (l *Ledger) Until(zone string, now micro.Time) micro.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var until micro.Time
+	l.each(zone, func(c *contact) {
+		u := c.kept
+		if !c.inTouch(now) {
+			u = max(u, min(now, c.answered+l.span+drift(l.span)))
+		}
+		until = max(until, u)
+	})
+	return until
+}
+
+// Limit is until when a keeper of a zone may yet renew a lease, if none is
+// answered from now on; 0: it has none.
+func (l *Ledger) Limit(zone string, now micro.Time) micro.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var limit micro.Time
+	if l.self != "" && (zone == "" || zone == l.self) {
+		limit = now + l.span + drift(l.span) // the leader may become a keeper itself
+	}
+	l.each(zone, func(c *contact) {
+		u := c.answered + l.span + drift(l.span)
+		if c.inTouch(now) {
+			u = now + l.span + drift(l.span)
+		}
+		limit = max(limit, u)
+	})
+	return limit
+}
+
+func (l *Ledger) each(zone string, f func(*contact)) {
+	for z, nodes := range l.zones {
+		if zone == "" || zone == z {
+			for _, n := range nodes {
+				f(l.nodes[n])
+			}
+		}
+	}
+}
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -154,8 +154,11 @@
 
 // lastSign is the latest time from which the worker's lease may count: the last
 // answer to any of its reports, a late copy included, or the takeover, before
-// which another leader may have answered it.
-func (c *Cluster) lastSign(m *Machine) micro.Time { return max(m.Answered, c.Began) }
+// which another leader may have answered it; or the last time at which a keeper
+// of its zone may have.
+func (c *Cluster) lastSign(m *Machine) micro.Time {
+	return max(m.Answered, c.Began, c.Kept[m.Zone])
+}
 
 // SetDrained lets a machine take new tasks no more, or again.
 func (c *Cluster) SetDrained(m *Machine, drained bool) {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -71,15 +71,16 @@
 	Types    map[string]*Type
 	Order    []*Type
 	Classes  map[string]*Class
-	Gone     map[string]bool // machines returned in this term
-	Lease    micro.Time      // the workers' lease, with room for drift
-	Wait     micro.Time      // a gang's wait for its members
-	Began    micro.Time      // when this node took over
-	BaseTok  uint64          // lowest token of this term
-	ErrJobs  int             // jobs failing on a machine before it is avoided
-	Pending  map[*Job]bool   // active jobs with tasks to place
-	Live     map[*Job]bool   // active jobs
-	Pools    []*Pool         // machines that take new tasks, by type, zone and kind
+	Gone     map[string]bool       // machines returned in this term
+	Kept     map[string]micro.Time // until when a keeper may have renewed leases, by zone; "": any
+	Lease    micro.Time            // the workers' lease, with room for drift
+	Wait     micro.Time            // a gang's wait for its members
+	Began    micro.Time            // when this node took over
+	BaseTok  uint64                // lowest token of this term
+	ErrJobs  int                   // jobs failing on a machine before it is avoided
+	Pending  map[*Job]bool         // active jobs with tasks to place
+	Live     map[*Job]bool         // active jobs
+	Pools    []*Pool               // machines that take new tasks, by type, zone and kind
 
 	Verbose bool // log each place and exit
 
@@ -91,7 +92,7 @@
 func New(fx Effects) *Cluster {
 	return &Cluster{
 		Effects: fx, Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Teams: map[string]*Team{},
-		Types: map[string]*Type{}, Classes: map[string]*Class{}, Gone: map[string]bool{},
+		Types: map[string]*Type{}, Classes: map[string]*Class{}, Gone: map[string]bool{}, Kept: map[string]micro.Time{},
 		Pending: map[*Job]bool{}, Live: map[*Job]bool{}, ErrJobs: 2,
 		pools: map[poolKey]*Pool{},
 	}
