--- a/internal/sched/goals.go
+++ b/internal/sched/goals.go
@@ -86,3 +86,25 @@
 	}
 	return best
 }
+
+// Twice reports whether a job's tasks could run twice in a row, begun now, and
+// still meet an objective on finishing that they can meet at all; also if there
+// is none.
+func (g *Goals) Twice(j *model.Job, now micro.Time) bool {
+	run := Estimate(j) + micro.Of(j.Spec.ImageGB)
+	near := micro.Time(0) // the nearest that can be met
+	look := func(due micro.Time) {
+		if due >= now+run && (near == 0 || due < near) {
+			near = due
+		}
+	}
+	for _, w := range g.finished[j.Spec.Class] {
+		look(j.Submitted + w)
+	}
+	if j.Spec.DeadlineS != nil {
+		for _, x := range g.deadline[j.Spec.Class] {
+			look(j.Submitted + micro.Time(float64(micro.Of(*j.Spec.DeadlineS))*x))
+		}
+	}
+	return near == 0 || near >= now+2*run
+}
--- a/internal/sched/large_test.go
+++ b/internal/sched/large_test.go
@@ -64,7 +64,7 @@
 		if !m.Usable(now) || !Allowed(&j.Spec, m.Type, m.Zone, m.Spot) || !ZoneOK(j, m.Zone, nil) || !fits(w, m, nil, room{}) || !p.may(j, m, now) {
 			continue
 		}
-		c, g := p.candidate(j, m, w, 0), p.grade(&j.Spec, pool)
+		c, g := p.candidate(j, m, w, 0), p.grade(&j.Spec, pool, false)
 		if best.m == nil || g.over(bestGrade) || !bestGrade.over(g) && c.over(&best) {
 			best, bestGrade = c, g
 		}
@@ -104,7 +104,7 @@
 				spec.GPUs = float64(1 + r.IntN(4))
 			}
 			j := c.AddJob(spec, 0)
-			want, got := fullPick(p, j, now), p.pick(j, nil, nil, "", true, now)
+			want, got := fullPick(p, j, now), p.pick(j, nil, nil, "", true, false, now)
 			if want != got {
 				t.Fatalf("seed %d, task %d: the rows give %+v, a full search %+v", seed, n, got, want)
 			}
@@ -141,3 +141,53 @@
 		p.Pass(micro.Second)
 	}
 }
+
+// Tasks that cannot save, lost with a spot machine, went back to spot machines
+// and were lost again: an array of a hundred tasks of 100 s was late more often
+// than not.
+func TestWorkThatCannotBeLostAgainTakesOrdinaryMachinesFirst(t *testing.T) {
+	c := model.New(silent{})
+	c.SetCatalog(&wire.Catalog{Types: []wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 16}}})
+	for i := range 20 {
+		m := c.Machine("i-"+strconv.Itoa(10+i), 1)
+		c.Describe(m, "small", "a", i%2 == 0)
+		c.Become(m, model.Up, "reports")
+	}
+	props := config.Defaults()
+	p := &Placer{C: c, Goals: NewGoals([]config.Objective{{Kind: "finished", Class: "c", WithinS: 250}}), Props: &props, Rand: rand.New(rand.NewPCG(1, 2))}
+	now := 1000 * micro.Second
+	n := 0
+	spots := func(estimate, saves float64, lost uint32, submitted micro.Time) int {
+		n++
+		j := c.AddJob(wire.Job{ID: "j-" + strconv.Itoa(n), Class: "c", Kind: wire.Array, Priority: wire.Normal, Tasks: 5, CPUs: 1, Spot: true, EstimateS: estimate, CheckpointS: saves}, submitted)
+		for i := range j.Tasks {
+			j.Tasks[i].Attempt = lost
+		}
+		p.Pass(now)
+		on := 0
+		for _, pl := range j.AllPlaces() {
+			if pl.Machine.Spot {
+				on++
+			}
+		}
+		return on
+	}
+	for _, x := range []struct {
+		name            string
+		estimate, saves float64
+		lost            uint32
+		submitted       micro.Time
+		want            int
+	}{
+		{"short, and new", 50, 0, 0, now, 5},
+		{"lost once", 50, 0, 1, now, 0},
+		{"lost once, but it saves", 50, 10, 1, now, 5},
+		{"too long to be run twice in time", 130, 0, 0, now, 0},
+		{"short, but it has waited", 50, 0, 0, now - 160*micro.Second, 0},
+		{"too late in any case", 50, 0, 0, now - 240*micro.Second, 5},
+	} {
+		if got := spots(x.estimate, x.saves, x.lost, x.submitted); got != x.want {
+			t.Errorf("%s: %d of 5 on spot machines, want %d", x.name, got, x.want)
+		}
+	}
+}
--- a/internal/sched/pick.go
+++ b/internal/sched/pick.go
@@ -99,7 +99,7 @@
 	return g.score > o.score
 }
 
-func (p *Placer) grade(s *wire.Job, pool *model.Pool) grade {
+func (p *Placer) grade(s *wire.Job, pool *model.Pool, steady bool) grade {
 	g := grade{score: Score(s.CPUs, pool.Type.K, p.Props.ScoreL1, p.Props.ScoreL2)}
 	if g.score == 0 {
 		g.tier += 8
@@ -107,12 +107,21 @@
 	if s.GPUs == 0 && pool.Type.GPUs > 0 {
 		g.tier += 4
 	}
-	if s.Spot && !pool.Spot {
+	if s.Spot && pool.Spot == steady {
 		g.tier++
 	}
 	return g
 }
 
+// steady reports whether a task should rather run on an ordinary machine, though
+// its job may use spot ones: what it does is lost with the machine, and it was
+// lost before, or could not be done twice in time. Tasks that were lost went back
+// to spot machines and were lost again, and with them arrays of a hundred tasks
+// were late.
+func (p *Placer) steady(j *model.Job, i int, now micro.Time) bool {
+	return j.Spec.Spot && j.Spec.CheckpointS == 0 && (j.Tasks[i].Attempt > 0 || !p.Goals.Twice(j, now))
+}
+
 // candidate is the best machine so far.
 type candidate struct {
 	m     *model.Machine
@@ -153,7 +162,7 @@
 // score 0 last. The score is the same for all machines of a pool, whose rows
 // are in order of room: the first row that has a machine with room holds the
 // pool's tightest fit.
-func (p *Placer) pick(j *model.Job, extra map[*model.Machine]*room, zoneN map[string]int, zone string, thrift bool, now micro.Time) *model.Machine {
+func (p *Placer) pick(j *model.Job, extra map[*model.Machine]*room, zoneN map[string]int, zone string, thrift, steady bool, now micro.Time) *model.Machine {
 	var best candidate
 	var bestGrade grade
 	for _, pool := range p.C.Pools {
@@ -162,7 +171,7 @@
 		if pool.N == 0 || from >= pool.Rows() || zone != "" && pool.Zone != zone || !Allowed(&j.Spec, pool.Type, pool.Zone, pool.Spot) {
 			continue
 		}
-		g := p.grade(&j.Spec, pool)
+		g := p.grade(&j.Spec, pool, steady)
 		if best.m != nil && bestGrade.over(g) {
 			continue
 		}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -56,12 +56,12 @@
 			if !allows(j, 1) {
 				return placed, false
 			}
-			m := p.pick(j, nil, nil, "", true, now)
+			m := p.pick(j, nil, nil, "", true, p.steady(j, i, now), now)
 			if m == nil {
 				coming := j.Level < 3 && p.preempt(j, next[k:], "", now)
 				if !coming && j.Level == 0 {
 					// Dear room is better than none for the first rank.
-					m = p.pick(j, nil, nil, "", false, now)
+					m = p.pick(j, nil, nil, "", false, false, now)
 				}
 				if m == nil {
 					return placed, true
@@ -120,7 +120,7 @@
 		extra, zoneN := map[*model.Machine]*room{}, map[string]int{}
 		chosen := make([]*model.Machine, 0, n)
 		for range idx {
-			m := p.pick(j, extra, zoneN, z, true, now)
+			m := p.pick(j, extra, zoneN, z, true, false, now)
 			if m == nil {
 				break
 			}
