Live machines are no longer returned after a lapse, nor sent between two lost nodes

Causes, from the logs: - An outage ended while the zones were parted. The lapse of the right resets how long a machine was quiet, so the zone beyond the cut looked whole and its machines, silent before, were returned (1,181 in 5 s). - Two nodes lost the store; one led until then. It sent its workers on with 503, the other, which knew no better, sent them back with 421: 152 of 2,021 machines usable 20 s after the takeover. - 16 s after a takeover a third of a zone unheard passed for dead; where nodes hang, a worker's round of five takes 25 s and more.

Guards: silence counts only while listened to, also for machines called silent before; a node without touch to the leader and without the store names nobody; a takeover waits for a whole round where more than one in twelve is missing.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -139,6 +139,12 @@
 	return micro.Of(c.Facts.Workers.ReportS*reportLate) + 250*micro.Millisecond
 }
 
+// Round is how long after a takeover every live worker has surely tried all
+// nodes, those out of reach included.
+func (c *Config) Round() micro.Time {
+	return micro.Of(c.Facts.Workers.ReportS*reportLate + float64(len(c.Peers)+1)*(answerWait+1))
+}
+
 // Derive fills in what follows from the platform's facts where no property says
 // otherwise.
 func (c *Config) Derive() {
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -436,9 +436,9 @@
 			switch {
 			case unlisted && waited > cfg.SilentAfter:
 				l.giveBack(m, "no longer listed, never heard")
-			case m.ListState == wire.MachineRunning && waited > 15*micro.Second && age > 3*boot && now-m.Listed < micro.Minute && l.trust(z.missing, z.all):
+			case m.ListState == wire.MachineRunning && waited > max(15*micro.Second, cfg.Round()) && age > 3*boot && now-m.Listed < micro.Minute && l.trust(z.missing, z.all):
 				l.giveBack(m, "listed as running, never heard")
-			case len(m.Places) > 0 && waited > cfg.SilentAfter+4*micro.Second && l.trust(z.missing, z.all):
+			case len(m.Places) > 0 && waited > cfg.SilentAfter+4*micro.Second && l.trust(z.missing, z.all) && (z.missing*fewMissing <= z.all || waited > cfg.Round()):
 				l.giveBack(m, "silent since the takeover")
 			case m.ListState == wire.MachineBooting && now-m.Listed < 20*micro.Second && len(m.Places) == 0 &&
 				waited > cfg.SilentAfter && age > micro.Time(float64(boot)*cfg.BootPatience):
@@ -454,7 +454,10 @@
 			}
 		case model.Silent:
 			gone := m.NoticeAt != 0 && now > m.NoticeAt+2*micro.Second
-			if unlisted || gone || l.trust(z.missing, z.all) {
+			// Just after a lapse of the right nothing has been heard for long: that
+			// says nothing of a zone that was silent before. A thousand machines
+			// beyond a cut were once returned in the moment an outage ended.
+			if unlisted || gone || l.quiet(m, now) > cfg.SilentAfter && l.trust(z.missing, z.all) {
 				l.giveBack(m, "silent")
 			}
 		case model.Lost:
@@ -498,6 +501,11 @@
 	return missing <= 1 && all > 1 || missing*3 <= all
 }
 
+// fewMissing is the part of a zone that may be missing soon after a takeover
+// before a worker's whole round of the nodes is waited for: where nodes are out
+// of reach, each costs it a while, and dozens of live machines were returned.
+const fewMissing = 12
+
 // hearing gives the lead to another node if no worker reaches this one: it may
 // be cut off from them, and their leases run.
 func (l *Lead) hearing(up, silent int, now micro.Time) {
--- a/internal/controller/fleet_bench_test.go
+++ b/internal/controller/fleet_bench_test.go
@@ -39,7 +39,7 @@
 	cfg.Facts.Workers.LeaseS, cfg.Facts.Workers.ReportS, cfg.Facts.State.ValueKB, cfg.Facts.State.TxnOps = 30, 6, 16, 24
 	cfg.Facts.Teams = []config.Team{{Name: "team"}}
 	cfg.Derive()
-	n := &Node{Cfg: cfg, Store: fake.NewStore(), Agent: deafHosts{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	n := &Node{Cfg: cfg, Store: fake.NewStore(), Cloud: fake.NewCloud(0), Agent: deafHosts{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Metrics: metrics.New(), Now: func() micro.Time { return h.now }, Wall: func() micro.Time { return h.now }}
 	n.Init()
 	cat := &wire.Catalog{}
--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -43,7 +43,7 @@
 			n.keeper.Answered(sent, n.Now(), e)
 		}
 	}
-	if n.keeper.OutOfTouch(n.Now()) {
+	if n.keeper.Span > 0 && n.keeper.OutOfTouch(n.Now()) {
 		inside, outside := n.reached(ctx)
 		n.keeper.Looked(inside, outside, n.Now())
 	}
@@ -83,6 +83,15 @@
 	return false
 }
 
+// lost reports whether whom this node takes for the leader is out of its reach,
+// and of its workers', or may lead no more. A worker is then better sent on to
+// the next node: two nodes that had lost the store, one of them the old leader,
+// once sent hundreds of workers to one another until their leases ran out.
+func (n *Node) lost(leader string) bool {
+	now := n.Now()
+	return n.keeper.OutOfTouch(now) && (n.Cut() || n.outside(leader) && n.keeper.Parted(now))
+}
+
 // keepLease answers a report of this zone's worker in place of the leader, if
 // the zone is cut off: its lease goes on, and it is told to do nothing. The
 // worker's own token is as good as any to it; no other node gives one out here.
--- a/internal/controller/keep_test.go
+++ b/internal/controller/keep_test.go
@@ -7,6 +7,7 @@
 	"notchmux.dev/notchmux/internal/config"
 	"notchmux.dev/notchmux/internal/fake"
 	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
 	"notchmux.dev/notchmux/internal/peer"
 	"notchmux.dev/notchmux/wire"
 )
@@ -100,3 +101,70 @@
 	go b.work(n, stop)
 	wait(t, "confirmed", func() bool { return n.Withdraw("j-9").Status == 200 })
 }
+
+// Two nodes had lost the store, one of them the leader until then. It sent its
+// workers on, and the other sent them back.
+func TestNodeThatLostTheStoreNamesNoLeaderItCannotReach(t *testing.T) {
+	b := newBed(t)
+	lead, _ := b.node("n-0")
+	wait(t, "leading", func() bool { return lead.leading() != nil })
+	n, _ := b.nodeWith("n-1", func(n *Node) { n.Cfg.Peers = []config.Peer{{Node: "n-0"}} })
+	wait(t, "leader known", func() bool { return n.election.Leader() == "n-0" })
+	status := func() int {
+		return n.Beat(wire.MustMarshal(fake.NewWorker("i-9", "small", "a", 30*micro.Second).Report())).Status
+	}
+	n.Now = func() micro.Time { return micro.Minute }
+	n.health.look(reach{store: true})
+	if got := status(); got != 421 {
+		t.Fatalf("peers are refused, but the store says who leads: status %d", got)
+	}
+	n.health.look(reach{refused: true})
+	if got := status(); got != 503 {
+		t.Fatalf("who leads is not known any more: status %d", got)
+	}
+}
+
+// A zone was cut off when an outage of the store ended. While its right had
+// lapsed, the leader had heard nobody: so the zone looked no worse than the rest.
+func TestZoneThatWasSilentBeforeAnOutageIsNotReturnedAfterIt(t *testing.T) {
+	h := newHerd(t, 40)
+	l := h.l
+	beat := func(zone string) {
+		for _, w := range h.workers {
+			if w.Zone == zone {
+				h.report(w)
+			}
+		}
+	}
+	second := func(zones ...string) {
+		h.now += micro.Second
+		l.tick(h.now)
+		l.scan(h.now)
+		for _, z := range zones {
+			beat(z)
+		}
+	}
+	for range 20 {
+		second("a")
+	}
+	if h.count(model.Silent) != 20 {
+		t.Fatalf("%d machines are silent, want those of the zone that was cut off", h.count(model.Silent))
+	}
+	h.now += 15 * micro.Second // the outage: no report was answered
+	for range 3 {
+		second("a")
+	}
+	if n := h.count(model.Returning); n > 0 {
+		t.Fatalf("%d machines of a zone that was cut off are returned", n)
+	}
+}
+
+func (h *herd) count(s model.MachineState) int {
+	n := 0
+	for _, m := range h.l.c.Machines {
+		if m.State == s {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -433,7 +433,7 @@
 			return r
 		}
 		leader := n.election.Leader()
-		if leader == "" || leader == n.Cfg.Node || n.outside(leader) && n.keeper.Parted(n.Now()) {
+		if leader == "" || leader == n.Cfg.Node || n.lost(leader) {
 			return front.Later(503, 1)
 		}
 		return front.Reply{Status: 421, Body: wire.Redirect{Leader: leader}}
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -109,7 +109,7 @@
 func (k *Keeper) OutOfTouch(now micro.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.Span > 0 && now-k.basis > Every+Wait
+	return now-k.basis > Every+Wait
 }
 
 // Looked takes in which nodes answered: any of this zone, and any outside. Only
