Nothing is placed beyond a cut, and no node keeps workers its own zone's leader needs

And in the first 12 s of a cut, until reports were overdue, gangs and replicas went to machines beyond it and stayed there: 13 gangs of 20 to 30 submitted then waited 50 s and more.

Guards: no keeping while the store is in reach and the leader was of the own zone or is unknown, nor if the leader answers anything; a machine that left a direct order unanswered, or whose zone's controllers are all out of touch, takes nothing new until it is heard.

--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -159,7 +159,7 @@
 			now := l.n.Now()
 			if err != nil {
 				l.log.Debug("direct orders", "machine", m.Name, "err", err)
-				m.RetryAt = now + 2*micro.Second
+				m.RetryAt, m.Mute = now+2*micro.Second, true
 				return
 			}
 			if r.Machine == m.Name {
--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -34,10 +34,12 @@
 		}
 		return
 	}
-	if leader := n.election.Leader(); leader != "" && leader != n.Cfg.Node {
+	leader, answered := n.election.Leader(), false
+	if leader != "" && leader != n.Cfg.Node {
 		sent := n.Now()
 		body := wire.MustMarshal(n.keeper.Request(sent))
 		status, out, err := n.Peers.Call(ctx, leader, peer.Keep, body, keep.Wait)
+		answered = err == nil // if only to say that it does not lead, or grants nothing now
 		var e keep.Echo
 		if err == nil && status == 200 && wire.Unmarshal(out, &e) == nil {
 			n.keeper.Answered(sent, n.Now(), e)
@@ -45,7 +47,11 @@
 	}
 	if n.keeper.Span > 0 && n.keeper.OutOfTouch(n.Now()) {
 		inside, outside := n.reached(ctx)
-		n.keeper.Looked(inside, outside, n.Now())
+		// With the store in reach, only a leader beyond the cut is missed: one of
+		// this zone that died is replaced by this zone's nodes. Keeping the
+		// workers meanwhile once hid half of the fleet from the next leader.
+		elect := !n.Cut() && !n.outside(leader)
+		n.keeper.Looked(inside, outside || answered || elect, n.Now())
 	}
 }
 
@@ -147,6 +153,14 @@
 			until = max(until, own)
 		}
 		l.c.Kept[z] = until
+		if _, known := l.c.Away[z]; !l.ledger.Away(z, now) {
+			if known {
+				delete(l.c.Away, z)
+				l.c.Changed()
+			}
+		} else if !known {
+			l.c.Away[z] = now
+		}
 	}
 }
 
--- a/internal/controller/keep_test.go
+++ b/internal/controller/keep_test.go
@@ -168,3 +168,40 @@
 	}
 	return n
 }
+
+// The leader ended while the other zone was cut off. Its zone's nodes took
+// themselves for cut off too, and hid half of the fleet from the next leader.
+func TestNodesWhoseOwnZonesLeaderEndedDoNotKeep(t *testing.T) {
+	b := newBed(t)
+	lead, kill := b.nodeWith("n-0", long)
+	wait(t, "leading", func() bool { return lead.leading() != nil })
+	beside, _ := b.nodeWith("n-2", func(n *Node) { n.election.Pause(10 * micro.Minute) })
+	now := micro.Minute
+	n, _ := b.nodeWith("n-1", func(n *Node) {
+		n.Cfg.Zone, n.Cfg.Peers = "b", []config.Peer{{Node: "n-0", Zone: "b"}, {Node: "n-2", Zone: "b"}, {Node: "n-3", Zone: "a"}}
+		n.Init()
+		n.election.Pause(10 * micro.Minute)
+		n.Peers = peer.NewClient(map[string]string{"n-0": b.servePeer(lead), "n-2": b.servePeer(beside)})
+	})
+	wait(t, "leader known", func() bool { return n.election.Leader() == "n-0" })
+	n.Now = func() micro.Time { return now }
+	wait(t, "in touch", func() bool {
+		now += micro.Second
+		n.touch(context.Background())
+		return !n.keeper.OutOfTouch(now)
+	})
+	kill()
+	n.Peers = peer.NewClient(map[string]string{"n-2": b.servePeer(beside)})
+	keeps := func() bool {
+		now += 5 * micro.Second
+		n.touch(context.Background())
+		return n.keeper.Renew(now)
+	}
+	if keeps() {
+		t.Fatal("it reaches the store: another node leads soon")
+	}
+	n.health.look(reach{})
+	if !keeps() {
+		t.Fatal("without the store as well, the zone is cut off")
+	}
+}
--- a/internal/keep/ledger.go
+++ b/internal/keep/ledger.go
@@ -92,6 +92,22 @@
 	return until
 }
 
+// Away reports whether a zone's nodes, two or more, are all out of touch that were
+// in touch in this term.
+func (l *Ledger) Away(zone string, now micro.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	away := false
+	for _, n := range l.zones[zone] {
+		c := l.nodes[n]
+		if c.inTouch(now) {
+			return false
+		}
+		away = away || c.sure > 0
+	}
+	return away && zone != l.self
+}
+
 // Limit is until when a keeper of a zone may yet renew a lease, if none is
 // answered from now on; 0: it has none.
 func (l *Ledger) Limit(zone string, now micro.Time) micro.Time {
--- a/internal/model/late_test.go
+++ b/internal/model/late_test.go
@@ -160,3 +160,24 @@
 		}
 	}
 }
+
+// A zone was cut off. Until its machines' reports were overdue, work was placed
+// there, and stayed until the cut ended.
+func TestMachinesThatOrdersDoNotReachTakeNothingUntilHeard(t *testing.T) {
+	s := newSite(t)
+	far, near := s.worker("m1", "a"), s.worker("m2", "b")
+	s.beat(far)
+	s.beat(near)
+	a, b := s.c.Machines["m1"], s.c.Machines["m2"]
+	s.now += micro.Second
+	s.c.Away["a"], b.Mute = s.now, true
+	if s.c.Reachable(a) || s.c.Reachable(b) {
+		t.Fatal("one is in a zone that fell silent, the other left an order unanswered")
+	}
+	s.now += micro.Second
+	s.beat(far)
+	s.beat(near)
+	if !s.c.Reachable(a) || !s.c.Reachable(b) {
+		t.Fatal("both were heard since")
+	}
+}
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -78,6 +78,7 @@
 	Busy       bool            // a direct order is under way
 	Again      bool            // more came up meanwhile
 	RetryAt    micro.Time      // no direct order before
+	Mute       bool            // left the latest direct order unanswered, and was not heard since
 	Reserve    *Job            // being cleared for this job
 	ReserveAt  micro.Time
 	Gathered   bool // reserved for a job that has waited long
@@ -152,6 +153,18 @@
 	return m.State == Up && m.Type != nil && !m.Deaf && !m.Drained && m.NoticeAt == 0 && m.Avoid <= now
 }
 
+// Reachable reports whether orders are likely to arrive: not on a machine that
+// left one unanswered, nor in a zone that fell silent as a whole, unless it was
+// heard since. In the first seconds of a cut, gangs were placed beyond it until
+// their machines' reports were overdue, and stayed there until it ended.
+func (c *Cluster) Reachable(m *Machine) bool {
+	if m.Mute {
+		return false
+	}
+	since, away := c.Away[m.Zone]
+	return !away || m.Heard > since
+}
+
 // lastSign is the latest time from which the worker's lease may count: the last
 // answer to any of its reports, a late copy included, or the takeover, before
 // which another leader may have answered it; or the last time at which a keeper
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -73,6 +73,7 @@
 	Classes  map[string]*Class
 	Gone     map[string]bool       // machines returned in this term
 	Kept     map[string]micro.Time // until when a keeper may have renewed leases, by zone; "": any
+	Away     map[string]micro.Time // zones none of whose controllers answer, since when
 	Lease    micro.Time            // the workers' lease, with room for drift
 	Wait     micro.Time            // a gang's wait for its members
 	Began    micro.Time            // when this node took over
@@ -92,7 +93,7 @@
 func New(fx Effects) *Cluster {
 	return &Cluster{
 		Effects: fx, Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Teams: map[string]*Team{},
-		Types: map[string]*Type{}, Classes: map[string]*Class{}, Gone: map[string]bool{}, Kept: map[string]micro.Time{},
+		Types: map[string]*Type{}, Classes: map[string]*Class{}, Gone: map[string]bool{}, Kept: map[string]micro.Time{}, Away: map[string]micro.Time{},
 		Pending: map[*Job]bool{}, Live: map[*Job]bool{}, ErrJobs: 2,
 		pools: map[poolKey]*Pool{},
 	}
--- a/internal/model/report.go
+++ b/internal/model/report.go
@@ -67,7 +67,7 @@
 	}
 	m.Session, m.Seq = session, seq
 	m.Token = max(m.Token, uint64(r.Token))
-	m.Heard = now
+	m.Heard, m.Mute = now, false
 	if via == Beat {
 		m.Answered = now
 		c.listens(m, uint64(r.Token))
--- a/internal/sched/age.go
+++ b/internal/sched/age.go
@@ -208,7 +208,7 @@
 			w := need(&j.Spec, pool.Type)
 			for r := range pool.Rows() {
 				for _, m := range pool.Row(r) {
-					if m.Reserve != nil || m.Avoid > now || j.FailedOn[m.Name] {
+					if m.Reserve != nil || m.Avoid > now || !p.C.Reachable(m) || j.FailedOn[m.Name] {
 						continue
 					}
 					if at, k := p.freeAt(w, m, now); k > 0 {
--- a/internal/sched/pick.go
+++ b/internal/sched/pick.go
@@ -227,7 +227,7 @@
 
 // may reports whether a machine of a suitable pool may take the job's tasks.
 func (p *Placer) may(j *model.Job, m *model.Machine, now micro.Time) bool {
-	if m.Avoid > now || m.Reserve != nil && m.Reserve != j && closed(m, j) {
+	if m.Avoid > now || !p.C.Reachable(m) || m.Reserve != nil && m.Reserve != j && closed(m, j) {
 		return false
 	}
 	if len(j.FailedOn) > 0 && j.FailedOn[m.Name] && len(j.FailedOn) < len(p.C.Machines)/2 {
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -152,7 +152,7 @@
 				if seen >= victimSample {
 					return best, bestVictims
 				}
-				if !fits(w, m, extra[m], m.Yields(j.Level)) || m.Reserve != nil && m.Reserve != j || m.Avoid > now || j.FailedOn[m.Name] {
+				if !fits(w, m, extra[m], m.Yields(j.Level)) || m.Reserve != nil && m.Reserve != j || m.Avoid > now || !p.C.Reachable(m) || j.FailedOn[m.Name] {
 					continue
 				}
 				seen++
