--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -39,7 +39,7 @@
 		sent := n.Now()
 		body := wire.MustMarshal(n.keeper.Request(sent))
 		status, out, err := n.Peers.Call(ctx, leader, peer.Keep, body, keep.Wait)
-		answered = err == nil // if only to say that it does not lead, or grants nothing now
+		answered = err == nil && status != 421 // it leads, even if it grants nothing now
 		var e keep.Echo
 		if err == nil && status == 200 && wire.Unmarshal(out, &e) == nil {
 			n.keeper.Answered(sent, n.Now(), e)
--- a/internal/controller/keep_test.go
+++ b/internal/controller/keep_test.go
@@ -204,4 +204,9 @@
 	if !keeps() {
 		t.Fatal("without the store as well, the zone is cut off")
 	}
+	n.Peers = peer.NewClient(map[string]string{"n-0": b.servePeer(lead), "n-2": b.servePeer(beside)})
+	lead.lead.Store(nil) // its right lapsed
+	if !keeps() {
+		t.Fatal("the old leader answers that it leads no more: the zone is still cut off")
+	}
 }
