--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -42,15 +42,12 @@
 
 // Chunk is the record of some of a job's tasks.
 type Chunk struct {
-	Job      *Job
-	N        int
-	Places   []*Place
-	Ver      uint64 // version of what is in memory
-	Saved    uint64 // version known to be in the store
-	Flight   uint64 // version being written, 0: none
-	Stamp    uint64 // the key's version in the store
-	Verify   bool   // an uncertain write: the key must be read again
-	Pressing bool   // a start waits for it
+	Job    *Job
+	N      int
+	Places []*Place
+	Ver    uint64 // version of what is in memory
+	Saved  uint64 // version known to be in the store
+	Stamp  uint64 // the key's version in the store
 }
 
 // Job is a job with its tasks.
@@ -71,8 +68,6 @@
 	FailedOn  map[string]bool
 	NotBefore micro.Time
 	Level     int
-	EndStamp  uint64
-	Saved     micro.Time // progress kept in checkpoints, of the longest task
 	Started   bool
 	Guar      bool // lies within its team's guarantee, see MarkGuarantees
 
