A slow read of the store no longer calls a job pending that was called done

A node that asks the store looked for the end first and then read the records of the tasks, up to 0.9 s each while the store is slow; an end written in between was not seen. Ruled out by reading: a leader's memory (an end is final there), a takeover's read (an old leader's late end fails its guard), the cache (final states alone).

Guards: the end is read last, and an answer that took the store over 0.4 s and shows no end is no answer. A submission's body is copied before a peer is asked beside the store: the buffer belongs to the next request once this one returns.

--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/model"
 	"notchmux.dev/notchmux/internal/peer"
+	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -95,3 +98,34 @@
 		t.Fatal("the order was to be empty")
 	}
 }
+
+// late is a store that ends a job while the records of its tasks are being read.
+type late struct {
+	store.Store
+	end func()
+}
+
+func (s late) Range(ctx context.Context, c store.Class, prefix, after string, limit int) (wire.Page, error) {
+	p, err := s.Store.Range(ctx, c, prefix, after, limit)
+	if strings.HasPrefix(prefix, "run/") {
+		s.end()
+	}
+	return p, err
+}
+
+// While the store was slow, a job was called done, and then pending by a node
+// that had looked for its end before it looked at its tasks.
+func TestEndThatComesDuringAReadIsSeen(t *testing.T) {
+	b := newBed(t)
+	n, _ := b.nodeWith("n-0", func(n *Node) { n.election.Pause(10 * micro.Minute) })
+	if r := n.Submit(submission("j-1", wire.Array)); r.Status != 201 {
+		t.Fatalf("%+v", r)
+	}
+	n.Store = late{n.Store, func() {
+		_, _ = b.store.Commit(context.Background(), store.Urgent, wire.Txn{
+			Then: []wire.Change{{Put: endKey("j-1"), Value: model.EndRecord{State: wire.JobDone}}}})
+	}}
+	if got := state(n, "j-1"); got != wire.JobDone {
+		t.Fatalf("it is %q", got)
+	}
+}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"strconv"
@@ -52,6 +53,7 @@
 		}
 	}
 	job.SubmittedAt = int64(n.Wall())
+	body = bytes.Clone(body) // a peer may be asked for longer than the request lasts
 	stored := make(chan error, 1)
 	go func() { stored <- n.keep(job) }()
 	relayed := make(chan front.Reply, 1)
@@ -263,12 +265,33 @@
 	return r, ok
 }
 
+// freshRead is how long the store may take over whether a job is over, for an
+// answer that it is not.
+const freshRead = 400 * micro.Millisecond
+
 // read answers from the store: the job's own keys tell whether it exists and
-// how it ended, the records of its tasks how far it is.
+// how it ended, the records of its tasks how far it is. The end is read last, and
+// a slow answer without one is none: while the store was slow, a user was told
+// that a job was done, and then, by a read begun before, that it was pending.
 func (n *Node) read(id string) (front.Reply, error) {
 	s := wire.JobStatus{ID: id, State: wire.JobPending}
+	err := n.readAll("run/"+id+"/", func(_ string, value []byte) error {
+		var rec model.ChunkRecord
+		if err := wire.Unmarshal(value, &rec); err != nil {
+			return err
+		}
+		for _, d := range rec.Done {
+			s.Done += d[1] - d[0] + 1
+		}
+		s.Running += len(rec.Places)
+		return nil
+	})
+	if err != nil {
+		return front.Reply{}, err
+	}
 	var spec *wire.Job
-	err := n.readAll("job/"+id+"/", func(rest string, value []byte) error {
+	asked := n.Now()
+	err = n.readAll("job/"+id+"/", func(rest string, value []byte) error {
 		switch rest {
 		case "end":
 			var e model.EndRecord
@@ -289,25 +312,15 @@
 		return front.Fail(404, "no such job"), nil
 	}
 	if s.State.Final() {
+		s.Done, s.Running = 0, 0
 		if s.State == wire.JobDone && spec != nil {
 			s.Done = spec.Tasks
 		}
 		n.finals.put(s)
 		return front.Reply{Status: 200, Body: s}, nil
 	}
-	err = n.readAll("run/"+id+"/", func(_ string, value []byte) error {
-		var rec model.ChunkRecord
-		if err := wire.Unmarshal(value, &rec); err != nil {
-			return err
-		}
-		for _, d := range rec.Done {
-			s.Done += d[1] - d[0] + 1
-		}
-		s.Running += len(rec.Places)
-		return nil
-	})
-	if err != nil {
-		return front.Reply{}, err
+	if n.Now()-asked > freshRead {
+		return front.Reply{}, store.ErrUncertain
 	}
 	if s.Running > 0 {
 		s.State = wire.JobRunning
