--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -68,6 +68,13 @@
 			WriteRPS float64 `toml:"write_rps"`
 			ValueKB  float64 `toml:"value_kb"`
 			TxnOps   int     `toml:"txn_ops"`
+			// Next holds the limits that the state service will have at some later
+			// time, without notice; a field that is missing or 0 does not change.
+			Next struct {
+				WriteRPS float64 `toml:"write_rps"`
+				ValueKB  float64 `toml:"value_kb"`
+				TxnOps   int     `toml:"txn_ops"`
+			} `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      float64 `toml:"rps"`
@@ -99,6 +106,29 @@
 // CancelSpan is how long the tasks of a withdrawn job may take to be gone.
 func (c *Config) CancelSpan() micro.Time { return micro.Of(c.Facts.Workers.CancelS) }
 
+// less is the smaller of two limits, of which the second may not be given.
+func less[T int | float64](now, next T) T {
+	if next > 0 {
+		return min(now, next)
+	}
+	return now
+}
+
+// ValueBytes is the most that a value may take, as the state service counts it:
+// now, and from its next limits on.
+func (c *Config) ValueBytes() (now, safe int) {
+	s := &c.Facts.State
+	return int(s.ValueKB * 1024), int(less(s.ValueKB, s.Next.ValueKB) * 1024)
+}
+
+// TxnOps is the most changes of a transaction, now and from the next limits on.
+func (c *Config) TxnOps() int { return less(c.Facts.State.TxnOps, c.Facts.State.Next.TxnOps) }
+
+// NextWriteRPS is the rate of changes from the next limits on.
+func (c *Config) NextWriteRPS() float64 {
+	return less(c.Facts.State.WriteRPS, c.Facts.State.Next.WriteRPS)
+}
+
 // Team finds a team by name.
 func (c *Config) Team(name string) *Team {
 	for i := range c.Facts.Teams {
@@ -233,6 +263,9 @@
 		{"facts.state.write_rps", f.State.WriteRPS, false},
 		{"facts.state.value_kb", f.State.ValueKB, false},
 		{"facts.state.txn_ops", float64(f.State.TxnOps), false},
+		{"facts.state.next.write_rps", f.State.Next.WriteRPS, true},
+		{"facts.state.next.value_kb", f.State.Next.ValueKB, true},
+		{"facts.state.next.txn_ops", float64(f.State.Next.TxnOps), true},
 		{"facts.cloud.rps", f.Cloud.RPS, false},
 		{"facts.cloud.list_lag_s", f.Cloud.ListLagS, true},
 		{"facts.quota.core_share", f.Quota.CoreShare, false},
--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -13,7 +13,7 @@
 // show answers a poll from memory.
 func (l *Lead) show(id string) (wire.JobStatus, bool) {
 	r, ok := l.ask(l.asks, 400*micro.Millisecond, func(reply func(front.Reply)) {
-		if j := l.c.Jobs[id]; j != nil {
+		if j := l.c.Jobs[id]; j != nil && !l.w.unsure(id) {
 			reply(front.Reply{Status: 200, Body: j.Status()})
 			return
 		}
@@ -44,7 +44,7 @@
 				case <-l.done:
 				}
 			}()
-			if j.State == model.Active {
+			if j.State == model.Active || j.State == model.Awaiting {
 				l.leave(j)
 			}
 		}
@@ -67,7 +67,7 @@
 	if j.HeldN > 0 && state == wire.JobAborted {
 		l.unproven[j] = true
 	}
-	l.log.Info("job over", "job", j.Spec.ID, "state", string(state), "after_s", (now - j.Submitted).Seconds())
+	l.log.Info("job over", "job", j.Spec.ID, "state", string(state), "after_s", (now - j.Submitted).Seconds(), "since_s", (now - j.Since).Seconds())
 	for _, ch := range j.Chunks {
 		l.Touch(ch)
 	}
--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -16,6 +16,12 @@
 	}
 	c := l.w.chunk(ch)
 	if ch.Job.Over() {
+		for _, x := range ch.Job.Chunks {
+			if x.Old != nil && x.Old.Free() {
+				l.w.outdated(x.Old)
+				x.Old = nil
+			}
+		}
 		c.putOff(l.n.Now())
 		return
 	}
@@ -56,3 +62,19 @@
 
 // Log writes one line for operators.
 func (l *Lead) Log(event string, args ...any) { l.log.Info(event, args...) }
+
+// Moved notes that a chunk's record in the first form stands for chunks of the
+// later one until they are stored.
+func (l *Lead) Moved(ch *model.Chunk, o *model.Old) { l.w.move(ch, o) }
+
+// Outdated deletes a record in the first form once nothing depends on it.
+func (l *Lead) Outdated(o *model.Old) { l.w.outdated(o) }
+
+// Doomed writes the end of a job that needs an aborted one.
+func (l *Lead) Doomed(j *model.Job) {
+	l.log.Info("job falls with another", "job", j.Spec.ID)
+	l.w.end(j, wire.JobAborted)
+}
+
+// Unknown looks up a job that another awaits.
+func (l *Lead) Unknown(id string) { l.lookups[id] = true }
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -71,15 +71,11 @@
 
 func (l *Lead) hireCell(h *hire) *cell {
 	c := l.w.cell("hire/" + h.rec.Rental.Request)
-	c.build = func() (any, int, uint64) {
+	c.build = func() (any, uint64) {
 		if h.state == HireOver {
-			return nil, 0, 0
+			return nil, 0
 		}
-		size := 300
-		for _, name := range h.rec.Machines {
-			size += len(name) + 4
-		}
-		return h.rec, size, 0
+		return h.rec, 0
 	}
 	c.saved = func(uint64) {
 		if h.state == HireWriting {
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -73,6 +73,10 @@
 	lastTick   micro.Time
 	deaf       micro.Time // since when no worker reports; 0: some do
 	waiters    map[string][]chan front.Reply
+	lookups    map[string]bool // awaited jobs to be looked up in the store
+	format     FormatRecord
+	loaded     bool // the takeover has read everything
+	looking    bool // a look-up is under way
 }
 
 func newLead(n *Node, t *election.Term) *Lead {
@@ -80,6 +84,7 @@
 		n: n, term: t, log: n.Log.With("term", t.Stamp), events: make(chan func(), 4096), asks: make(chan func(), 1024), done: make(chan struct{}),
 		token: t.Stamp << tokenBits, kicked: map[*model.Machine]bool{}, hires: map[string]*hire{},
 		returns: map[*model.Machine]bool{}, waiters: map[string][]chan front.Reply{},
+		lookups: map[string]bool{},
 		leaving: map[*model.Job]bool{}, unproven: map[*model.Job]bool{},
 	}
 	l.c = model.New(l)
@@ -229,6 +234,7 @@
 		l.lastScan = now
 		l.scan(now)
 	}
+	l.lookUp()
 	if now-l.lastPlan >= l.planEvery() {
 		l.lastPlan = now
 		l.plan(now)
@@ -318,7 +324,7 @@
 		}
 		fmt.Fprintf(&fleet, "%s %s %s %d, %d empty; ", p.Type.Name, p.Zone, kind, p.N, empty)
 	}
-	l.log.Info("leading", "live", len(l.c.Live), "pending", len(l.c.Pending), "tasks", l.pendingTasks.Load(), "usable", up, "known", len(l.c.Machines),
+	l.log.Info("leading", "live", len(l.c.Live), "awaiting", l.c.AwaitingN, "pending", len(l.c.Pending), "tasks", l.pendingTasks.Load(), "usable", up, "known", len(l.c.Machines),
 		"writes_first", len(l.w.queues[first]), "writes_soon", len(l.w.queues[soon]), "writes_lazy", len(l.w.queues[lazy]), "writes_idle", len(l.w.queues[idle]),
 		"pass_gap_ms", int64(l.passGap/micro.Millisecond), "events", len(l.events), "asks", len(l.asks), "directs", l.directs, "kicked", len(l.kicked), "hires_waiting", len(l.asking), "fleet", fleet.String())
 }
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -50,6 +50,9 @@
 	badPeer  sync.Map // node: time until which it is not asked
 	health   health
 	keeper   keep.Keeper
+	gate     atomic.Int32 // a GateState
+	seen     sync.Map     // ids of jobs known to have been accepted
+	seenN    atomic.Int64
 }
 
 // New makes a node that speaks to the real services.
@@ -105,6 +108,7 @@
 	g.Go(func() error { return n.fetchCatalog(ctx) })
 	g.Go(func() error { return n.watchHealth(ctx) })
 	g.Go(func() error { return n.keepTouch(ctx) })
+	g.Go(func() error { return n.watchGate(ctx) })
 	n.Log.Info("serving", "node", n.Cfg.Node, "zone", n.Cfg.Zone, "public", n.Cfg.PublicAddr, "peers", n.Cfg.PeerListen)
 	return g.Wait()
 }
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -22,12 +22,6 @@
 	}
 	l.c.SetCatalog(l.n.catalog.Load())
 	var rev uint64
-	type chunkItem struct {
-		n  int
-		it wire.Item
-	}
-	chunks := map[string][]chunkItem{}
-	specs, ends := map[string]wire.Item{}, map[string]wire.Item{}
 	read := func(prefix string, each func(wire.Item)) bool {
 		after := ""
 		for {
@@ -52,69 +46,44 @@
 		}
 	}
 	now, wall := l.n.Now(), l.n.Wall()
-	ok := read("job/", func(it wire.Item) {
-		switch id, rest, _ := strings.Cut(it.Key[len("job/"):], "/"); rest {
-		case "spec":
-			specs[id] = it
-		case "end":
-			ends[id] = it
-		}
-	}) && read("run/", func(it wire.Item) {
-		id, rest, _ := strings.Cut(it.Key[len("run/"):], "/")
-		if k, err := strconv.Atoi(rest); err == nil {
-			chunks[id] = append(chunks[id], chunkItem{k, it})
+	var images wire.Item
+	// The forms in use come first: they say how to read the rest.
+	ok := read("fleet/", func(it wire.Item) {
+		switch it.Key {
+		case speedKey:
+			var r sched.Record
+			if wire.Unmarshal(it.Value, &r) == nil {
+				l.speeds.Restore(r)
+				l.w.speed.stamp = uint64(it.Version)
+			}
+		case imageKey:
+			images = it
+		case firstKey:
+			var r firstRecord
+			if wire.Unmarshal(it.Value, &r) == nil {
+				l.first = r.Machine
+				l.w.first.stamp = uint64(it.Version)
+			}
+		case formatKey:
+			if l.readFormat(it) {
+				l.raised()
+			}
 		}
 	})
-	if !ok {
+	k := kept{specs: map[string]wire.Job{}, ends: map[string]model.EndRecord{}, needs: map[string]map[int][]string{},
+		chunks: map[string][]keptChunk{}, compact: map[string][]keptChunk{}}
+	if !ok || !read("job/", k.job) || !read("run/", k.run) {
 		return 0, false
 	}
-	for id, it := range specs {
-		end, over := ends[id]
-		if over && len(chunks[id]) == 0 {
-			continue // over, and none of its tasks holds a place: the store answers for it
-		}
-		var job wire.Job
-		if err := wire.Unmarshal(it.Value, &job); err != nil || job.Tasks < 1 {
-			continue
-		}
-		j := l.take(job, now, wall)
-		var e model.EndRecord
-		if over && wire.Unmarshal(end.Value, &e) == nil {
-			l.c.End(j, e.State == wire.JobAborted, now)
-		}
-		for _, ch := range chunks[id] {
-			var rec model.ChunkRecord
-			if wire.Unmarshal(ch.it.Value, &rec) == nil {
-				l.c.Restore(j, ch.n, &rec, uint64(ch.it.Version), now)
-			}
-		}
-	}
-	ok = read("hire/", func(it wire.Item) { l.restoreHire(it, now, wall) }) &&
-		read("fleet/", func(it wire.Item) {
-			switch it.Key {
-			case speedKey:
-				var r sched.Record
-				if wire.Unmarshal(it.Value, &r) == nil {
-					l.speeds.Restore(r)
-					l.w.speed.stamp = uint64(it.Version)
-				}
-			case imageKey:
-				var r model.ImageRecord
-				if wire.Unmarshal(it.Value, &r) == nil {
-					l.c.RestoreImages(r, now)
-				}
-				l.w.images.stamp = uint64(it.Version)
-			case firstKey:
-				var r firstRecord
-				if wire.Unmarshal(it.Value, &r) == nil {
-					l.first = r.Machine
-					l.w.first.stamp = uint64(it.Version)
-				}
-			}
-		})
-	if !ok {
+	l.adopt(&k, now, wall)
+	if !read("hire/", func(it wire.Item) { l.restoreHire(it, now, wall) }) {
 		return 0, false
 	}
+	var im model.ImageRecord
+	if images.Key != "" && wire.Unmarshal(images.Value, &im) == nil {
+		l.c.RestoreImages(im, now)
+	}
+	l.w.images.stamp = uint64(images.Version)
 	l.speeds.Apply(l.c)
 	for _, m := range l.c.Machines {
 		if m.Type == nil && m.TypeName != "" {
@@ -127,25 +96,194 @@
 			l.unproven[j] = true
 		}
 	}
+	l.loaded = true
 	return rev, true
 }
 
+// kept is what the store holds of jobs.
+type kept struct {
+	specs   map[string]wire.Job
+	ends    map[string]model.EndRecord
+	needs   map[string]map[int][]string
+	chunks  map[string][]keptChunk // in the first form
+	compact map[string][]keptChunk
+}
+
+type keptChunk struct {
+	n  int
+	it wire.Item
+}
+
+// job reads one of a job's own keys.
+func (k *kept) job(it wire.Item) {
+	id, rest, _ := strings.Cut(it.Key[len("job/"):], "/")
+	switch {
+	case rest == "spec":
+		var job wire.Job
+		if wire.Unmarshal(it.Value, &job) == nil && job.Tasks >= 1 {
+			k.specs[id] = job
+		}
+	case rest == "end":
+		var e model.EndRecord
+		if wire.Unmarshal(it.Value, &e) == nil {
+			k.ends[id] = e
+		}
+	case strings.HasPrefix(rest, needsRest):
+		var r needsRecord
+		if n, err := strconv.Atoi(rest[len(needsRest):]); err == nil && wire.Unmarshal(it.Value, &r) == nil {
+			if k.needs[id] == nil {
+				k.needs[id] = map[int][]string{}
+			}
+			k.needs[id][n] = r.Needs
+		}
+	}
+}
+
+// run reads a record of a job's tasks.
+func (k *kept) run(it wire.Item) {
+	id, rest, _ := strings.Cut(it.Key[len("run/"):], "/")
+	into := k.chunks
+	if n, compact := strings.CutPrefix(rest, compactMark); compact {
+		rest, into = n, k.compact
+	}
+	if n, err := strconv.Atoi(rest); err == nil {
+		into[id] = append(into[id], keptChunk{n, it})
+	}
+}
+
+// whole completes a description whose list of awaited jobs is kept apart; false
+// if some of it is missing: the job must not be taken for one that awaits less.
+func (k *kept) whole(job *wire.Job) bool {
+	for n := range job.NeedsIn {
+		part, ok := k.needs[job.ID][n]
+		if !ok {
+			return false
+		}
+		job.Needs = append(job.Needs, part...)
+	}
+	job.NeedsIn = 0
+	return true
+}
+
+// adopt puts what was read into the model.
+func (l *Lead) adopt(k *kept, now, wall micro.Time) {
+	for id, e := range k.ends {
+		at := now
+		if e.At > 0 {
+			at -= max(wall-micro.Time(e.At), 0)
+		}
+		l.c.Ends[id] = model.End{Aborted: e.State == wire.JobAborted, At: at}
+	}
+	for id, job := range k.specs {
+		end, over := k.ends[id]
+		if over && len(k.chunks[id]) == 0 && len(k.compact[id]) == 0 {
+			continue // over, and none of its tasks holds a place: the store answers for it
+		}
+		if over {
+			job.Needs, job.NeedsIn = nil, 0
+		} else if !k.whole(&job) {
+			l.lookups[id] = true
+			continue
+		}
+		j := l.take(job, now, wall)
+		if over {
+			l.c.End(j, end.State == wire.JobAborted, now)
+		}
+		for _, ch := range k.compact[id] {
+			var rec model.CompactRecord
+			if wire.Unmarshal(ch.it.Value, &rec) == nil {
+				l.c.RestoreCompact(j, ch.n, &rec, uint64(ch.it.Version), now)
+			}
+		}
+		for _, ch := range k.chunks[id] {
+			var rec model.ChunkRecord
+			if wire.Unmarshal(ch.it.Value, &rec) == nil {
+				l.c.Restore(j, ch.n, &rec, uint64(ch.it.Version), now)
+			}
+		}
+	}
+}
+
 // take adds a job to the model.
 func (l *Lead) take(job wire.Job, now, wall micro.Time) *model.Job {
 	l.known.Store(job.ID, true)
 	age := max(wall-micro.Time(job.SubmittedAt), 0)
-	j := l.c.AddJob(job, now-age)
+	j := l.c.AddJob(job, now-age, now)
 	j.Class.Quick = l.goals.Quick(job.Class)
 	return j
 }
 
 func (l *Lead) addJob(job wire.Job) {
-	if l.c.Jobs[job.ID] == nil {
-		l.log.Info("job", "job", job.ID, "class", job.Class, "kind", string(job.Kind), "tasks", job.Tasks)
-		l.take(job, l.n.Now(), l.n.Wall())
+	if l.c.Jobs[job.ID] != nil {
+		return
+	}
+	if _, over := l.c.Ends[job.ID]; over {
+		return
+	}
+	if job.NeedsIn > 0 {
+		l.lookups[job.ID] = true // the rest of what it awaits is in keys of its own
+		return
+	}
+	j := l.take(job, l.n.Now(), l.n.Wall())
+	l.log.Info("job", "job", job.ID, "class", job.Class, "kind", string(job.Kind), "tasks", job.Tasks, "state", j.State.String(), "awaits", job.Needs, "unmet", j.Unmet)
+}
+
+// lookUp reads jobs that others await, and of which nothing is known yet, from the
+// store; also those whose description this leader does not have as a whole.
+func (l *Lead) lookUp() {
+	if l.looking || len(l.lookups) == 0 {
+		return
+	}
+	var ids []string
+	for id := range l.lookups {
+		if _, over := l.c.Ends[id]; over || l.c.Jobs[id] != nil {
+			delete(l.lookups, id) // it has come meanwhile
+			continue
+		}
+		if ids = append(ids, id); len(ids) == lookUpAtOnce {
+			break
+		}
 	}
+	if len(ids) == 0 {
+		return
+	}
+	l.looking = true
+	go func() {
+		k := kept{specs: map[string]wire.Job{}, ends: map[string]model.EndRecord{}, needs: map[string]map[int][]string{}}
+		read := map[string]bool{}
+		for _, id := range ids {
+			err := l.n.readAll("job/"+id+"/", func(rest string, value []byte) error {
+				k.job(wire.Item{Key: "job/" + id + "/" + rest, Value: value})
+				return nil
+			})
+			read[id] = err == nil
+		}
+		l.post(func() {
+			l.looking = false
+			now, wall := l.n.Now(), l.n.Wall()
+			for _, id := range ids {
+				if !read[id] {
+					continue // again
+				}
+				if e, over := k.ends[id]; over {
+					delete(l.lookups, id)
+					at := now - max(wall-micro.Time(e.At), 0)
+					if e.At == 0 {
+						at = now
+					}
+					l.c.Settle(id, model.End{Aborted: e.State == wire.JobAborted, At: at}, now)
+				} else if job, ok := k.specs[id]; ok && k.whole(&job) {
+					delete(l.lookups, id)
+					l.addJob(job)
+				}
+			}
+		})
+	}()
 }
 
+// lookUpAtOnce is how many jobs are looked up together.
+const lookUpAtOnce = 4
+
 // watch finds jobs that other nodes accepted.
 func (l *Lead) watch(ctx context.Context, rev uint64) {
 	for {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -27,6 +27,11 @@
 func specKey(id string) string { return "job/" + id + "/spec" }
 func endKey(id string) string  { return "job/" + id + "/end" }
 
+// compactMark begins the last part of the key of a record in the compact form.
+const compactMark = "c"
+
+func compactKey(id string, n int) string { return "run/" + id + "/" + compactMark + strconv.Itoa(n) }
+
 func runKey(id string, n int) string { return "run/" + id + "/" + strconv.Itoa(n) }
 
 // Submit accepts a job: 201 only after its description is in the store.
@@ -37,20 +42,8 @@
 	if err != nil {
 		return front.Fail(400, err.Error())
 	}
-	cat := n.catalog.Load()
-	if cat == nil {
-		return front.Later(503, 1)
-	}
-	if wire.JSONSize(job) > int(n.Cfg.Facts.State.ValueKB*1024)-64 {
-		return front.Fail(400, "the description is too large to keep")
-	}
-	if why := n.impossible(job, cat); why != "" {
-		return front.Fail(422, why)
-	}
-	if l := n.leading(); l != nil && int(l.pendingTasks.Load()) > n.Cfg.MaxPending {
-		if _, ok := l.known.Load(job.ID); !ok {
-			return front.Later(429, 5)
-		}
+	if r, ok := n.refusal(job, relay); ok {
+		return r
 	}
 	job.SubmittedAt = int64(n.Wall())
 	body = bytes.Clone(body) // a peer may be asked for longer than the request lasts
@@ -93,6 +86,7 @@
 		// Known already: a repeat, or a write whose answer was lost.
 		return n.Show(job.ID)
 	case errors.Is(err, store.ErrBad):
+		n.Log.Error("description not taken by the store", "job", job.ID, "bytes", wire.JSONSize(job))
 		return front.Later(503, 2)
 	}
 	n.Log.Debug("submission not stored", "job", job.ID, "err", err)
@@ -118,7 +112,199 @@
 // asked as well.
 const hedgeAfter = 100 * micro.Millisecond
 
-// keep writes a job's description, once.
+// refusal is the answer to a submission that is not taken; false if it may be. A
+// repeat of an accepted one is known whatever has changed since, so before
+// anything is refused for good the store is asked for it.
+func (n *Node) refusal(job *wire.Job, relay bool) (front.Reply, bool) {
+	cat := n.catalog.Load()
+	if cat == nil {
+		return front.Later(503, 1), true
+	}
+	why, status := n.impossible(job, cat), 422
+	if why == "" && wire.JSONSize(alone(job)) > n.valueBytes()-specMargin {
+		why, status = "the description is too large to keep", 400
+	}
+	if why == "" && len(job.Needs) > 0 {
+		if !n.Opened() {
+			// A node of the earlier version may still lead, and would not wait.
+			return n.known(job.ID, relay, front.Later(503, 2)), true
+		}
+		missing, err := n.missing(job.Needs, job.ID, relay)
+		switch {
+		case err != nil:
+			return front.Later(503, 1), true
+		case missing != "":
+			why = "awaits " + missing + ", which was never accepted"
+		}
+	}
+	if why != "" {
+		return n.known(job.ID, relay, front.Fail(status, why)), true
+	}
+	if l := n.leading(); l != nil && int(l.pendingTasks.Load()) > n.Cfg.MaxPending {
+		if _, ok := l.known.Load(job.ID); !ok {
+			return front.Later(429, 5), true
+		}
+	}
+	return front.Reply{}, false
+}
+
+// specMargin is kept in the description's value for what the service adds.
+const specMargin = 64
+
+// alone is a description without the list of what it awaits.
+func alone(job *wire.Job) *wire.Job {
+	x := *job
+	x.Needs = nil
+	return &x
+}
+
+// valueBytes is what a value may take.
+func (n *Node) valueBytes() int {
+	now, safe := n.Cfg.ValueBytes()
+	if n.Opened() {
+		return safe
+	}
+	return now
+}
+
+// known answers a repeat of an accepted submission, and gives the other reply if
+// it is none.
+func (n *Node) known(id string, relay bool, other front.Reply) front.Reply {
+	var r front.Reply
+	if relay {
+		r = n.Show(id)
+	} else if got, err := n.read(id); err == nil {
+		r = got
+	} else {
+		r = front.Later(503, 1)
+	}
+	switch r.Status {
+	case 404:
+		return other
+	case 200:
+		return r
+	}
+	return front.Later(503, 1)
+}
+
+// missing finds a job among those awaited that was never accepted, "" if there is
+// none. What was accepted once stays so, and may be remembered.
+func (n *Node) missing(needs []string, self string, relay bool) (string, error) {
+	var ask []string
+	for _, id := range needs {
+		if id == self {
+			// Accepted before it was named, it would be known.
+			return id, nil
+		}
+		if _, ok := n.seen.Load(id); !ok {
+			ask = append(ask, id)
+		}
+	}
+	most := guardsPerChange * n.Cfg.TxnOps()
+	for len(ask) > 0 {
+		part := ask[:min(len(ask), most)]
+		ask = ask[len(part):]
+		there, err := n.exist(part, relay)
+		if err != nil {
+			return "", err
+		}
+		for _, id := range part {
+			if !there[id] {
+				return id, nil
+			}
+			n.saw(id)
+		}
+	}
+	return "", nil
+}
+
+// guardsPerChange is how many conditions the store takes for each change that a
+// transaction may have.
+const guardsPerChange = 4
+
+// exist asks the store, or a peer that reaches it, which jobs were accepted.
+func (n *Node) exist(ids []string, relay bool) (map[string]bool, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
+	defer cancel()
+	keys := make([]string, len(ids))
+	for i, id := range ids {
+		keys[i] = specKey(id)
+	}
+	there, err := n.Store.Existing(ctx, store.Routine, keys)
+	if err == nil {
+		out := map[string]bool{}
+		for i, id := range ids {
+			out[id] = there[keys[i]]
+		}
+		return out, nil
+	}
+	if !relay {
+		return nil, err
+	}
+	for _, p := range n.leaderFirst() {
+		status, body, perr := n.ask(p, peer.Exist, wire.MustMarshal(ids), askWait)
+		var got []string
+		if perr == nil && status == 200 && wire.Unmarshal(body, &got) == nil {
+			out := map[string]bool{}
+			for _, id := range got {
+				out[id] = true
+			}
+			return out, nil
+		}
+	}
+	return nil, err
+}
+
+// saw remembers an accepted job.
+func (n *Node) saw(id string) {
+	if n.seenN.Add(1) > maxSeen {
+		n.seen.Clear()
+		n.seenN.Store(0)
+	}
+	n.seen.Store(id, true)
+}
+
+// maxSeen bounds the accepted jobs that are remembered.
+const maxSeen = 20_000
+
+// needsRecord is a part of a long list of awaited jobs, in a key of its own.
+type needsRecord struct {
+	Needs []string `msgpack:"n" json:"n"`
+}
+
+const needsRest = "needs/"
+
+func needsKey(id string, n int) string { return "job/" + id + "/" + needsRest + strconv.Itoa(n) }
+
+// split moves what does not fit the description's value into keys of its own.
+func (n *Node) split(job *wire.Job) (*wire.Job, []wire.Change) {
+	bytes := n.valueBytes() - specMargin
+	if wire.JSONSize(job) <= bytes {
+		return job, nil
+	}
+	x := alone(job)
+	var parts []wire.Change
+	size, part := 0, []string(nil)
+	flush := func() {
+		if len(part) > 0 {
+			parts = append(parts, wire.Change{Put: needsKey(job.ID, len(parts)), Value: needsRecord{part}})
+			size, part = 0, nil
+		}
+	}
+	for _, id := range job.Needs {
+		if size += len(id) + 3; size > bytes-16 {
+			flush()
+			size = len(id) + 3
+		}
+		part = append(part, id)
+	}
+	flush()
+	x.NeedsIn = len(parts)
+	return x, parts
+}
+
+// keep writes a job's description, once. What it awaits comes first: without
+// that, no description may be found.
 func (n *Node) keep(job *wire.Job) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 	defer cancel()
@@ -126,15 +312,25 @@
 	if n.leading() != nil {
 		class = store.Routine // a crowd of submissions must not hold up starts and rentals
 	}
+	spec, parts := n.split(job)
+	for len(parts) > 0 {
+		some := parts[:min(len(parts), n.Cfg.TxnOps())]
+		parts = parts[len(some):]
+		// A repeat carries the same list, and writes the same.
+		if _, err := n.Store.Commit(ctx, class, wire.Txn{If: []wire.Guard{{Key: specKey(job.ID)}}, Then: some}); err != nil {
+			return err
+		}
+	}
 	_, err := n.Store.Commit(ctx, class, wire.Txn{
 		If:   []wire.Guard{{Key: specKey(job.ID)}},
-		Then: []wire.Change{{Put: specKey(job.ID), Value: job}},
+		Then: []wire.Change{{Put: specKey(job.ID), Value: spec}},
 	})
 	return err
 }
 
 // accepted tells the leader of a new job; its watch would find it as well.
 func (n *Node) accepted(job *wire.Job) {
+	n.saw(job.ID)
 	if l := n.leading(); l != nil {
 		l.post(func() { l.addJob(*job) })
 		return
@@ -185,8 +381,8 @@
 	return status, out, err
 }
 
-// relay hands a request to another node, the leader first.
-func (n *Node) relay(call string, body []byte) (front.Reply, bool) {
+// leaderFirst lists the other nodes.
+func (n *Node) leaderFirst() []string {
 	leader := n.election.Leader()
 	nodes := []string{}
 	if leader != "" && leader != n.Cfg.Node {
@@ -197,7 +393,12 @@
 			nodes = append(nodes, p.Node)
 		}
 	}
-	for _, node := range nodes {
+	return nodes
+}
+
+// relay hands a request to another node, the leader first.
+func (n *Node) relay(call string, body []byte) (front.Reply, bool) {
+	for _, node := range n.leaderFirst() {
 		status, out, err := n.ask(node, call, body, askWait)
 		if err != nil || status >= 500 || status == 429 || status == 421 {
 			continue
@@ -275,45 +476,42 @@
 // that a job was done, and then, by a read begun before, that it was pending.
 func (n *Node) read(id string) (front.Reply, error) {
 	s := wire.JobStatus{ID: id, State: wire.JobPending}
-	err := n.readAll("run/"+id+"/", func(_ string, value []byte) error {
-		var rec model.ChunkRecord
-		if err := wire.Unmarshal(value, &rec); err != nil {
-			return err
-		}
-		for _, d := range rec.Done {
-			s.Done += d[1] - d[0] + 1
-		}
-		s.Running += len(rec.Places)
-		return nil
-	})
+	var t model.Tally
+	err := n.readAll("run/"+id+"/", func(rest string, value []byte) error { return t.Add(rest, compactMark, value) })
 	if err != nil {
 		return front.Reply{}, err
 	}
-	var spec *wire.Job
+	s.Done, s.Running = t.Count()
+	k := kept{specs: map[string]wire.Job{}, ends: map[string]model.EndRecord{}, needs: map[string]map[int][]string{}}
 	asked := n.Now()
 	err = n.readAll("job/"+id+"/", func(rest string, value []byte) error {
-		switch rest {
-		case "end":
-			var e model.EndRecord
-			if err := wire.Unmarshal(value, &e); err != nil {
-				return err
-			}
-			s.State = e.State
-		case "spec":
-			spec = &wire.Job{}
-			return wire.Unmarshal(value, spec)
-		}
+		k.job(wire.Item{Key: "job/" + id + "/" + rest, Value: value})
 		return nil
 	})
 	if err != nil {
 		return front.Reply{}, err
 	}
-	if spec == nil && !s.State.Final() {
+	spec, accepted := k.specs[id]
+	end, over := k.ends[id]
+	if !accepted && !over {
 		return front.Fail(404, "no such job"), nil
 	}
+	if over {
+		s.State = end.State
+	} else if !k.whole(&spec) {
+		return front.Reply{}, store.ErrUncertain
+	} else if len(spec.Needs) > 0 && s.Done+s.Running == 0 {
+		fallen, err := n.fallen(spec.Needs)
+		if err != nil {
+			return front.Reply{}, err
+		}
+		if fallen {
+			s.State = wire.JobAborted
+		}
+	}
 	if s.State.Final() {
 		s.Done, s.Running = 0, 0
-		if s.State == wire.JobDone && spec != nil {
+		if s.State == wire.JobDone && accepted {
 			s.Done = spec.Tasks
 		}
 		n.finals.put(s)
@@ -328,6 +526,52 @@
 	return front.Reply{Status: 200, Body: s}, nil
 }
 
+// fallen reports whether a job that is needed, directly or through others, is
+// stored as aborted: then so is what needs it, though its own end may still have
+// to be written by a leader.
+func (n *Node) fallen(needs []string) (bool, error) {
+	asked := map[string]bool{}
+	for len(needs) > 0 {
+		id := needs[0]
+		needs = needs[1:]
+		if asked[id] {
+			continue
+		}
+		if asked[id] = true; len(asked) > maxFallen {
+			return false, store.ErrBudget
+		}
+		if s, ok := n.finals.get(id); ok {
+			if s.State == wire.JobAborted {
+				return true, nil
+			}
+			continue
+		}
+		k := kept{specs: map[string]wire.Job{}, ends: map[string]model.EndRecord{}, needs: map[string]map[int][]string{}}
+		if err := n.readAll("job/"+id+"/", func(rest string, value []byte) error {
+			k.job(wire.Item{Key: "job/" + id + "/" + rest, Value: value})
+			return nil
+		}); err != nil {
+			return false, err
+		}
+		if e, over := k.ends[id]; over {
+			if e.State == wire.JobAborted {
+				return true, nil
+			}
+			continue
+		}
+		spec, ok := k.specs[id]
+		if !ok || !k.whole(&spec) {
+			return false, store.ErrUncertain
+		}
+		needs = append(needs, spec.Needs...)
+	}
+	return false, nil
+}
+
+// maxFallen is how many jobs are looked at for one answer: a poll that would need
+// more is told to come back.
+const maxFallen = 24
+
 // readAll reads all keys with a prefix: one page, but for the largest jobs.
 func (n *Node) readAll(prefix string, each func(rest string, value []byte) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
@@ -399,6 +643,22 @@
 		return n.answerKeeper(body)
 	case peer.Submit:
 		r = n.submit(body, false)
+	case peer.Exist:
+		var ids []string
+		if wire.Unmarshal(body, &ids) != nil {
+			return 400, nil
+		}
+		there, err := n.exist(ids, false)
+		if err != nil {
+			return 503, nil
+		}
+		got := []string{}
+		for id := range there {
+			if there[id] {
+				got = append(got, id)
+			}
+		}
+		return 200, wire.MustMarshal(got)
 	case peer.Read:
 		got, err := n.read(string(body))
 		if err != nil {
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -41,14 +41,27 @@
 	stamp  uint64
 	dirty  bool
 	haste  haste
-	verify bool // an uncertain write: read the version before the next
+	verify bool       // an uncertain write: read the version before the next
+	flying bool       // a write of it is under way
+	parked micro.Time // the store would not take it: no try before
 	since  micro.Time
-	build  func() (value any, size int, note uint64) // nil value: delete
+	build  func() (value any, note uint64) // nil value: delete; notYet: nothing to write now
 	saved  func(note uint64)
 	found  func(it wire.Item) bool // the key exists unexpectedly; true settles it
 }
 
+// notYet is what a cell builds whose time will come by another touch.
+var notYet = new(struct{ _ int })
+
 func (c *cell) touch(now micro.Time, h haste) {
+	if now < c.parked {
+		c.haste = h
+		if !c.dirty {
+			c.dirty, c.since = true, now
+			c.w.parked = append(c.w.parked, c)
+		}
+		return
+	}
 	if c.dirty && c.haste <= h {
 		return
 	}
@@ -77,25 +90,52 @@
 	speed  *cell
 	first  *cell
 	images *cell
+	olds   map[*model.Old]*cell
+	format *cell
+	parked []*cell // those that the store would not take, to be tried again
+	alone  int     // so many transactions of one change, to find what the store does not take
 	flight bool
 	next   micro.Time
 	later  micro.Time // no look at what is not pressing before
 }
 
 func newWriter(l *Lead) *writer {
-	w := &writer{l: l, cells: map[string]*cell{}, chunks: map[*model.Chunk]*cell{}}
+	w := &writer{l: l, cells: map[string]*cell{}, chunks: map[*model.Chunk]*cell{}, olds: map[*model.Old]*cell{}}
 	w.speed = w.cell(speedKey)
-	w.speed.build = func() (any, int, uint64) { return l.speeds.Record(), 1024, 0 }
+	w.speed.build = func() (any, uint64) { return l.speeds.Record(), 0 }
 	w.first = w.cell(firstKey)
-	w.first.build = func() (any, int, uint64) { return firstRecord{l.first}, 128, 0 }
+	w.first.build = func() (any, uint64) { return firstRecord{l.first}, 0 }
 	w.images = w.cell(imageKey)
-	w.images.build = func() (any, int, uint64) {
-		size := int(l.n.Cfg.Facts.State.ValueKB*1024) / 2
-		return l.c.Images(size), size, 0
+	w.images.build = func() (any, uint64) { return l.c.Images(w.valueBytes() / 2), 0 }
+	w.format = w.cell(formatKey)
+	w.format.build = func() (any, uint64) {
+		_, safe := l.n.Cfg.ValueBytes()
+		return FormatRecord{Version: Version, Tasks: model.CompactTasks(safe - valueMargin)}, 0
+	}
+	w.format.saved = func(uint64) { l.raised() }
+	w.format.found = func(it wire.Item) bool {
+		if l.readFormat(it) {
+			l.raised()
+			return true
+		}
+		return false
 	}
 	return w
 }
 
+// valueMargin is kept of the limit on a value.
+const valueMargin = 32
+
+// valueBytes is what a value may take. Once the later forms are in use, the next
+// limits may come at any time.
+func (w *writer) valueBytes() int {
+	now, safe := w.l.n.Cfg.ValueBytes()
+	if w.l.c.Compact {
+		return safe - valueMargin
+	}
+	return now - valueMargin
+}
+
 func (w *writer) cell(key string) *cell {
 	c := w.cells[key]
 	if c == nil {
@@ -110,14 +150,22 @@
 func (w *writer) chunk(ch *model.Chunk) *cell {
 	c := w.chunks[ch]
 	if c == nil {
-		c = w.cell(runKey(ch.Job.Spec.ID, ch.N))
+		key := runKey(ch.Job.Spec.ID, ch.N)
+		if w.l.c.Compact {
+			key = compactKey(ch.Job.Spec.ID, ch.N)
+		}
+		compact := w.l.c.Compact
+		c = w.cell(key)
 		c.stamp = ch.Stamp
-		c.build = func() (any, int, uint64) {
+		c.build = func() (any, uint64) {
 			if ch.Job.Over() && len(ch.Places) == 0 {
-				return nil, 0, ch.Ver // its end says all there is to know
+				return nil, ch.Ver // its end says all there is to know
 			}
 			rec := ch.Record()
-			return rec, rec.Size(), ch.Ver
+			if compact {
+				return rec.Compact(), ch.Ver
+			}
+			return rec, ch.Ver
 		}
 		c.saved = func(ver uint64) { w.l.c.Persisted(ch, ver) }
 		w.chunks[ch] = c
@@ -125,11 +173,60 @@
 	return c
 }
 
+// move turns the cell of a chunk's record in the first form into one that only
+// deletes it, in its time. A write of it may be under way: whatever comes of
+// that, the record stays until its time has come.
+func (w *writer) move(ch *model.Chunk, o *model.Old) {
+	c := w.chunks[ch]
+	delete(w.chunks, ch)
+	if c == nil {
+		if o.Stamp == 0 {
+			o.Left = 0 // never written
+			return
+		}
+		c = w.cell(runKey(o.Job.Spec.ID, o.N))
+		c.stamp = o.Stamp
+	}
+	c.dirty = false
+	c.saved = func(uint64) {}
+	c.build = func() (any, uint64) {
+		if !o.Free() {
+			return notYet, 0
+		}
+		return nil, 0
+	}
+	w.olds[o] = c
+}
+
+// outdated deletes a record in the first form when there is time, if nothing
+// depends on it any more.
+func (w *writer) outdated(o *model.Old) {
+	if o == nil {
+		return
+	}
+	c := w.olds[o]
+	if c == nil {
+		c = w.cell(runKey(o.Job.Spec.ID, o.N))
+		c.stamp = o.Stamp
+		w.olds[o] = c
+		c.build = func() (any, uint64) {
+			if !o.Free() {
+				return notYet, 0
+			}
+			return nil, 0
+		}
+	}
+	if o.Free() {
+		c.touch(w.l.n.Now(), idle)
+	}
+}
+
 // end writes the end of a job. The first end wins: if another is found, that
 // one is the truth.
 func (w *writer) end(j *model.Job, state wire.JobState) {
 	c := w.cell(endKey(j.Spec.ID))
-	c.build = func() (any, int, uint64) { return model.EndRecord{State: state}, 64, 0 }
+	at := int64(w.l.n.Wall())
+	c.build = func() (any, uint64) { return model.EndRecord{State: state, At: at}, 0 }
 	c.saved = func(uint64) { w.drop(c); w.l.ended(j, state) }
 	c.found = func(it wire.Item) bool {
 		var e model.EndRecord
@@ -147,6 +244,14 @@
 	c.touch(w.l.n.Now(), h)
 }
 
+// unsure reports whether the end of a job may be in the store without this leader
+// knowing: its write went out, and has no answer yet. Another node may have read
+// it there, and told its user.
+func (w *writer) unsure(id string) bool {
+	c := w.cells[endKey(id)]
+	return c != nil && (c.flying || c.verify)
+}
+
 // coalesce is how long a lazy change waits for others of its key to join it.
 const coalesce = 1500 * micro.Millisecond
 
@@ -175,12 +280,19 @@
 	if w.flight || now < w.next {
 		return
 	}
-	pressing := len(w.queues[first])+len(w.queues[soon]) > 0
+	pressing := len(w.queues[first])+len(w.queues[soon])+len(w.parked) > 0
 	if !pressing && (len(w.queues[lazy])+len(w.queues[idle]) == 0 || now < w.later) {
 		return
 	}
+	if len(w.parked) > 0 {
+		w.unpark(now)
+	}
 	st := w.l.n.Store
-	most := w.l.n.Cfg.Facts.State.TxnOps
+	most := w.l.n.Cfg.TxnOps()
+	if w.alone > 0 {
+		w.alone--
+		most = 1
+	}
 	b := batch{txn: wire.Txn{If: []wire.Guard{w.l.term.Guard()}}, size: 1024}
 	w.fill(&b, first, min(most, st.WriteRoom(store.Urgent)), now)
 	w.fill(&b, soon, min(most, st.WriteRoom(store.Routine)), now)
@@ -194,6 +306,7 @@
 	case len(b.verify) > 0:
 		// Put what was batched back: what is uncertain is cleared up first.
 		for _, x := range b.cells {
+			x.c.flying = false
 			x.c.touch(now, soon)
 		}
 		w.flight = true
@@ -212,8 +325,8 @@
 	k := 0
 	for ; k < len(q); k++ {
 		c := q[k]
-		if !c.dirty || c.haste != h {
-			continue // written meanwhile, or due in another queue
+		if !c.dirty || c.haste != h || c.parked > 0 {
+			continue // written meanwhile, due in another queue, or not taken by the store
 		}
 		if c.verify {
 			if len(b.verify) == 8 {
@@ -225,12 +338,23 @@
 		if len(b.cells) >= room || c.since > due {
 			break
 		}
-		value, size, note := c.build()
+		value, note := c.build()
+		if value == notYet {
+			c.dirty = false
+			continue
+		}
 		if value == nil && c.stamp == 0 {
 			c.dirty = false
 			w.drop(c)
 			continue
 		}
+		size := 0
+		if value != nil {
+			if size = wire.JSONSize(value); size > w.valueBytes() {
+				w.park(c, w.l.n.Now(), "too large", size)
+				continue
+			}
+		}
 		if b.size+size+300 > maxTxnBytes {
 			break
 		}
@@ -242,7 +366,7 @@
 		b.txn.If = append(b.txn.If, wire.Guard{Key: c.key, Version: wire.Count(c.stamp)})
 		b.txn.Then = append(b.txn.Then, ch)
 		b.cells = append(b.cells, written{c, note, value == nil})
-		c.dirty = false
+		c.dirty, c.flying = false, true
 	}
 	// What was skipped as uncertain is put back by clear.
 	if k == len(q) {
@@ -268,6 +392,7 @@
 		switch {
 		case err == nil:
 			for _, b := range batch {
+				b.c.flying = false
 				b.c.stamp = rev
 				if b.del {
 					b.c.stamp = 0
@@ -280,6 +405,15 @@
 		case errors.Is(err, store.ErrBudget), errors.Is(err, store.ErrBusy), errors.Is(err, store.ErrRefused):
 			w.fail(batch, false)
 			w.next = now + 80*micro.Millisecond
+		case errors.Is(err, store.ErrBad):
+			// Not executed, and never will be as it is: one of its values or their
+			// number is over a limit that was lowered.
+			w.fail(batch, false)
+			if len(batch) > 1 {
+				w.alone = len(batch)
+			} else {
+				w.park(batch[0].c, now, "refused as malformed", txnSize(txn))
+			}
 		default:
 			// A conflict or no answer: what the store holds must be read.
 			w.l.log.Info("write not confirmed", "keys", len(batch), "err", err)
@@ -293,11 +427,45 @@
 	w.flight = false
 	now := w.l.n.Now()
 	for _, b := range batch {
+		b.c.flying = false
 		b.c.verify = b.c.verify || verify
 		b.c.touch(now, soon)
 	}
 }
 
+func txnSize(txn wire.Txn) int {
+	n := 0
+	for _, ch := range txn.Then {
+		n += wire.JSONSize(ch.Value)
+	}
+	return n
+}
+
+// parkFor is how long a change waits that the store does not take.
+const parkFor = 5 * micro.Second
+
+// park puts off a change that the store does not take: trying it again at once
+// would only use up the budget of all others.
+func (w *writer) park(c *cell, now micro.Time, why string, size int) {
+	w.l.log.Error("value not taken by the store", "key", c.key, "why", why, "bytes", size, "limit", w.valueBytes())
+	h := c.haste
+	c.dirty, c.parked = false, now+parkFor
+	c.touch(now, h)
+}
+
+func (w *writer) unpark(now micro.Time) {
+	var still []*cell
+	for _, c := range w.parked {
+		if now < c.parked {
+			still = append(still, c)
+			continue
+		}
+		c.parked, c.dirty = 0, false
+		c.touch(now, c.haste)
+	}
+	w.parked = still
+}
+
 // clear reads the versions of keys whose last write is uncertain.
 func (w *writer) clear(cells []*cell) {
 	type got struct {
--- a/internal/fake/serve.go
+++ b/internal/fake/serve.go
@@ -28,6 +28,10 @@
 		return 404
 	case errors.Is(err, store.ErrConflict):
 		return 409
+	case errors.Is(err, store.ErrBad):
+		return 400
+	case errors.Is(err, store.ErrBusy):
+		return 429
 	}
 	return 503
 }
@@ -67,6 +71,13 @@
 		for _, c := range in.Then {
 			t.Then = append(t.Then, wire.Change{Put: c.Put, Value: c.Value, Lease: c.Lease, Delete: c.Delete})
 		}
+		if len(t.Then) == 0 { // only compares: what failed is asked for
+			failed := s.failed(t.If)
+			if len(failed) > 0 {
+				send(ctx, 409, wire.TxnResult{Failed: failed})
+				return
+			}
+		}
 		rev, err := s.Commit(bg, store.Routine, t)
 		if errors.Is(err, store.ErrNoLease) {
 			send(ctx, 400, wire.TxnResult{Error: "no such lease"})
@@ -134,3 +145,16 @@
 		send(ctx, 404, nil)
 	}
 }
+
+// failed lists the keys whose conditions do not hold.
+func (s *Store) failed(guards []wire.Guard) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, g := range guards {
+		if s.keys[g.Key].stamp != uint64(g.Version) {
+			out = append(out, g.Key)
+		}
+	}
+	return out
+}
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sort"
 	"strings"
@@ -39,6 +40,11 @@
 	lose   int        // so many commits run, but their answers are lost
 	late   int        // so many commits are held back, and answered by nothing
 	held   []wire.Txn // those commits
+	limits Limits
+	tokens float64    // changes that the rate allows now
+	filled micro.Time // when they were counted
+	Bad    int        // requests refused as malformed, for their size
+	Busy   int        // requests refused for being over the rate
 	Now    func() micro.Time
 }
 
@@ -47,6 +53,65 @@
 	return &Store{keys: map[string]value{}, leases: map[uint64]*lease{}, Now: micro.Now}
 }
 
+// Limits are what the store enforces; 0: no limit.
+type Limits struct {
+	ValueBytes int // of a value's JSON form
+	TxnOps     int // changes a transaction; conditions four times as many
+	WriteRPS   float64
+}
+
+// Limit sets the limits, at any time and without notice.
+func (s *Store) Limit(l Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits, s.tokens, s.filled = l, l.WriteRPS, s.Now()
+}
+
+// within applies the limits to a transaction.
+func (s *Store) within(t wire.Txn) error {
+	l := s.limits
+	if l.TxnOps > 0 && (len(t.Then) > l.TxnOps || len(t.If) > 4*l.TxnOps) {
+		s.Bad++
+		return store.ErrBad
+	}
+	for _, c := range t.Then {
+		if l.ValueBytes > 0 && c.Value != nil && wire.JSONSize(c.Value) > l.ValueBytes {
+			s.Bad++
+			return store.ErrBad
+		}
+	}
+	if l.WriteRPS > 0 && len(t.Then) > 0 {
+		now := s.Now()
+		s.tokens = min(s.tokens+(now-s.filled).Seconds()*l.WriteRPS, l.WriteRPS)
+		s.filled = now
+		if s.tokens < float64(len(t.Then)) {
+			s.Busy++
+			return store.ErrBusy
+		}
+		s.tokens -= float64(len(t.Then))
+	}
+	return nil
+}
+
+// Existing says which keys there are.
+func (s *Store) Existing(ctx context.Context, class store.Class, keys []string) (map[string]bool, error) {
+	s.mu.Lock()
+	over := s.limits.TxnOps > 0 && len(keys) > 4*s.limits.TxnOps
+	s.mu.Unlock()
+	if over {
+		return nil, store.ErrBad
+	}
+	out := map[string]bool{}
+	for _, k := range keys {
+		_, err := s.Get(ctx, class, k)
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			return nil, err
+		}
+		out[k] = err == nil
+	}
+	return out, nil
+}
+
 // Outage starts or ends an outage; after it every lease has its full time.
 func (s *Store) Outage(on bool) {
 	s.mu.Lock()
@@ -169,6 +234,9 @@
 	if err := s.away(); err != nil {
 		return 0, err
 	}
+	if err := s.within(t); err != nil {
+		return 0, err
+	}
 	if s.late > 0 {
 		s.late--
 		s.held = append(s.held, t)
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -5,7 +5,7 @@
 	"notchmux.dev/notchmux/wire"
 )
 
-// ChunkTasks is how many tasks share one record in the store.
+// ChunkTasks is how many tasks share one record in the store, in its first form.
 const ChunkTasks = 128
 
 // JobState is a job's state in the leader's picture.
@@ -18,16 +18,18 @@
 	Aborting           // its withdrawal is being written
 	Done
 	Aborted
+	Awaiting // for other jobs to be done
 )
 
 func (s JobState) String() string {
-	return [...]string{"active", "finishing", "aborting", "done", "aborted"}[s]
+	return [...]string{"active", "finishing", "aborting", "done", "aborted", "awaiting"}[s]
 }
 
 var jobMoves = map[[2]JobState]bool{
 	{Active, Finishing}: true, {Active, Aborting}: true, {Finishing, Done}: true,
 	{Finishing, Aborted}: true, {Aborting, Aborted}: true, {Aborting, Done}: true,
 	{Active, Done}: true, {Active, Aborted}: true,
+	{Awaiting, Active}: true, {Awaiting, Aborting}: true, {Awaiting, Aborted}: true,
 }
 
 // Task is one task of a job.
@@ -48,6 +50,8 @@
 	Ver    uint64 // version of what is in memory
 	Saved  uint64 // version known to be in the store
 	Stamp  uint64 // the key's version in the store
+	Stored bool   // the key is in the store, in the form of this chunk
+	Old    *Old   // the record in the first form that this chunk comes from
 }
 
 // Job is a job with its tasks.
@@ -59,6 +63,11 @@
 	Team      *Team
 	Class     *Class
 	Submitted micro.Time // on the steady clock
+	Since     micro.Time // when the last job that it awaited was done, else its submission
+	Unmet     int        // jobs that it awaits whose end is not stored
+	Doomed    bool       // a job that it needs is stored as aborted: so is it, by derivation
+	Heir      *Job       // the job whose deadline it inherits, perhaps itself; nil: none
+	Tail      micro.Time // how long all that comes after it takes, the heir included
 	DoneN     int
 	RunningN  int
 	HeldN     int
@@ -73,6 +82,7 @@
 
 	fresh int     // tasks from here on were never queued
 	queue []int32 // tasks to place again
+	per   int     // tasks of a chunk
 }
 
 // Over reports whether the job's end is in the store.
@@ -87,8 +97,13 @@
 		c.Log("job state refused", "job", j.Spec.ID, "from", j.State.String(), "to", to.String())
 		return
 	}
+	if j.State == Awaiting {
+		c.AwaitingN--
+	}
 	j.State = to
-	if to != Active {
+	if to == Active {
+		c.enter(j)
+	} else {
 		delete(c.Pending, j)
 		delete(c.Live, j)
 		c.leaveTeam(j)
@@ -108,41 +123,56 @@
 	}
 }
 
-// AddJob takes in a job; a known one is returned as it is.
-func (c *Cluster) AddJob(spec wire.Job, submitted micro.Time) *Job {
+// AddJob takes in a job; a known one is returned as it is. One that awaits others
+// holds nothing of its team's guarantee, and nothing is placed, until each of
+// their ends is known to be in the store.
+func (c *Cluster) AddJob(spec wire.Job, submitted, now micro.Time) *Job {
 	if j := c.Jobs[spec.ID]; j != nil {
 		return j
 	}
 	j := &Job{
-		Spec: spec, Tasks: make([]Task, spec.Tasks), Submitted: submitted,
+		Spec: spec, Tasks: make([]Task, spec.Tasks), Submitted: submitted, Since: submitted,
 		Team: c.Teams[spec.Team], Class: c.Class(spec.Class), Level: spec.Priority.Level(),
-		ZoneHeld: map[string]int{},
+		ZoneHeld: map[string]int{}, per: c.PerChunk,
 	}
-	for n := 0; n*ChunkTasks < spec.Tasks; n++ {
+	for n := 0; n*j.per < spec.Tasks; n++ {
 		j.Chunks = append(j.Chunks, &Chunk{Job: j, N: n})
 	}
 	c.Jobs[spec.ID] = j
+	if len(spec.Needs) > 0 {
+		j.State = Awaiting
+		c.AwaitingN++
+		c.await(j, now)
+	} else {
+		c.enter(j)
+	}
+	c.inherit(j)
+	c.passBack(j)
+	return j
+}
+
+// enter lets a job compete for room.
+func (c *Cluster) enter(j *Job) {
 	c.Live[j] = true
 	c.Pending[j] = true
 	if j.Team != nil {
-		// Kept in the order of submission, for guarantees.
+		// Kept in the order in which they could start, for guarantees.
 		u := append(j.Team.unfinished, j)
-		for i := len(u) - 1; i > 0 && u[i-1].Submitted > u[i].Submitted; i-- {
+		for i := len(u) - 1; i > 0 && u[i-1].Since > u[i].Since; i-- {
 			u[i-1], u[i] = u[i], u[i-1]
 		}
 		j.Team.unfinished = u
 	}
 	j.Class.Last = &j.Spec
 	j.Class.jobs++
-	j.Class.ImageGB += (spec.ImageGB - j.Class.ImageGB) / j.Class.jobs
-	for range min(spec.Tasks, 50) {
-		j.Class.Arrivals = append(j.Class.Arrivals, submitted)
+	j.Class.ImageGB += (j.Spec.ImageGB - j.Class.ImageGB) / j.Class.jobs
+	for range min(j.Spec.Tasks, 50) {
+		j.Class.Arrivals = append(j.Class.Arrivals, j.Since)
 	}
 	if n := len(j.Class.Arrivals); n > 400 {
 		j.Class.Arrivals = append([]micro.Time(nil), j.Class.Arrivals[n-200:]...)
 	}
 	c.Changed()
-	return j
 }
 
 // MarkGuarantees marks the active jobs that fit their team's guarantee together
@@ -164,7 +194,7 @@
 }
 
 // Chunk is the record that holds a task.
-func (j *Job) Chunk(index int) *Chunk { return j.Chunks[index/ChunkTasks] }
+func (j *Job) Chunk(index int) *Chunk { return j.Chunks[index/j.per] }
 
 // touch notes that a task's record changed.
 func (c *Cluster) touch(j *Job, index int) *Chunk {
@@ -275,6 +305,7 @@
 	for _, p := range j.AllPlaces() {
 		c.Stop(p, "job over", 0, now)
 	}
+	c.Settle(j.Spec.ID, End{Aborted: aborted, At: now}, now)
 	c.Changed()
 }
 
@@ -293,7 +324,7 @@
 	switch {
 	case j.State == Done:
 		s.State, s.Done, s.Running = wire.JobDone, len(j.Tasks), 0
-	case j.State == Aborted:
+	case j.State == Aborted, j.Doomed:
 		s.State = wire.JobAborted
 	case j.RunningN > 0 || j.Started && j.HeldN > 0:
 		s.State = wire.JobRunning
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -57,7 +57,11 @@
 	Press(c *Chunk)                // and soon: a start waits for it
 	Kick(m *Machine)               // the machine has orders worth sending directly
 	Finished(j *Job)               // all tasks are done: write the end
+	Doomed(j *Job)                 // a job that it needs is aborted: write the end
+	Unknown(id string)             // a job is awaited of which nothing is known: look into the store
 	Ran(p *Place, took micro.Time) // an attempt completed after running for so long
+	Moved(ch *Chunk, o *Old)       // what a chunk held is in chunks of the later form now
+	Outdated(o *Old)               // a record in the first form, to be deleted once its parts are stored
 	Changed()                      // placement may find more than before
 	Log(event string, args ...any) // one line for operators
 }
@@ -81,10 +85,16 @@
 	ErrJobs  int                   // jobs failing on a machine before it is avoided
 	Pending  map[*Job]bool         // active jobs with tasks to place
 	Live     map[*Job]bool         // active jobs
+	Ends     map[string]End        // ends that are in the store, by job
+	PerChunk int                   // tasks of a chunk of jobs that are added
+	Compact  bool                  // chunks are written in the later form
 	Pools    []*Pool               // machines that take new tasks, by type, zone and kind
 
 	Verbose bool // log each place and exit
 
+	AwaitingN int // jobs that await others
+
+	after map[string][]*Job // jobs by each of those that they await
 	list  []*Machine
 	pools map[poolKey]*Pool
 }
@@ -95,6 +105,7 @@
 		Effects: fx, Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Teams: map[string]*Team{},
 		Types: map[string]*Type{}, Classes: map[string]*Class{}, Gone: map[string]bool{}, Kept: map[string]micro.Time{}, Away: map[string]micro.Time{},
 		Pending: map[*Job]bool{}, Live: map[*Job]bool{}, ErrJobs: 2,
+		Ends: map[string]End{}, PerChunk: ChunkTasks, after: map[string][]*Job{},
 		pools: map[poolKey]*Pool{},
 	}
 }
--- a/internal/model/place.go
+++ b/internal/model/place.go
@@ -243,6 +243,14 @@
 // Persisted notes that a chunk's version is in the store: starts may go out.
 func (c *Cluster) Persisted(ch *Chunk, ver uint64) {
 	ch.Saved = max(ch.Saved, ver)
+	if !ch.Stored {
+		ch.Stored = true
+		if o := ch.Old; o != nil {
+			if o.Left--; o.Left == 0 {
+				c.Outdated(o)
+			}
+		}
+	}
 	for _, p := range ch.Places {
 		if p.State == Planned && p.Ver <= ch.Saved {
 			c.move(p, Starting)
--- a/internal/model/record.go
+++ b/internal/model/record.go
@@ -37,6 +37,7 @@
 // EndRecord is the end of a job: created once, the first one wins.
 type EndRecord struct {
 	State wire.JobState `msgpack:"state" json:"state"`
+	At    int64         `msgpack:"at,omitempty" json:"at,omitempty"` // wall clock, microseconds: the clocks of what awaits the job start then
 }
 
 // Record builds the chunk's record from the model.
@@ -48,8 +49,8 @@
 		rec.Places = append(rec.Places, PlaceRecord{Index: p.Index, Attempt: wire.Count(p.Attempt), Machine: p.Machine.Name, Session: wire.Count(p.Session), Zone: p.Machine.Zone})
 	}
 	sort.Slice(rec.Places, func(a, b int) bool { return rec.Places[a].Index < rec.Places[b].Index })
-	first := ch.N * ChunkTasks
-	for i := first; i < min(first+ChunkTasks, len(ch.Job.Tasks)); i++ {
+	first := ch.N * ch.Job.per
+	for i := first; i < min(first+ch.Job.per, len(ch.Job.Tasks)); i++ {
 		t := &ch.Job.Tasks[i]
 		switch {
 		case t.Done:
@@ -65,15 +66,33 @@
 	return rec
 }
 
-// Restore reads a chunk's record into a job that was just added. Every place in
-// it counts as taken, with a start that may still be under way.
+// Restore reads a chunk's record, in its first form, into a job that was just
+// added. Every place in it counts as taken, with a start that may still be under
+// way. What a record in the later form covers is left to that.
 func (c *Cluster) Restore(j *Job, n int, rec *ChunkRecord, stamp uint64, now micro.Time) {
-	if n < 0 || n >= len(j.Chunks) {
+	if n < 0 || n*ChunkTasks >= len(j.Tasks) {
 		return
 	}
-	ch := j.Chunks[n]
-	ch.Stamp = stamp
-	ok := func(i int) bool { return i >= 0 && i < len(j.Tasks) && i/ChunkTasks == n }
+	if j.per == ChunkTasks && !c.Compact {
+		j.Chunks[n].Stamp = stamp
+	} else {
+		old := &Old{Job: j, N: n, Stamp: stamp}
+		for i := n * ChunkTasks; i < min((n+1)*ChunkTasks, len(j.Tasks)); i += j.per {
+			ch := j.Chunk(i)
+			ch.Old = old
+			if !ch.Stored {
+				old.Left++
+			}
+		}
+		c.Outdated(old)
+	}
+	ok := func(i int) bool {
+		return i >= 0 && i < len(j.Tasks) && i/ChunkTasks == n && !j.Chunk(i).Stored
+	}
+	c.restore(j, rec, ok, now)
+}
+
+func (c *Cluster) restore(j *Job, rec *ChunkRecord, ok func(i int) bool, now micro.Time) {
 	for _, t := range rec.Tries {
 		if ok(t[0]) {
 			j.Tasks[t[0]].Attempt = uint32(t[1])
--- a/internal/model/story_test.go
+++ b/internal/model/story_test.go
@@ -26,15 +26,22 @@
 	records map[string]map[int]model.ChunkRecord
 	jobs    []wire.Job
 	ended   []string
+
+	doomed, unknown []string
+	outdated        []*model.Old
 }
 
-func (s *site) Touch(ch *model.Chunk)         { s.dirty[ch] = true }
-func (s *site) Press(*model.Chunk)            {}
-func (s *site) Kick(*model.Machine)           {}
-func (s *site) Finished(j *model.Job)         { s.ended = append(s.ended, j.Spec.ID) }
-func (s *site) Ran(*model.Place, micro.Time)  {}
-func (s *site) Changed()                      {}
-func (s *site) Log(event string, args ...any) {}
+func (s *site) Touch(ch *model.Chunk)          { s.dirty[ch] = true }
+func (s *site) Press(*model.Chunk)             {}
+func (s *site) Kick(*model.Machine)            {}
+func (s *site) Finished(j *model.Job)          { s.ended = append(s.ended, j.Spec.ID) }
+func (s *site) Doomed(j *model.Job)            { s.doomed = append(s.doomed, j.Spec.ID) }
+func (s *site) Unknown(id string)              { s.unknown = append(s.unknown, id) }
+func (s *site) Moved(*model.Chunk, *model.Old) {}
+func (s *site) Outdated(o *model.Old)          { s.outdated = append(s.outdated, o) }
+func (s *site) Ran(*model.Place, micro.Time)   {}
+func (s *site) Changed()                       {}
+func (s *site) Log(event string, args ...any)  {}
 
 func newSite(t *testing.T) *site {
 	s := &site{t: t, now: 100 * micro.Second, records: map[string]map[int]model.ChunkRecord{}}
@@ -58,7 +65,7 @@
 func (s *site) takeOver(stamp uint64) {
 	s.lead(stamp)
 	for _, spec := range s.jobs {
-		j := s.c.AddJob(spec, s.now)
+		j := s.c.AddJob(spec, s.now, s.now)
 		for n, rec := range s.records[spec.ID] {
 			s.c.Restore(j, n, &rec, 1, s.now)
 		}
@@ -69,7 +76,7 @@
 func (s *site) job(id string, kind wire.Kind, tasks int, cpus float64) *model.Job {
 	spec := wire.Job{ID: id, Team: "team", Class: "c", Kind: kind, Priority: wire.Normal, Tasks: tasks, CPUs: cpus, MemoryGB: 1}
 	s.jobs = append(s.jobs, spec)
-	return s.c.AddJob(spec, s.now)
+	return s.c.AddJob(spec, s.now, s.now)
 }
 
 // persist writes all records, after which starts may go out.
--- a/internal/scale/demand.go
+++ b/internal/scale/demand.go
@@ -92,7 +92,7 @@
 const patience = 8 * micro.Second
 
 func (p *Planner) pressing(j *model.Job, late, now micro.Time) bool {
-	if now-j.Submitted > patience {
+	if now-j.Since > patience {
 		return true
 	}
 	boot := p.bootOf(&j.Spec)
--- a/internal/scale/price.go
+++ b/internal/scale/price.go
@@ -19,7 +19,7 @@
 // helps reports whether a machine rented now would let a demand meet an
 // objective. Work that has waited very long gets one in any case.
 func (p *Planner) helps(d *demand, t *model.Type, now micro.Time) bool {
-	if d.job != nil && now-d.job.Submitted > dearWait {
+	if d.job != nil && now-d.job.Since > dearWait {
 		return true
 	}
 	ready := now + micro.Of(slowBoot*t.BootS+d.spec.ImageGB/t.FetchGBPerS)
@@ -176,7 +176,7 @@
 // then the cheap room has run out.
 func (p *Planner) ratio(j *model.Job, now micro.Time) float64 {
 	r := p.Props.PriceRatio * 1.4
-	if j != nil && now-j.Submitted > longWait {
+	if j != nil && now-j.Since > longWait {
 		if late := p.Goals.LatestStart(j, now); late-now < p.readyIn(&j.Spec)+longWait {
 			r *= pressingRatio
 		}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -30,7 +30,7 @@
 }
 
 func (p *Planner) submit(id string, tasks int, cpus float64, spot bool) *model.Job {
-	return p.C.AddJob(wire.Job{ID: id, Class: id, Kind: wire.Array, Priority: wire.Normal, Tasks: tasks, CPUs: cpus, MemoryGB: 1, Spot: spot, EstimateS: 100}, now-micro.Minute)
+	return p.C.AddJob(wire.Job{ID: id, Class: id, Kind: wire.Array, Priority: wire.Normal, Tasks: tasks, CPUs: cpus, MemoryGB: 1, Spot: spot, EstimateS: 100}, now-micro.Minute, now)
 }
 
 func TestRentsTheCheapestRoomThatFits(t *testing.T) {
--- a/internal/sched/age.go
+++ b/internal/sched/age.go
@@ -109,7 +109,7 @@
 		p.gatherings = map[*model.Job]gathering{}
 	}
 	sort.Slice(old, func(a, b int) bool {
-		x, y := old[a].Submitted, old[b].Submitted
+		x, y := old[a].Since, old[b].Since
 		if late := now - beginWithin; (x < late) != (y < late) {
 			return y < late
 		}
@@ -185,7 +185,7 @@
 	if p.large(j) && !j.Started {
 		after /= 2
 	}
-	return now-j.Submitted > after
+	return now-j.Since > after
 }
 
 // gather reserves the machines that are soonest free for a job that waited long
--- a/internal/sched/age_test.go
+++ b/internal/sched/age_test.go
@@ -39,7 +39,7 @@
 	if kind == wire.Gang {
 		spec.GPUs = 4
 	}
-	return s.c.AddJob(spec, now)
+	return s.c.AddJob(spec, now, now)
 }
 
 // until lets more work come than there is room for, until the job holds its
--- a/internal/sched/goals.go
+++ b/internal/sched/goals.go
@@ -61,7 +61,7 @@
 // than any that is not.
 func (g *Goals) LatestStart(j *model.Job, now micro.Time) micro.Time {
 	run := Estimate(j) + micro.Of(j.Spec.ImageGB)
-	best := Distant + j.Submitted
+	best := Distant + j.Since
 	look := func(t micro.Time) {
 		if t >= now && t < best {
 			best = t
@@ -69,24 +69,32 @@
 	}
 	if !j.Started {
 		for _, w := range g.wait[j.Spec.Class] {
-			look(j.Submitted + w)
+			look(j.Since + w)
 		}
 	}
 	for _, w := range g.finished[j.Spec.Class] {
-		look(j.Submitted + w - run)
-	}
-	if j.Spec.DeadlineS != nil {
-		due := micro.Of(*j.Spec.DeadlineS)
-		for _, x := range g.deadline[j.Spec.Class] {
-			look(j.Submitted + micro.Time(float64(due)*x) - run)
-		}
-		if len(g.deadline[j.Spec.Class]) == 0 {
-			look(j.Submitted + due - run)
-		}
+		look(j.Since + w - run)
 	}
+	g.dues(j, func(due micro.Time) { look(due - run) })
 	return best
 }
 
+// dues gives the times by which deadlines ask a job to be done: its own, or that
+// of the job whose deadline it inherits, less what comes after it.
+func (g *Goals) dues(j *model.Job, f func(micro.Time)) {
+	h := j.Heir
+	if h == nil {
+		return
+	}
+	due, list := micro.Of(*h.Spec.DeadlineS), g.deadline[h.Spec.Class]
+	if len(list) == 0 {
+		f(h.Submitted + due - j.Tail)
+	}
+	for _, x := range list {
+		f(h.Submitted + micro.Time(float64(due)*x) - j.Tail)
+	}
+}
+
 // Twice reports whether a job's tasks could run twice in a row, begun now, and
 // still meet an objective on finishing that they can meet at all; also if there
 // is none.
@@ -99,12 +107,8 @@
 		}
 	}
 	for _, w := range g.finished[j.Spec.Class] {
-		look(j.Submitted + w)
-	}
-	if j.Spec.DeadlineS != nil {
-		for _, x := range g.deadline[j.Spec.Class] {
-			look(j.Submitted + micro.Time(float64(micro.Of(*j.Spec.DeadlineS))*x))
-		}
+		look(j.Since + w)
 	}
+	g.dues(j, look)
 	return near == 0 || near >= now+2*run
 }
--- a/internal/sched/large_test.go
+++ b/internal/sched/large_test.go
@@ -29,7 +29,7 @@
 		c.Describe(m, "small", "a", false)
 		c.Become(m, model.Up, "reports")
 	}
-	c.AddJob(wire.Job{ID: "j-1", Class: "c", Kind: wire.Array, Priority: wire.Normal, Tasks: wire.MaxTasks, CPUs: 1}, 0)
+	c.AddJob(wire.Job{ID: "j-1", Class: "c", Kind: wire.Array, Priority: wire.Normal, Tasks: wire.MaxTasks, CPUs: 1}, 0, 0)
 	props := config.Defaults()
 	return &Placer{C: c, Goals: NewGoals(nil), Props: &props, Rand: rand.New(rand.NewPCG(1, 2))}
 }
@@ -103,7 +103,7 @@
 			if r.IntN(4) == 0 {
 				spec.GPUs = float64(1 + r.IntN(4))
 			}
-			j := c.AddJob(spec, 0)
+			j := c.AddJob(spec, 0, 0)
 			want, got := fullPick(p, j, now), p.pick(j, nil, nil, "", true, false, now)
 			if want != got {
 				t.Fatalf("seed %d, task %d: the rows give %+v, a full search %+v", seed, n, got, want)
@@ -159,7 +159,7 @@
 	n := 0
 	spots := func(estimate, saves float64, lost uint32, submitted micro.Time) int {
 		n++
-		j := c.AddJob(wire.Job{ID: "j-" + strconv.Itoa(n), Class: "c", Kind: wire.Array, Priority: wire.Normal, Tasks: 5, CPUs: 1, Spot: true, EstimateS: estimate, CheckpointS: saves}, submitted)
+		j := c.AddJob(wire.Job{ID: "j-" + strconv.Itoa(n), Class: "c", Kind: wire.Array, Priority: wire.Normal, Tasks: 5, CPUs: 1, Spot: true, EstimateS: estimate, CheckpointS: saves}, submitted, submitted)
 		for i := range j.Tasks {
 			j.Tasks[i].Attempt = lost
 		}
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -39,8 +39,8 @@
 				it.late += p.fetchTime(&j.Spec) // as good as a longer run
 			}
 			it.late = now + it.late*micro.Time(len(j.Tasks))
-			it.hope = now <= j.Submitted+quick
-			it.guar = it.guar && (p.Goals.guarantee == 0 || now <= j.Submitted+p.Goals.guarantee)
+			it.hope = now <= j.Since+quick
+			it.guar = it.guar && (p.Goals.guarantee == 0 || now <= j.Since+p.Goals.guarantee)
 		}
 		queue = append(queue, it)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,6 +64,9 @@
 	Get(ctx context.Context, class Class, key string) (wire.Item, error)
 	Range(ctx context.Context, class Class, prefix, after string, limit int) (wire.Page, error)
 	Commit(ctx context.Context, class Class, txn wire.Txn) (revision uint64, err error)
+	// Existing says which of the keys there are: one transaction that changes
+	// nothing, and whose guards say that they do not exist.
+	Existing(ctx context.Context, class Class, keys []string) (map[string]bool, error)
 	Grant(ctx context.Context, ttl micro.Time) (lease uint64, err error)
 	Renew(ctx context.Context, lease uint64) error
 	Revoke(ctx context.Context, lease uint64) error
@@ -79,6 +83,10 @@
 	rps     float64
 	wps     float64
 
+	mu    sync.Mutex
+	share [2]float64
+	lower float64 // the rate of changes that may come into force; 0: none
+
 	answered atomic.Int64
 }
 
@@ -103,15 +111,42 @@
 
 // SetShare sets the part of the service's limits that this node may use.
 func (c *Client) SetShare(reads, writes float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.share = [2]float64{reads, writes}
+	c.apply()
+}
+
+func (c *Client) apply() {
 	for _, l := range []struct {
 		lim *rate.Limiter
 		all float64
-	}{{c.reads, c.rps * reads}, {c.writes, c.wps * writes}} {
+	}{{c.reads, c.rps * c.share[0]}, {c.writes, c.wps * c.share[1]}} {
 		l.lim.SetLimit(rate.Limit(l.all))
 		l.lim.SetBurst(max(1, int(l.all)))
 	}
 }
 
+// Lower says that the service may lower its rate of changes from now on. The full
+// rate is used until the service first refuses for being over it.
+func (c *Client) Lower(writes float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if writes < c.wps {
+		c.lower = writes
+	}
+}
+
+// lowered notes that the service refused changes for being over its rate.
+func (c *Client) lowered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lower > 0 && c.lower < c.wps {
+		c.wps = c.lower
+		c.apply()
+	}
+}
+
 // Answered is when the store last answered with anything but a refusal.
 func (c *Client) Answered() micro.Time { return micro.Time(c.answered.Load()) }
 
@@ -178,6 +213,9 @@
 	case 410:
 		return code, ErrCompacted
 	case 429:
+		if writes > 0 {
+			c.lowered()
+		}
 		return code, ErrBusy
 	case 503:
 		return code, ErrRefused
@@ -217,6 +255,28 @@
 	return uint64(r.Revision), err
 }
 
+// Existing says which of the keys there are.
+func (c *Client) Existing(ctx context.Context, class Class, keys []string) (map[string]bool, error) {
+	txn := wire.Txn{If: make([]wire.Guard, 0, len(keys)), Then: []wire.Change{}}
+	for _, k := range keys {
+		txn.If = append(txn.If, wire.Guard{Key: k})
+	}
+	body, err := wire.Marshal(txn)
+	if err != nil {
+		return nil, err
+	}
+	var r wire.TxnResult
+	_, err = c.call(ctx, class, 0, "POST", "/commit", body, c.timeout, &r)
+	if err != nil && !errors.Is(err, ErrConflict) {
+		return nil, err
+	}
+	out := make(map[string]bool, len(r.Failed))
+	for _, k := range r.Failed {
+		out[k] = true
+	}
+	return out, nil
+}
+
 // Grant asks for a lease.
 func (c *Client) Grant(ctx context.Context, ttl micro.Time) (uint64, error) {
 	var r wire.LeaseReply
--- a/wire/job.go
+++ b/wire/job.go
@@ -78,7 +78,9 @@
 	CheckpointS float64  `msgpack:"bookmarkS" json:"bookmarkS"`
 	SaveS       float64  `msgpack:"stashS" json:"stashS"`
 	DeadlineS   *float64 `msgpack:"dueS" json:"dueS"`
-	SubmittedAt int64    `msgpack:"at,omitempty" json:"at,omitempty"` // wall clock, microseconds; the store's record only
+	Needs       []string `msgpack:"awaits,omitempty" json:"awaits,omitempty"`     // jobs that must be done before any task starts
+	NeedsIn     int      `msgpack:"awaitsIn,omitempty" json:"awaitsIn,omitempty"` // the store's record only: so many further keys hold more of them
+	SubmittedAt int64    `msgpack:"at,omitempty" json:"at,omitempty"`             // wall clock, microseconds; the store's record only
 }
 
 // JobStatus answers a submission, a poll or a withdrawal.
@@ -157,6 +159,24 @@
 		}
 		job.DeadlineS = &x
 	}
+	if v := m["awaits"]; v != nil {
+		list, ok := v.([]any)
+		if !ok {
+			f.fail("awaits")
+		}
+		seen := make(map[string]bool, len(list))
+		for _, x := range list {
+			id, ok := x.(string)
+			if !ok || !ValidJobID(id) {
+				f.fail("awaits")
+				break
+			}
+			if !seen[id] {
+				seen[id] = true
+				job.Needs = append(job.Needs, id)
+			}
+		}
+	}
 	if !ValidJobID(job.ID) {
 		f.fail("nameId")
 	}
