--- /dev/null
+++ b/internal/controller/versions_test.go
@@ -0,0 +1,205 @@
+package controller
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"notchmux.dev/notchmux/internal/config"
+	"notchmux.dev/notchmux/internal/election"
+	"notchmux.dev/notchmux/internal/keep"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
+	"notchmux.dev/notchmux/internal/peer"
+	"notchmux.dev/notchmux/internal/store"
+	"notchmux.dev/notchmux/wire"
+)
+
+// Records and messages as the code of version 1 wrote them, byte for byte.
+const (
+	v1Spec   = "de0015a66e616d654964a86a2d303030343132a86a6f62636c617373a5747261696ea66f7574666974a47465616da57368617065a8656e73656d626c65a472616e6ba6757267656e74a6706965636573ccc8a57663707573cb3fd0000000000000a467707573cb0000000000000000a572616d4762cb3ff0000000000000a662756e646c65a6696d672d3037a670756c6c4762cb3ff8000000000000a47269677391a5736d616c6ca479617264a465617374a76f6e655a6f6e65c3a773636174746572c2a76c6f616e657273c3a6677565737353cb406e000000000000a9626f6f6b6d61726b53cb403e000000000000a6737461736853cb4010000000000000a464756553cb408c200000000000a26174cf00060a24181e4000"
+	v1Chunk  = "83a1709295cc8202a8692d30303032333103a46561737495cc8301a8692d30303032333201a477657374a1649292cc80cc8192cc8cccc7a1749192cc8704"
+	v1End    = "81a57374617465a761626f72746564"
+	v1Hire   = "84a17285a468697265a5722d372d31a3726967a5736d616c6ca479617264a465617374a76c6f616e657273c3a5636f756e7402a16d92a8692d303030323331a8692d303030323332a161c3a26174cf00060a24181e4000"
+	v1First  = "81a16da8692d303030323331"
+	v1Leader = "83a46e6f6465a36e2d30a56e6f6e6365a3414243a56c6561736507"
+	v1Images = "83a16e91a6696d672d3037a16791cb3ff8000000000000a16d81a8692d3030303233319100"
+	v1Keep   = "83a16ea36e2d31a16582a17407a161cd3039a16bc3"
+	v1Echo   = "82a17407a161cd3039"
+	v1Status = "84a66e616d654964a86a2d303030343132a6737461747573a772756e6e696e67a4646f6e6503a772756e6e696e6702"
+)
+
+func sent(t *testing.T, v1 string) []byte {
+	t.Helper()
+	b, err := hex.DecodeString(v1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// values are what v1's bytes stand for.
+func values() map[string]any {
+	due, zone := 900.0, "east"
+	return map[string]any{
+		v1Spec:   wire.Job{ID: "j-000412", Class: "train", Team: "team", Kind: wire.Gang, Priority: wire.High, Tasks: 200, CPUs: 0.25, MemoryGB: 1, Image: "img-07", ImageGB: 1.5, Types: []string{"small"}, Zone: &zone, OneZone: true, Spot: true, EstimateS: 240, CheckpointS: 30, SaveS: 4, DeadlineS: &due, SubmittedAt: 1700000000000000},
+		v1Chunk:  model.ChunkRecord{Places: []model.PlaceRecord{{Index: 130, Attempt: 2, Machine: "i-000231", Session: 3, Zone: "east"}, {Index: 131, Attempt: 1, Machine: "i-000232", Session: 1, Zone: "west"}}, Done: [][2]int{{128, 129}, {140, 199}}, Tries: [][2]int{{135, 4}}},
+		v1End:    model.EndRecord{State: wire.JobAborted},
+		v1Hire:   hireRecord{Rental: wire.Rental{Request: "r-7-1", Type: "small", Zone: "east", Spot: true, Count: 2}, Machines: []string{"i-000231", "i-000232"}, Answered: true, At: 1700000000000000},
+		v1First:  firstRecord{"i-000231"},
+		v1Leader: election.Record{Node: "n-0", Nonce: "ABC", Lease: 7},
+		v1Images: model.ImageRecord{Names: []string{"img-07"}, GB: []float64{1.5}, Machines: map[string][]int{"i-000231": {0}}},
+		v1Keep:   keep.Request{Node: "n-1", Kept: true, Echo: keep.Echo{Term: 7, At: 12345}},
+		v1Echo:   keep.Echo{Term: 7, At: 12345},
+		v1Status: wire.JobStatus{ID: "j-000412", State: wire.JobRunning, Done: 3, Running: 2},
+	}
+}
+
+// Until the gate is open, either version must find what it expects in what the
+// other writes: the bytes are the same, both ways.
+func TestFormsOfTheEarlierVersionAreReadAndWrittenAsTheyWere(t *testing.T) {
+	for bytes, want := range values() {
+		got := reflect.New(reflect.TypeOf(want))
+		if err := wire.Unmarshal(sent(t, bytes), got.Interface()); err != nil || fmt.Sprint(got.Elem().Interface()) == "" || !reflect.DeepEqual(got.Elem().Interface(), want) {
+			t.Errorf("%T read as %+v, %v", want, got.Elem().Interface(), err)
+		}
+		if out := hex.EncodeToString(wire.MustMarshal(want)); out != bytes {
+			t.Errorf("%T is written as %s", want, out)
+		}
+	}
+}
+
+// v1EndRecord and v1Job are the earlier version's types, as far as the new one has
+// added to them.
+type v1EndRecord struct {
+	State wire.JobState `msgpack:"state"`
+}
+
+type v1Job struct {
+	ID          string   `msgpack:"nameId"`
+	Tasks       int      `msgpack:"pieces"`
+	DeadlineS   *float64 `msgpack:"dueS"`
+	SubmittedAt int64    `msgpack:"at,omitempty"`
+}
+
+func TestEarlierVersionReadsPastWhatWasAdded(t *testing.T) {
+	var e v1EndRecord
+	if err := wire.Unmarshal(wire.MustMarshal(model.EndRecord{State: wire.JobDone, At: 1700000000000000}), &e); err != nil || e.State != wire.JobDone {
+		t.Errorf("%+v, %v", e, err)
+	}
+	var j v1Job
+	if err := wire.Unmarshal(wire.MustMarshal(wire.Job{ID: "j-1", Tasks: 3, SubmittedAt: 5, Needs: []string{"j-0"}, NeedsIn: 2}), &j); err != nil || j.ID != "j-1" || j.Tasks != 3 || j.SubmittedAt != 5 {
+		t.Errorf("%+v, %v", j, err)
+	}
+}
+
+// v1 leaves what a leader of the earlier version wrote of a job that runs.
+func (b *bed) v1(t *testing.T, places ...model.PlaceRecord) {
+	t.Helper()
+	spec := wire.Job{ID: "j-9", Class: "c", Team: "team", Kind: wire.Service, Priority: wire.Normal, Tasks: len(places), CPUs: 0.01, MemoryGB: 0.01, SubmittedAt: int64(micro.Wall())}
+	_, err := b.store.Commit(context.Background(), store.Urgent, wire.Txn{Then: []wire.Change{
+		{Put: specKey("j-9"), Value: spec}, {Put: runKey("j-9", 0), Value: model.ChunkRecord{Places: places}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A place that one version misses in the other's records runs twice.
+func TestRunningTasksOfTheEarlierVersionAreKnownBeforeAndAfterTheGate(t *testing.T) {
+	b := newBed(t)
+	var places []model.PlaceRecord
+	for i := range 100 {
+		places = append(places, model.PlaceRecord{Index: i, Attempt: 1, Machine: fmt.Sprintf("i-9%05d", i), Session: 1, Zone: "a"})
+	}
+	b.v1(t, places...)
+	for _, open := range []bool{false, true, true} {
+		n, kill := b.node("n-0")
+		wait(t, "leading", func() bool { return n.leading() != nil && state(n, "j-9") != "" })
+		l := n.leading()
+		held := func() int {
+			got := make(chan int, 1)
+			l.post(func() {
+				k := 0
+				for _, p := range l.c.Jobs["j-9"].AllPlaces() {
+					if p.Index < 100 && p.Machine.Name == fmt.Sprintf("i-9%05d", p.Index) {
+						k++
+					}
+				}
+				got <- k
+			})
+			return <-got
+		}
+		if got := held(); got != 100 {
+			t.Fatalf("%d places are known", got)
+		}
+		if open {
+			wait(t, "open", func() bool { n.lookAtGate(context.Background()); return n.Opened() })
+			if got := held(); got != 100 {
+				t.Fatalf("%d places are known after the move", got)
+			}
+		} else if _, err := b.store.Get(context.Background(), store.Routine, compactKey("j-9", 0)); err == nil {
+			t.Fatal("a form that the earlier version can't read")
+		}
+		kill()
+	}
+}
+
+func TestGateOpensOnceAllNodesOfTheSettingsHaveAnnouncedAndStaysOpen(t *testing.T) {
+	b := newBed(t)
+	pair := func(other string) func(*Node) {
+		return func(n *Node) { n.Cfg.Peers = []config.Peer{{Node: other}} }
+	}
+	lead, kill := b.nodeWith("n-0", pair("n-1"))
+	wait(t, "leading", func() bool { return lead.leading() != nil })
+	piped := pipe("j-2", "j-1")
+	lead.Submit(submission("j-1", wire.Array))
+	for range 3 {
+		lead.lookAtGate(context.Background())
+	}
+	if lead.Opened() {
+		t.Fatal("the other node may be of the earlier version, and lead next")
+	}
+	if r := lead.Submit(piped); r.Status != 503 || r.RetryAfter == 0 {
+		t.Fatalf("a leader of the earlier version would not wait: %+v", r)
+	}
+	other, _ := b.nodeWith("n-1", pair("n-0"))
+	b.store.Outage(true)
+	other.lookAtGate(context.Background())
+	b.store.Outage(false)
+	if GateState(other.gate.Load()) != Unannounced {
+		t.Fatal("it was not stored")
+	}
+	wait(t, "open", func() bool {
+		other.lookAtGate(context.Background())
+		lead.lookAtGate(context.Background())
+		return lead.Opened() && other.Opened()
+	})
+	if r := other.Submit(piped); r.Status != 201 {
+		t.Fatalf("%+v", r)
+	}
+	kill()
+	again, _ := b.nodeWith("n-2", pair("n-3")) // neither has announced
+	wait(t, "leads", func() bool { return again.leading() != nil })
+	wait(t, "reads the new forms", again.Opened)
+}
+
+// The other version answers a call that it does not know with 404: the store is
+// asked instead.
+func TestCallThatTheOtherVersionLacksHasAFallback(t *testing.T) {
+	b := newBed(t)
+	lead, _ := b.node("n-1")
+	wait(t, "leading", func() bool { return lead.leading() != nil })
+	n, _ := b.nodeWith("n-0", func(n *Node) { n.gate.Store(int32(Open)) })
+	wait(t, "known", func() bool { return n.election.Leader() == "n-1" })
+	n.Peers = peer.NewClient(map[string]string{"n-1": b.servePeer(lead)})
+	n.Cfg.Peers = []config.Peer{{Node: "n-1"}}
+	if status, _, err := n.Peers.Call(context.Background(), "n-1", "/peer/later", nil, askWait); err != nil || status != 404 {
+		t.Fatalf("status %d, %v", status, err)
+	}
+	n.Submit(submission("j-1", wire.Array))
+	if r := n.Submit(pipe("j-2", "j-1")); r.Status != 201 {
+		t.Fatalf("%+v", r)
+	}
+}
