--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -60,6 +60,8 @@
 	cfg.LeaderLease, cfg.LeaderRenew = 600*micro.Millisecond, 100*micro.Millisecond
 	cfg.Facts.Workers.LeaseS, cfg.Facts.Workers.ReportS, cfg.Facts.State.ValueKB, cfg.Facts.State.TxnOps = 30, 3, 16, 24
 	cfg.Facts.Teams = []config.Team{{Name: "team", CPUsMax: 16}}
+	// Nothing waits for room to come free: machines are rented at once.
+	cfg.Facts.Objectives = []config.Objective{{Kind: "finished", Class: "c", WithinS: 30}}
 	n := &Node{Cfg: cfg, Store: b.store, Cloud: b.cloud, Agent: b.hosts, Peers: peer.NewClient(nil),
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.New(), Now: micro.Now, Wall: micro.Wall}
 	n.Init()
--- a/internal/controller/versions_test.go
+++ b/internal/controller/versions_test.go
@@ -164,7 +164,7 @@
 	if r := lead.Submit(piped); r.Status != 503 || r.RetryAfter == 0 {
 		t.Fatalf("a leader of the earlier version would not wait: %+v", r)
 	}
-	other, _ := b.nodeWith("n-1", pair("n-0"))
+	other, _ := b.nodeWith("n-1", func(n *Node) { pair("n-0")(n); n.election.Pause(10 * micro.Minute) })
 	b.store.Outage(true)
 	other.lookAtGate(context.Background())
 	b.store.Outage(false)
