--- a/cmd/standins/main.go
+++ b/cmd/standins/main.go
@@ -27,6 +27,11 @@
 	Cloud string        `default:"127.0.0.1:7002" help:"Address of the cloud."`
 	Node  string        `default:"127.0.0.1:8080" help:"Public address of the node that workers report to."`
 	Run   time.Duration `default:"5s" help:"How long a task runs; services run until they are withdrawn."`
+
+	LowerAfter time.Duration `help:"After this, the state service enforces the lower limits; 0: never."`
+	ValueKB    float64       `default:"2" help:"Lower limit on a value, in KiB."`
+	TxnOps     int           `default:"4" help:"Lower limit on the changes of a transaction."`
+	WriteRPS   float64       `default:"20" help:"Lower limit on the changes a second."`
 }
 
 // bench is the workers with their lock.
@@ -53,6 +58,12 @@
 		g.Go(func() error { return fasthttp.Serve(ln, h) })
 	}
 	g.Go(func() error { b.watch(ctx); return context.Canceled })
+	if c.LowerAfter > 0 {
+		time.AfterFunc(c.LowerAfter, func() {
+			b.store.Limit(fake.Limits{ValueBytes: int(c.ValueKB * 1024), TxnOps: c.TxnOps, WriteRPS: c.WriteRPS})
+			fmt.Println("the state service has lowered its limits")
+		})
+	}
 	fmt.Println("state service on", c.State, "and cloud on", c.Cloud)
 	_ = g.Wait()
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -99,3 +99,23 @@
 		}
 	}
 }
+
+func TestLimitsToComeAreReadAndTheSmallerCounts(t *testing.T) {
+	c, err := load(t, settings, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if now, safe := c.ValueBytes(); now != 16<<10 || safe != now || c.TxnOps() != 24 || c.NextWriteRPS() != 30 {
+		t.Errorf("without limits to come: %d, %d, %d, %v", now, safe, c.TxnOps(), c.NextWriteRPS())
+	}
+	with := strings.Replace(settings, "txn_ops = 24\n", "txn_ops = 24\n[facts.state.next]\nwrite_rps = 21.0\nvalue_kb = 2.0\ntxn_ops = 8\n", 1)
+	if c, err = load(t, with, ""); err != nil {
+		t.Fatal(err)
+	}
+	if now, safe := c.ValueBytes(); now != 16<<10 || safe != 2<<10 || c.TxnOps() != 8 || c.NextWriteRPS() != 21 {
+		t.Errorf("with them: %d, %d, %d, %v", now, safe, c.TxnOps(), c.NextWriteRPS())
+	}
+	if _, err = load(t, strings.Replace(with, "value_kb = 2.0", "value_kb = -2.0", 1), ""); err == nil || !strings.Contains(err.Error(), "facts.state.next.value_kb") {
+		t.Errorf("negative: %v", err)
+	}
+}
--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -13,8 +13,10 @@
 // show answers a poll from memory.
 func (l *Lead) show(id string) (wire.JobStatus, bool) {
 	r, ok := l.ask(l.asks, 400*micro.Millisecond, func(reply func(front.Reply)) {
-		if j := l.c.Jobs[id]; j != nil && !l.w.unsure(id) {
-			reply(front.Reply{Status: 200, Body: j.Status()})
+		if j := l.c.Jobs[id]; j != nil && !l.unsure(j) {
+			s := j.Status()
+			s.Needs = l.c.Lacks(j)
+			reply(front.Reply{Status: 200, Body: s})
 			return
 		}
 		reply(front.Reply{Status: 404})
@@ -25,6 +27,35 @@
 	return r.Body.(wire.JobStatus), true
 }
 
+// unsure reports whether the end of a job, or of one that it needs, may be in the
+// store without this leader knowing: its write went out, and has no answer yet.
+// Another node may have read it there, and told the user.
+func (l *Lead) unsure(j *model.Job) bool {
+	if l.w.unsure(j.Spec.ID) {
+		return true
+	}
+	if j.State != model.Awaiting {
+		return false
+	}
+	seen := map[*model.Job]bool{j: true}
+	for list := []*model.Job{j}; len(list) > 0; {
+		x := list[len(list)-1]
+		list = list[:len(list)-1]
+		for _, id := range x.Spec.Needs {
+			n := l.c.Jobs[id]
+			if n == nil || n.Over() || seen[n] {
+				continue
+			}
+			if l.w.unsure(id) {
+				return true
+			}
+			seen[n] = true
+			list = append(list, n)
+		}
+	}
+	return false
+}
+
 // withdraw cancels a job: its end is created before anyone is told.
 func (l *Lead) withdraw(id string) front.Reply {
 	r, ok := l.ask(l.events, 1500*micro.Millisecond, func(reply func(front.Reply)) {
--- a/internal/controller/pipeline_test.go
+++ b/internal/controller/pipeline_test.go
@@ -265,6 +265,24 @@
 	}
 }
 
+// The same of a withdrawal, and of what needs the withdrawn job.
+func TestLeaderDoesNotCallPendingWhatFellWithAnEndOnItsWay(t *testing.T) {
+	b := newBed(t)
+	n, _ := b.open("n-0", func(n *Node) { n.Store = tardy{n.Store, endKey("j-1")} })
+	n.Submit(submission("j-1", wire.Service))
+	n.Submit(pipe("j-2", "j-1"))
+	n.Submit(pipe("j-3", "j-2"))
+	reader, _ := b.nodeWith("n-1", func(n *Node) { n.election.Pause(10 * micro.Minute) })
+	go n.Withdraw("j-1")
+	wait(t, "aborted to one that reads the store", func() bool { return state(reader, "j-3") == wire.JobAborted })
+	for range 50 {
+		if got := state(n, "j-3"); got != wire.JobAborted {
+			t.Fatalf("the leader calls it %q", got)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // An old leader's last copy of a withdrawal, and its last task's completion, race:
 // whichever end is created first is the only one, for what awaits the job too.
 func TestLateCopyOfAnEndDecidesNothingTwice(t *testing.T) {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -501,12 +501,13 @@
 	} else if !k.whole(&spec) {
 		return front.Reply{}, store.ErrUncertain
 	} else if len(spec.Needs) > 0 && s.Done+s.Running == 0 {
-		fallen, err := n.fallen(spec.Needs)
+		lacks, fallen, err := n.fallen(spec.Needs)
 		if err != nil {
 			return front.Reply{}, err
 		}
+		s.Needs = lacks
 		if fallen {
-			s.State = wire.JobAborted
+			s.State, s.Needs = wire.JobAborted, nil
 		}
 	}
 	if s.State.Final() {
@@ -528,21 +529,21 @@
 
 // fallen reports whether a job that is needed, directly or through others, is
 // stored as aborted: then so is what needs it, though its own end may still have
-// to be written by a leader.
-func (n *Node) fallen(needs []string) (bool, error) {
+// to be written by a leader. Else it names those whose end is not stored.
+func (n *Node) fallen(needs []string) (lacks []string, fallen bool, err error) {
 	asked := map[string]bool{}
-	for len(needs) > 0 {
-		id := needs[0]
-		needs = needs[1:]
+	for list := needs; len(list) > 0; {
+		id := list[0]
+		list = list[1:]
 		if asked[id] {
 			continue
 		}
 		if asked[id] = true; len(asked) > maxFallen {
-			return false, store.ErrBudget
+			return nil, false, store.ErrBudget
 		}
 		if s, ok := n.finals.get(id); ok {
 			if s.State == wire.JobAborted {
-				return true, nil
+				return nil, true, nil
 			}
 			continue
 		}
@@ -551,21 +552,24 @@
 			k.job(wire.Item{Key: "job/" + id + "/" + rest, Value: value})
 			return nil
 		}); err != nil {
-			return false, err
+			return nil, false, err
 		}
 		if e, over := k.ends[id]; over {
 			if e.State == wire.JobAborted {
-				return true, nil
+				return nil, true, nil
 			}
 			continue
 		}
 		spec, ok := k.specs[id]
 		if !ok || !k.whole(&spec) {
-			return false, store.ErrUncertain
+			return nil, false, store.ErrUncertain
 		}
-		needs = append(needs, spec.Needs...)
+		if len(asked) <= len(needs) {
+			lacks = append(lacks, id)
+		}
+		list = append(list[:len(list):len(list)], spec.Needs...)
 	}
-	return false, nil
+	return lacks, false, nil
 }
 
 // maxFallen is how many jobs are looked at for one answer: a poll that would need
--- a/internal/controller/versions_test.go
+++ b/internal/controller/versions_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"reflect"
 	"testing"
+	"time"
 
 	"notchmux.dev/notchmux/internal/config"
 	"notchmux.dev/notchmux/internal/election"
@@ -139,6 +140,22 @@
 			if got := held(); got != 100 {
 				t.Fatalf("%d places are known after the move", got)
 			}
+			// Whatever stirs its cell, such as an earlier write that failed, the old
+			// record stays while it alone says where its tasks are.
+			l.post(func() {
+				for _, ch := range l.c.Jobs["j-9"].Chunks {
+					l.w.outdated(ch.Old)
+					l.w.olds[ch.Old].touch(n.Now(), soon)
+				}
+				l.w.first.touch(n.Now(), soon)
+			})
+			wait(t, "later writes done", func() bool {
+				_, err := b.store.Get(context.Background(), store.Routine, firstKey)
+				return err == nil
+			})
+			if _, err := b.store.Get(context.Background(), store.Routine, runKey("j-9", 0)); err != nil {
+				t.Fatal("the only record of running tasks is gone")
+			}
 		} else if _, err := b.store.Get(context.Background(), store.Routine, compactKey("j-9", 0)); err == nil {
 			t.Fatal("a form that the earlier version can't read")
 		}
@@ -155,8 +172,9 @@
 	wait(t, "leading", func() bool { return lead.leading() != nil })
 	piped := pipe("j-2", "j-1")
 	lead.Submit(submission("j-1", wire.Array))
-	for range 3 {
+	for range 40 {
 		lead.lookAtGate(context.Background())
+		time.Sleep(time.Millisecond)
 	}
 	if lead.Opened() {
 		t.Fatal("the other node may be of the earlier version, and lead next")
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -244,9 +244,7 @@
 	c.touch(w.l.n.Now(), h)
 }
 
-// unsure reports whether the end of a job may be in the store without this leader
-// knowing: its write went out, and has no answer yet. Another node may have read
-// it there, and told its user.
+// unsure reports whether a write of the job's end has no answer yet.
 func (w *writer) unsure(id string) bool {
 	c := w.cells[endKey(id)]
 	return c != nil && (c.flying || c.verify)
--- a/internal/model/compact_test.go
+++ b/internal/model/compact_test.go
@@ -106,6 +106,9 @@
 				t.Fatalf("%s: a takeover misses %q", step, p)
 			}
 		}
+		if held["j-1/3 done"] && held["j-1/3 try 1 on i-1 session 1 in a"] {
+			t.Fatalf("%s: the old record still has its say", step)
+		}
 	}
 	for _, ch := range j.Chunks {
 		rec := ch.Record()
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -331,3 +331,22 @@
 	}
 	return s
 }
+
+// maxNamed is how many of the jobs that a job waits for its user is told.
+const maxNamed = 10
+
+// Lacks names some of the jobs that a job still waits for.
+func (c *Cluster) Lacks(j *Job) []string {
+	var out []string
+	if j.State != Awaiting {
+		return nil
+	}
+	for _, id := range j.Spec.Needs {
+		if _, over := c.Ends[id]; !over {
+			if out = append(out, id); len(out) == maxNamed {
+				break
+			}
+		}
+	}
+	return out
+}
--- a/wire/job.go
+++ b/wire/job.go
@@ -89,6 +89,7 @@
 	State   JobState `msgpack:"status" json:"status"`
 	Done    int      `msgpack:"done" json:"done"`
 	Running int      `msgpack:"running" json:"running"`
+	Needs   []string `msgpack:"awaits,omitempty" json:"awaits,omitempty"` // some of the jobs that it still waits for
 }
 
 // ValidJobID reports whether id has the form of a job's id.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -41,6 +41,12 @@
 		{"unknown rank", with("rank", "top"), false},
 		{"number for a flag", with("oneZone", 1), false},
 		{"list of numbers", with("rigs", []any{1}), false},
+		{"awaited jobs", with("awaits", []any{"j-1", "j-2", "j-1"}), true},
+		{"none awaited", with("awaits", []any{}), true},
+		{"null awaited", with("awaits", nil), true},
+		{"text for awaited jobs", with("awaits", "j-1"), false},
+		{"number among awaited jobs", with("awaits", []any{"j-1", 2}), false},
+		{"no id among awaited jobs", with("awaits", []any{"j-1/end"}), false},
 		{"negative deadline", with("dueS", -1), false},
 		{"not a map", []any{1}, false},
 		{"null", nil, false},
@@ -56,6 +62,9 @@
 		if err != nil && !errors.Is(err, ErrMalformed) {
 			t.Errorf("%s: error of another kind: %v", c.name, err)
 		}
+		if c.name == "awaited jobs" && len(job.Needs) != 2 {
+			t.Errorf("%s: a repeat counts: %v", c.name, job.Needs)
+		}
 		if c.ok && (job.ID != "j-000412" || job.Kind != Gang || job.CPUs != 8) {
 			t.Errorf("%s: read as %+v", c.name, job)
 		}
