--- a/internal/controller/versions_test.go
+++ b/internal/controller/versions_test.go
@@ -72,6 +72,30 @@
 	}
 }
 
+// A size is measured in the form that the store counts: what it decodes, as JSON.
+func TestSizesAreMeasuredAsTheStoreCountsThem(t *testing.T) {
+	all := values()
+	all["compact"] = (&model.ChunkRecord{Places: []model.PlaceRecord{{Index: 1, Attempt: 2, Machine: "i-1", Session: 3, Zone: "east"}}, Done: [][2]int{{2, 3}}, Tries: [][2]int{}}).Compact()
+	all["format"], all["node"], all["needs"] = FormatRecord{2, 64}, nodeRecord{2}, needsRecord{[]string{"j-1", "j-2"}}
+	for _, v := range all {
+		var counted any
+		if err := wire.Unmarshal(wire.MustMarshal(v), &counted); err != nil {
+			t.Fatal(err)
+		}
+		got, want := wire.JSONSize(v), wire.JSONSize(counted)
+		switch v.(type) {
+		case keep.Request, keep.Echo:
+			continue // between nodes only
+		}
+		if _, user := v.(wire.Job); user && got >= want {
+			continue // a null that the record leaves out
+		}
+		if got != want {
+			t.Errorf("%T is measured as %d bytes, the store counts %d", v, got, want)
+		}
+	}
+}
+
 // v1EndRecord and v1Job are the earlier version's types, as far as the new one has
 // added to them.
 type v1EndRecord struct {
--- a/internal/model/record.go
+++ b/internal/model/record.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"encoding/json"
 	"sort"
 
 	"notchmux.dev/notchmux/internal/micro"
@@ -18,6 +19,12 @@
 	Zone    string
 }
 
+// MarshalJSON gives the form that the store's limits count: a list, as in the
+// store. With its fields' names, records that fit were once put aside as too large.
+func (r PlaceRecord) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]any{r.Index, r.Attempt, r.Machine, r.Session, r.Zone})
+}
+
 // ChunkRecord is a chunk of tasks as the store keeps it.
 type ChunkRecord struct {
 	Places []PlaceRecord `msgpack:"p" json:"p"`
@@ -25,15 +32,6 @@
 	Tries  [][2]int      `msgpack:"t" json:"t"` // task and attempt, where no place is taken
 }
 
-// Size bounds the record's size in the form that the store's limits count.
-func (r *ChunkRecord) Size() int {
-	n := 64 + 16*len(r.Done) + 20*len(r.Tries)
-	for i := range r.Places {
-		n += 40 + len(r.Places[i].Machine) + len(r.Places[i].Zone)
-	}
-	return n
-}
-
 // EndRecord is the end of a job: created once, the first one wins.
 type EndRecord struct {
 	State wire.JobState `msgpack:"state" json:"state"`
