A held-up write of an end keeps the leader from answering from memory until it is settled

The end's write got no answer; the leader looked for it, did not find it, and went on to answer from memory, while the first write was carried out seconds later and another node read it. Ruled out: reads of the store (the end is read last there). Now an end in doubt sends the question to the store.

--- a/internal/controller/format.go
+++ b/internal/controller/format.go
@@ -147,7 +147,7 @@
 
 // raise writes fleet/format. From then on, and not before, the new forms are used.
 func (l *Lead) raise() {
-	if !l.c.Compact && l.loaded && !l.w.format.dirty && !l.w.format.flying {
+	if !l.c.Compact && l.loaded && !l.w.format.dirty && !l.w.format.doubt {
 		l.w.format.touch(l.n.Now(), soon)
 	}
 }
--- a/internal/controller/pipeline_test.go
+++ b/internal/controller/pipeline_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -265,6 +266,56 @@
 	}
 }
 
+// delayed is a store that holds the first write of a key up, and is over its limits
+// for those that follow.
+type delayed struct {
+	store.Store
+	key  string
+	mu   *sync.Mutex
+	held *[]wire.Txn
+	late *int
+}
+
+func (s delayed) Commit(ctx context.Context, c store.Class, t wire.Txn) (uint64, error) {
+	for _, ch := range t.Then {
+		if ch.Put == s.key {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if len(*s.held) == 0 {
+				*s.held = append(*s.held, t)
+				return 0, store.ErrUncertain
+			}
+			*s.late++
+			return 0, store.ErrBusy
+		}
+	}
+	return s.Store.Commit(ctx, c, t)
+}
+
+// The leader looked for an end whose write had no answer, and did not find it: the
+// write was held up, and carried out after that look.
+func TestLeaderDoesNotAnswerFromMemoryOnceAnEndWasHeldUp(t *testing.T) {
+	b := newBed(t)
+	d := delayed{nil, endKey("j-1"), &sync.Mutex{}, &[]wire.Txn{}, new(int)}
+	n, _ := b.nodeWith("n-0", func(n *Node) { d.Store = n.Store; n.Store = d })
+	n.Submit(submission("j-1", wire.Array))
+	reader, _ := b.nodeWith("n-1", func(n *Node) { n.election.Pause(10 * micro.Minute) })
+	stop := make(chan struct{})
+	defer close(stop)
+	go b.work(n, stop)
+	wait(t, "looked for, and tried again", func() bool { d.mu.Lock(); defer d.mu.Unlock(); return *d.late > 0 })
+	if _, err := b.store.Commit(context.Background(), store.Urgent, (*d.held)[0]); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "done to one that reads the store", func() bool { return state(reader, "j-1") == wire.JobDone })
+	for range 50 {
+		if got := state(n, "j-1"); got != wire.JobDone {
+			t.Fatalf("the leader calls it %q", got)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // The same of a withdrawal, and of what needs the withdrawn job.
 func TestLeaderDoesNotCallPendingWhatFellWithAnEndOnItsWay(t *testing.T) {
 	b := newBed(t)
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -42,7 +42,8 @@
 	dirty  bool
 	haste  haste
 	verify bool       // an uncertain write: read the version before the next
-	flying bool       // a write of it is under way
+	doubt  bool       // a write went out that may yet be carried out, or was, unknown to this leader
+	held   bool       // of those, one got no answer: it may be carried out at any later time
 	parked micro.Time // the store would not take it: no try before
 	since  micro.Time
 	build  func() (value any, note uint64) // nil value: delete; notYet: nothing to write now
@@ -244,10 +245,13 @@
 	c.touch(w.l.n.Now(), h)
 }
 
-// unsure reports whether a write of the job's end has no answer yet.
+// unsure reports whether the job's end may be in the store unknown to this leader.
+// That an uncertain write is not there when it is looked for says nothing of later:
+// held up for seconds, it was carried out after the look, a user was told that the
+// job was done, and then by the leader that it was pending.
 func (w *writer) unsure(id string) bool {
 	c := w.cells[endKey(id)]
-	return c != nil && (c.flying || c.verify)
+	return c != nil && c.doubt
 }
 
 // coalesce is how long a lazy change waits for others of its key to join it.
@@ -304,13 +308,15 @@
 	case len(b.verify) > 0:
 		// Put what was batched back: what is uncertain is cleared up first.
 		for _, x := range b.cells {
-			x.c.flying = false
 			x.c.touch(now, soon)
 		}
 		w.flight = true
 		go w.clear(b.verify)
 	case len(b.cells) > 0:
 		w.flight = true
+		for _, x := range b.cells {
+			x.c.doubt = true
+		}
 		go w.commit(b.txn, b.cells)
 	case pressing:
 		w.next = now + 50*micro.Millisecond
@@ -364,7 +370,7 @@
 		b.txn.If = append(b.txn.If, wire.Guard{Key: c.key, Version: wire.Count(c.stamp)})
 		b.txn.Then = append(b.txn.Then, ch)
 		b.cells = append(b.cells, written{c, note, value == nil})
-		c.dirty, c.flying = false, true
+		c.dirty = false
 	}
 	// What was skipped as uncertain is put back by clear.
 	if k == len(q) {
@@ -390,7 +396,7 @@
 		switch {
 		case err == nil:
 			for _, b := range batch {
-				b.c.flying = false
+				b.c.doubt, b.c.held = false, false
 				b.c.stamp = rev
 				if b.del {
 					b.c.stamp = 0
@@ -425,8 +431,9 @@
 	w.flight = false
 	now := w.l.n.Now()
 	for _, b := range batch {
-		b.c.flying = false
 		b.c.verify = b.c.verify || verify
+		b.c.doubt = b.c.doubt && (b.c.held || verify)
+		b.c.held = b.c.held || verify
 		b.c.touch(now, soon)
 	}
 }
@@ -489,6 +496,7 @@
 			case g.err == nil:
 				g.c.verify = false
 				g.c.stamp = uint64(g.it.Version)
+				g.c.doubt, g.c.held = false, false
 				if g.c.found != nil && g.c.found(g.it) {
 					g.c.dirty = false
 				}
