--- a/internal/controller/format.go
+++ b/internal/controller/format.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/peer"
 	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
 )
@@ -82,7 +83,7 @@
 }
 
 func (n *Node) lookAtGate(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
 	defer cancel()
 	if GateState(n.gate.Load()) == Unannounced && n.announce(ctx) {
 		n.become(Announced)
@@ -103,9 +104,24 @@
 	}
 }
 
-// announce writes this node's version, unless it is there.
+// announce makes this node's version known, through a peer if the store is out of
+// this node's reach alone: one upgraded while it was cut from the store once kept
+// the gate shut for a minute, and the limits fell meanwhile.
 func (n *Node) announce(ctx context.Context) bool {
-	key := nodePrefix + n.Cfg.Node
+	if n.record(ctx, n.Cfg.Node) {
+		return true
+	}
+	for _, p := range n.leaderFirst() {
+		if status, _, err := n.ask(p, peer.Announce, wire.MustMarshal(n.Cfg.Node), askWait); err == nil && status == 200 {
+			return true
+		}
+	}
+	return false
+}
+
+// record writes that a node runs this version, unless it is there.
+func (n *Node) record(ctx context.Context, node string) bool {
+	key := nodePrefix + node
 	it, err := n.Store.Get(ctx, store.Routine, key)
 	var rec nodeRecord
 	if err == nil && wire.Unmarshal(it.Value, &rec) == nil && rec.Version >= Version {
@@ -118,6 +134,23 @@
 	return err == nil
 }
 
+// answerAnnounce records another node of the settings on its behalf.
+func (n *Node) answerAnnounce(ctx context.Context, body []byte) int {
+	var node string
+	if wire.Unmarshal(body, &node) != nil {
+		return 400
+	}
+	for _, p := range n.Cfg.Peers {
+		if p.Node == node {
+			if n.record(ctx, node) {
+				return 200
+			}
+			return 503
+		}
+	}
+	return 404
+}
+
 // unannounced lists the nodes of the settings that have not announced this
 // version; if the store can't be asked, all.
 func (n *Node) unannounced(ctx context.Context) []string {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -638,11 +638,13 @@
 }
 
 // peerCall answers another node.
-func (n *Node) peerCall(_ context.Context, call string, body []byte) (int, []byte) {
+func (n *Node) peerCall(ctx context.Context, call string, body []byte) (int, []byte) {
 	var r front.Reply
 	switch call {
 	case peer.Ping:
 		return 200, nil
+	case peer.Announce:
+		return n.answerAnnounce(ctx, body), nil
 	case peer.Keep:
 		return n.answerKeeper(body)
 	case peer.Submit:
--- a/internal/controller/versions_test.go
+++ b/internal/controller/versions_test.go
@@ -227,6 +227,33 @@
 	wait(t, "reads the new forms", again.Opened)
 }
 
+// A node was upgraded while it alone was cut from the store.
+func TestNodeThatTheStoreRefusesAnnouncesItselfThroughAPeer(t *testing.T) {
+	b := newBed(t)
+	lead, _ := b.nodeWith("n-0", func(n *Node) { n.Cfg.Peers = []config.Peer{{Node: "n-1"}} })
+	wait(t, "leading", func() bool { return lead.leading() != nil })
+	cut, _ := b.nodeWith("n-1", func(n *Node) {
+		n.Cfg.Peers = []config.Peer{{Node: "n-0"}}
+		n.Store = unheard{n.Store}
+		n.Peers = peer.NewClient(map[string]string{"n-0": b.servePeer(lead)})
+	})
+	if cut.answerAnnounce(context.Background(), wire.MustMarshal("n-7")) != 404 {
+		t.Fatal("a node that the settings do not name")
+	}
+	wait(t, "open", func() bool {
+		cut.lookAtGate(context.Background())
+		lead.lookAtGate(context.Background())
+		return lead.Opened()
+	})
+}
+
+// unheard is a store that answers a node nothing.
+type unheard struct{ store.Store }
+
+func (unheard) Get(context.Context, store.Class, string) (wire.Item, error) {
+	return wire.Item{}, store.ErrUncertain
+}
+
 // The other version answers a call that it does not know with 404: the store is
 // asked instead.
 func TestCallThatTheOtherVersionLacksHasAFallback(t *testing.T) {
