--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -172,3 +172,58 @@
 		t.Errorf("images of %d machines are kept", len(got.Machines))
 	}
 }
+
+// stuck is a store that answers one write only when it is let go.
+type stuck struct {
+	store.Store
+	key string
+	let chan struct{}
+	out chan struct{}
+}
+
+func (s stuck) Commit(ctx context.Context, c store.Class, t wire.Txn) (uint64, error) {
+	for _, ch := range t.Then {
+		if ch.Put == s.key {
+			select {
+			case s.out <- struct{}{}:
+				<-s.let
+			default: // a later one
+			}
+		}
+	}
+	return s.Store.Commit(ctx, c, t)
+}
+
+// Every third answer of the store was lost, and each start waited for the time-out
+// of a write that was none of its own.
+func TestOneLateAnswerHoldsUpNoOtherKey(t *testing.T) {
+	b := newBed(t)
+	s := stuck{nil, "hire/r-0", make(chan struct{}), make(chan struct{}, 1)}
+	n, _ := b.nodeWith("n-0", func(n *Node) { s.Store = n.Store; n.Store = s })
+	wait(t, "leading", func() bool { return n.leading() != nil })
+	l := n.leading()
+	put := func(key, value string) {
+		l.post(func() {
+			c := l.w.cell(key)
+			c.build = func() (any, uint64) { return value, 0 }
+			c.touch(n.Now(), soon)
+		})
+	}
+	written := func(key, value string) func() bool {
+		return func() bool {
+			it, err := b.store.Get(context.Background(), store.Routine, key)
+			var got string
+			return err == nil && wire.Unmarshal(it.Value, &got) == nil && got == value
+		}
+	}
+	put("hire/r-0", "old")
+	wait(t, "on its way", func() bool { return len(s.out) == 1 })
+	put("hire/r-1", "x")
+	put("hire/r-0", "new")
+	wait(t, "another key written meanwhile", written("hire/r-1", "x"))
+	if written("hire/r-0", "new")() {
+		t.Fatal("two writes of one key are on their way: either could come last")
+	}
+	close(s.let)
+	wait(t, "the newer value written after it", written("hire/r-0", "new"))
+}
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -43,6 +43,7 @@
 	haste  haste
 	verify bool       // an uncertain write: read the version before the next
 	doubt  bool       // a write went out that may yet be carried out, or was, unknown to this leader
+	flying bool       // a write of it, or a look at it, is under way
 	held   bool       // of those, one got no answer: it may be carried out at any later time
 	parked micro.Time // the store would not take it: no try before
 	since  micro.Time
@@ -82,22 +83,24 @@
 	c.touch(now, idle)
 }
 
-// writer batches the leader's writes, one transaction at a time.
+// writer batches the leader's writes: one transaction at a time, and a few more
+// while the store is slow to answer. A key is in one of them at most.
 type writer struct {
-	l      *Lead
-	cells  map[string]*cell
-	queues [hastes][]*cell // in the order in which they became due; a cell counts in that of its haste
-	chunks map[*model.Chunk]*cell
-	speed  *cell
-	first  *cell
-	images *cell
-	olds   map[*model.Old]*cell
-	format *cell
-	parked []*cell // those that the store would not take, to be tried again
-	alone  int     // so many transactions of one change, to find what the store does not take
-	flight bool
-	next   micro.Time
-	later  micro.Time // no look at what is not pressing before
+	l       *Lead
+	cells   map[string]*cell
+	queues  [hastes][]*cell // in the order in which they became due; a cell counts in that of its haste
+	chunks  map[*model.Chunk]*cell
+	speed   *cell
+	first   *cell
+	images  *cell
+	olds    map[*model.Old]*cell
+	format  *cell
+	parked  []*cell    // those that the store would not take, to be tried again
+	alone   int        // so many transactions of one change, to find what the store does not take
+	flights int        // transactions, and looks at uncertain keys, under way
+	sent    micro.Time // when the last of them went out
+	next    micro.Time
+	later   micro.Time // no look at what is not pressing before
 }
 
 func newWriter(l *Lead) *writer {
@@ -277,9 +280,16 @@
 	size   int
 }
 
-// flush starts a transaction if one is due and none is under way.
+// While an answer is late by slowAnswer, another transaction goes out beside it:
+// with every third answer lost, starts once waited for a time-out after the other.
+const (
+	maxFlights = 6
+	slowAnswer = 80 * micro.Millisecond
+)
+
+// flush starts a transaction if one is due.
 func (w *writer) flush(now micro.Time) {
-	if w.flight || now < w.next {
+	if now < w.next || w.flights >= maxFlights || w.flights > 0 && now-w.sent < slowAnswer {
 		return
 	}
 	pressing := len(w.queues[first])+len(w.queues[soon])+len(w.parked) > 0
@@ -304,25 +314,42 @@
 		w.fill(&b, idle, min(most, st.WriteRoom(store.Lazy)), now)
 	}
 	w.later = now + 200*micro.Millisecond
-	switch {
-	case len(b.verify) > 0:
-		// Put what was batched back: what is uncertain is cleared up first.
-		for _, x := range b.cells {
-			x.c.touch(now, soon)
-		}
-		w.flight = true
+	if len(b.verify) > 0 {
+		w.launch(b.verify, now)
 		go w.clear(b.verify)
-	case len(b.cells) > 0:
-		w.flight = true
-		for _, x := range b.cells {
+	}
+	if len(b.cells) > 0 {
+		cells := make([]*cell, len(b.cells))
+		for i, x := range b.cells {
 			x.c.doubt = true
+			cells[i] = x.c
 		}
+		w.launch(cells, now)
 		go w.commit(b.txn, b.cells)
-	case pressing:
+	} else if len(b.verify) == 0 && pressing {
 		w.next = now + 50*micro.Millisecond
 	}
 }
 
+func (w *writer) launch(cells []*cell, now micro.Time) {
+	w.flights++
+	w.sent = now
+	for _, c := range cells {
+		c.flying = true
+	}
+}
+
+// land ends a flight. What changed meanwhile lost its place in line to it.
+func (w *writer) land(cells ...*cell) {
+	w.flights--
+	for _, c := range cells {
+		c.flying = false
+		if c.dirty && c.parked == 0 {
+			w.queues[c.haste] = append(w.queues[c.haste], c)
+		}
+	}
+}
+
 // fill takes what is due from a queue, as far as there is room.
 func (w *writer) fill(b *batch, h haste, room int, due micro.Time) {
 	q := w.queues[h]
@@ -332,6 +359,9 @@
 		if !c.dirty || c.haste != h || c.parked > 0 {
 			continue // written meanwhile, due in another queue, or not taken by the store
 		}
+		if c.flying {
+			continue // its turn comes when that has landed
+		}
 		if c.verify {
 			if len(b.verify) == 8 {
 				break
@@ -390,11 +420,11 @@
 	defer cancel()
 	rev, err := w.l.n.Store.Commit(ctx, store.Urgent, txn)
 	w.l.post(func() {
-		w.flight = false
 		now := w.l.n.Now()
 		w.l.n.Metrics.Observe("commit", now-from)
 		switch {
 		case err == nil:
+			w.land(cellsOf(batch)...)
 			for _, b := range batch {
 				b.c.doubt, b.c.held = false, false
 				b.c.stamp = rev
@@ -427,8 +457,16 @@
 	})
 }
 
+func cellsOf(batch []written) []*cell {
+	out := make([]*cell, len(batch))
+	for i, b := range batch {
+		out[i] = b.c
+	}
+	return out
+}
+
 func (w *writer) fail(batch []written, verify bool) {
-	w.flight = false
+	w.land(cellsOf(batch)...)
 	now := w.l.n.Now()
 	for _, b := range batch {
 		b.c.verify = b.c.verify || verify
@@ -489,7 +527,6 @@
 		}
 	}
 	w.l.post(func() {
-		w.flight = false
 		now := w.l.n.Now()
 		for _, g := range all {
 			switch {
@@ -507,10 +544,6 @@
 				w.next = now + 100*micro.Millisecond
 			}
 		}
-		for _, c := range cells { // their place in the queue was given up
-			if c.dirty {
-				w.queues[c.haste] = append(w.queues[c.haste], c)
-			}
-		}
+		w.land(cells...) // with their place in line
 	})
 }
