--- a/internal/controller/fleet_bench_test.go
+++ b/internal/controller/fleet_bench_test.go
@@ -147,3 +147,67 @@
 		})
 	}
 }
+
+// waitingJobs adds so many jobs that each await two of those that run.
+func (h *herd) waitingJobs(n int) {
+	var ids []string
+	for id := range h.l.c.Jobs {
+		ids = append(ids, id)
+	}
+	for i := range n {
+		h.l.addJob(wire.Job{ID: fmt.Sprintf("j-5%06d", i), Class: "c", Team: "team", Kind: wire.Array, Priority: wire.Low, Tasks: 20, CPUs: 1, MemoryGB: 1,
+			EstimateS: 20, Image: "i", Needs: []string{ids[i%len(ids)], ids[(i*7+1)%len(ids)]}})
+	}
+}
+
+// Jobs that wait for others cost a pass nothing.
+func BenchmarkPassBesideWaitingJobs(b *testing.B) {
+	for _, n := range []int{0, 5000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			h := newHerd(b, 290)
+			h.waitingJobs(n)
+			for b.Loop() {
+				h.l.placer.Pass(h.now)
+			}
+		})
+	}
+}
+
+// An end costs as much as the jobs that wait for it, however many others wait.
+func BenchmarkEnd(b *testing.B) {
+	for _, n := range []int{50, 5000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			h := newHerd(b, 290)
+			h.waitingJobs(n)
+			for i := 0; b.Loop(); i++ {
+				id := fmt.Sprint("j-8", i)
+				j := h.l.c.AddJob(wire.Job{ID: id, Class: "c", Team: "team", Kind: wire.Array, Priority: wire.Low, Tasks: 1, CPUs: 1, EstimateS: 20}, h.now, h.now)
+				h.l.c.AddJob(wire.Job{ID: id + "1", Class: "c", Team: "team", Kind: wire.Array, Priority: wire.Low, Tasks: 1, CPUs: 1, EstimateS: 20, Needs: []string{id}}, h.now, h.now)
+				h.l.c.End(j, false, h.now)
+			}
+		})
+	}
+}
+
+// A takeover costs the reading of what waits, and no more than so much for each.
+func BenchmarkTakeoverOfWaitingJobs(b *testing.B) {
+	for _, n := range []int{500, 5000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			k := newKept()
+			for i := range n {
+				id := fmt.Sprintf("j-%06d", i)
+				k.specs[id] = wire.Job{ID: id, Class: "c", Team: "team", Kind: wire.Array, Priority: wire.Low, Tasks: 20, CPUs: 1, MemoryGB: 1}
+				if i >= 100 {
+					job := k.specs[id]
+					job.Needs = []string{fmt.Sprintf("j-%06d", i-100), fmt.Sprintf("j-%06d", i/2)}
+					k.specs[id] = job
+				}
+			}
+			for b.Loop() {
+				h := &herd{now: 1000 * micro.Second}
+				h.l = newHerd(b, 4).l
+				h.l.adopt(&k, h.now, h.now)
+			}
+		})
+	}
+}
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"strings"
 
 	"notchmux.dev/notchmux/internal/micro"
@@ -70,8 +69,7 @@
 			}
 		}
 	})
-	k := kept{specs: map[string]wire.Job{}, ends: map[string]model.EndRecord{}, needs: map[string]map[int][]string{},
-		chunks: map[string][]keptChunk{}, compact: map[string][]keptChunk{}}
+	k := newKept()
 	if !ok || !read("job/", k.job) || !read("run/", k.run) {
 		return 0, false
 	}
@@ -100,71 +98,6 @@
 	return rev, true
 }
 
-// kept is what the store holds of jobs.
-type kept struct {
-	specs   map[string]wire.Job
-	ends    map[string]model.EndRecord
-	needs   map[string]map[int][]string
-	chunks  map[string][]keptChunk // in the first form
-	compact map[string][]keptChunk
-}
-
-type keptChunk struct {
-	n  int
-	it wire.Item
-}
-
-// job reads one of a job's own keys.
-func (k *kept) job(it wire.Item) {
-	id, rest, _ := strings.Cut(it.Key[len("job/"):], "/")
-	switch {
-	case rest == "spec":
-		var job wire.Job
-		if wire.Unmarshal(it.Value, &job) == nil && job.Tasks >= 1 {
-			k.specs[id] = job
-		}
-	case rest == "end":
-		var e model.EndRecord
-		if wire.Unmarshal(it.Value, &e) == nil {
-			k.ends[id] = e
-		}
-	case strings.HasPrefix(rest, needsRest):
-		var r needsRecord
-		if n, err := strconv.Atoi(rest[len(needsRest):]); err == nil && wire.Unmarshal(it.Value, &r) == nil {
-			if k.needs[id] == nil {
-				k.needs[id] = map[int][]string{}
-			}
-			k.needs[id][n] = r.Needs
-		}
-	}
-}
-
-// run reads a record of a job's tasks.
-func (k *kept) run(it wire.Item) {
-	id, rest, _ := strings.Cut(it.Key[len("run/"):], "/")
-	into := k.chunks
-	if n, compact := strings.CutPrefix(rest, compactMark); compact {
-		rest, into = n, k.compact
-	}
-	if n, err := strconv.Atoi(rest); err == nil {
-		into[id] = append(into[id], keptChunk{n, it})
-	}
-}
-
-// whole completes a description whose list of awaited jobs is kept apart; false
-// if some of it is missing: the job must not be taken for one that awaits less.
-func (k *kept) whole(job *wire.Job) bool {
-	for n := range job.NeedsIn {
-		part, ok := k.needs[job.ID][n]
-		if !ok {
-			return false
-		}
-		job.Needs = append(job.Needs, part...)
-	}
-	job.NeedsIn = 0
-	return true
-}
-
 // adopt puts what was read into the model.
 func (l *Lead) adopt(k *kept, now, wall micro.Time) {
 	for id, e := range k.ends {
@@ -228,62 +161,6 @@
 	l.log.Info("job", "job", job.ID, "class", job.Class, "kind", string(job.Kind), "tasks", job.Tasks, "state", j.State.String(), "awaits", job.Needs, "unmet", j.Unmet)
 }
 
-// lookUp reads jobs that others await, and of which nothing is known yet, from the
-// store; also those whose description this leader does not have as a whole.
-func (l *Lead) lookUp() {
-	if l.looking || len(l.lookups) == 0 {
-		return
-	}
-	var ids []string
-	for id := range l.lookups {
-		if _, over := l.c.Ends[id]; over || l.c.Jobs[id] != nil {
-			delete(l.lookups, id) // it has come meanwhile
-			continue
-		}
-		if ids = append(ids, id); len(ids) == lookUpAtOnce {
-			break
-		}
-	}
-	if len(ids) == 0 {
-		return
-	}
-	l.looking = true
-	go func() {
-		k := kept{specs: map[string]wire.Job{}, ends: map[string]model.EndRecord{}, needs: map[string]map[int][]string{}}
-		read := map[string]bool{}
-		for _, id := range ids {
-			err := l.n.readAll("job/"+id+"/", func(rest string, value []byte) error {
-				k.job(wire.Item{Key: "job/" + id + "/" + rest, Value: value})
-				return nil
-			})
-			read[id] = err == nil
-		}
-		l.post(func() {
-			l.looking = false
-			now, wall := l.n.Now(), l.n.Wall()
-			for _, id := range ids {
-				if !read[id] {
-					continue // again
-				}
-				if e, over := k.ends[id]; over {
-					delete(l.lookups, id)
-					at := now - max(wall-micro.Time(e.At), 0)
-					if e.At == 0 {
-						at = now
-					}
-					l.c.Settle(id, model.End{Aborted: e.State == wire.JobAborted, At: at}, now)
-				} else if job, ok := k.specs[id]; ok && k.whole(&job) {
-					delete(l.lookups, id)
-					l.addJob(job)
-				}
-			}
-		})
-	}()
-}
-
-// lookUpAtOnce is how many jobs are looked up together.
-const lookUpAtOnce = 4
-
 // watch finds jobs that other nodes accepted.
 func (l *Lead) watch(ctx context.Context, rev uint64) {
 	for {
