--- a/internal/controller/format.go
+++ b/internal/controller/format.go
@@ -205,7 +205,6 @@
 		rec, _ := l.w.format.build()
 		l.format = rec.(FormatRecord)
 	}
-	l.log.Info("format raised", "version", l.format.Version, "tasks", l.format.Tasks)
 	l.c.UseCompact(l.format.Tasks)
 	l.n.become(Open)
 }
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -22,7 +22,10 @@
 		_, safe := l.n.Cfg.ValueBytes()
 		return FormatRecord{Version: Version, Tasks: model.CompactTasks(safe - valueMargin)}, 0
 	}
-	w.format.saved = func(uint64) { l.raised() }
+	w.format.saved = func(uint64) {
+		l.raised()
+		l.log.Info("format raised", "version", l.format.Version, "tasks", l.format.Tasks)
+	}
 	w.format.found = func(it wire.Item) bool {
 		if l.readFormat(it) {
 			l.raised()
