Stages on ordinary machines when a lost task would be late: tried and reverted

Tried: a stage takes ordinary machines first unless it could run twice in full span, a loss seen late included.

--- a/internal/model/pipeline.go
+++ b/internal/model/pipeline.go
@@ -87,9 +87,9 @@
 // run of the next, beside its image: a report, two writes and a start.
 const startCost = 3 * micro.Second
 
-// Span is how long a job of a pipeline is expected to take: of many tasks, some
+// span is how long a job of a pipeline is expected to take: of many tasks, some
 // run longer than the owner's estimate for one.
-func (j *Job) Span() micro.Time {
+func (j *Job) span() micro.Time {
 	run := float64(micro.Of(j.Spec.EstimateS)) * j.Class.Bias
 	if len(j.Tasks) > 1 {
 		run *= manyTasks
@@ -100,10 +100,6 @@
 // manyTasks is the longest run of a job's tasks over the estimate.
 const manyTasks = 1.4
 
-// Piped reports whether a job's deadline is that of a pipeline: its own or another's
-// that comes after it.
-func (j *Job) Piped() bool { return j.Heir != nil && (j.Heir != j || len(j.Spec.Needs) > 0) }
-
 // due is when the heir's deadline asks a job itself to be done.
 func (j *Job) due() micro.Time {
 	return j.Heir.Submitted + micro.Of(*j.Heir.Spec.DeadlineS) - j.Tail
@@ -128,8 +124,8 @@
 		}
 		level = min(level, d.Level)
 		if d.Heir != nil {
-			if at := d.due() - d.Span(); heir == nil || at < best {
-				heir, tail, best = d.Heir, d.Tail+d.Span(), at
+			if at := d.due() - d.span(); heir == nil || at < best {
+				heir, tail, best = d.Heir, d.Tail+d.span(), at
 			}
 		}
 	}
--- a/internal/sched/goals.go
+++ b/internal/sched/goals.go
@@ -100,12 +100,6 @@
 // is none.
 func (g *Goals) Twice(j *model.Job, now micro.Time) bool {
 	run := Estimate(j) + micro.Of(j.Spec.ImageGB)
-	twice := 2 * run
-	if j.Piped() {
-		// One of its tasks that is lost holds up all that comes after; the longest
-		// of them, which is likely lost near its end, and is missed only after a while.
-		twice = 2*j.Span() + lossSeen
-	}
 	near := micro.Time(0) // the nearest that can be met
 	look := func(due micro.Time) {
 		if due >= now+run && (near == 0 || due < near) {
@@ -116,8 +110,5 @@
 		look(j.Since + w)
 	}
 	g.dues(j, look)
-	return near == 0 || near >= now+twice
+	return near == 0 || near >= now+2*run
 }
-
-// lossSeen is about how long a task is gone before that is seen.
-const lossSeen = 12 * micro.Second
