--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -325,7 +325,7 @@
 		fmt.Fprintf(&fleet, "%s %s %s %d, %d empty; ", p.Type.Name, p.Zone, kind, p.N, empty)
 	}
 	l.log.Info("leading", "live", len(l.c.Live), "awaiting", l.c.AwaitingN, "pending", len(l.c.Pending), "tasks", l.pendingTasks.Load(), "usable", up, "known", len(l.c.Machines),
-		"writes_first", len(l.w.queues[first]), "writes_soon", len(l.w.queues[soon]), "writes_lazy", len(l.w.queues[lazy]), "writes_idle", len(l.w.queues[idle]),
+		"writes_first", len(l.w.queues[first]), "writes_soon", len(l.w.queues[soon]), "writes_lazy", len(l.w.queues[lazy]), "writes_idle", len(l.w.queues[idle]), "written", l.w.told(),
 		"pass_gap_ms", int64(l.passGap/micro.Millisecond), "events", len(l.events), "asks", len(l.asks), "directs", l.directs, "kicked", len(l.kicked), "hires_waiting", len(l.asking), "fleet", fleet.String())
 }
 
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -10,7 +10,7 @@
 }
 
 func newWriter(l *Lead) *writer {
-	w := &writer{l: l, cells: map[string]*cell{}, chunks: map[*model.Chunk]*cell{}, olds: map[*model.Old]*cell{}}
+	w := &writer{l: l, cells: map[string]*cell{}, chunks: map[*model.Chunk]*cell{}, olds: map[*model.Old]*cell{}, changes: map[string]int{}}
 	w.speed = w.cell(speedKey)
 	w.speed.build = func() (any, uint64) { return l.speeds.Record(), 0 }
 	w.first = w.cell(firstKey)
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"sort"
+	"strconv"
+	"strings"
 	"time"
 
 	"notchmux.dev/notchmux/internal/micro"
@@ -288,6 +291,7 @@
 		switch {
 		case err == nil:
 			w.land(cellsOf(batch)...)
+			w.tell(batch)
 			for _, b := range batch {
 				b.c.doubt, b.c.held = false, false
 				b.c.stamp = rev
@@ -320,6 +324,31 @@
 	})
 }
 
+// tell counts changes by what they are for: the prefix of their keys, and deletes.
+func (w *writer) tell(batch []written) {
+	for _, b := range batch {
+		kind, _, _ := strings.Cut(b.c.key, "/")
+		if kind == "job" {
+			kind = "end"
+		}
+		if b.del {
+			kind += "-deleted"
+		}
+		w.changes[kind]++
+	}
+}
+
+// told lists the changes by cause since it was last asked.
+func (w *writer) told() string {
+	kinds := make([]string, 0, len(w.changes))
+	for k, n := range w.changes {
+		kinds = append(kinds, k+" "+strconv.Itoa(n))
+	}
+	clear(w.changes)
+	sort.Strings(kinds)
+	return strings.Join(kinds, ", ")
+}
+
 func cellsOf(batch []written) []*cell {
 	out := make([]*cell, len(batch))
 	for i, b := range batch {
