--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -94,10 +94,11 @@
 	images  *cell
 	olds    map[*model.Old]*cell
 	format  *cell
-	parked  []*cell    // those that the store would not take, to be tried again
-	alone   int        // so many transactions of one change, to find what the store does not take
-	flights int        // transactions, and looks at uncertain keys, under way
-	sent    micro.Time // when the last of them went out
+	parked  []*cell        // those that the store would not take, to be tried again
+	changes map[string]int // written, by cause
+	alone   int            // so many transactions of one change, to find what the store does not take
+	flights int            // transactions, and looks at uncertain keys, under way
+	sent    micro.Time     // when the last of them went out
 	next    micro.Time
 	later   micro.Time // no look at what is not pressing before
 }
