--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -37,7 +37,7 @@
 	Store   store.Store
 	Cloud   cloud.Cloud
 	Agent   agent.Sender
-	Peers   *peer.Client
+	Peers   peer.Caller
 	Log     *slog.Logger
 	Metrics *metrics.Set
 	Now     func() micro.Time
--- /dev/null
+++ b/internal/controller/random_test.go
@@ -0,0 +1,125 @@
+package controller
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/wire"
+)
+
+var (
+	worldSeeds = flag.Int("world.seeds", 12, "how many days the random test plays")
+	worldSeed  = flag.Uint64("world.seed", 0, "the one day that it plays; 0: those from 1 on")
+)
+
+// Random days: jobs of all kinds, and troubles that meet as they come. After the
+// troubles are over, each accepted job that was not cancelled must be served
+// within the time that the users name. The troubles of a day follow from its
+// seed; the order of what happens in the same instant does not, so a failure may
+// take several replays (-world.seed=N -count=20).
+func TestRandomDaysKeepTheRules(t *testing.T) {
+	seeds := []uint64{}
+	for i := range *worldSeeds {
+		seeds = append(seeds, uint64(i+1))
+	}
+	if *worldSeed > 0 {
+		seeds = []uint64{*worldSeed}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, seed, []int{3, 4, 5}[seed%3], nil, func(w *world) { randomDay(w) })
+		})
+	}
+}
+
+func randomDay(w *world) {
+	const day = 200 * micro.Second
+	var jobs []*job
+	go w.troubles(day)
+	for w.now() < day {
+		time.Sleep(w.between(micro.Second, 6*micro.Second))
+		j := w.wants(w.order())
+		jobs = append(jobs, j)
+		look, cancel := w.chance(0.4), w.chance(0.35)
+		after := w.between(0, 40*micro.Second)
+		go func() {
+			j.submit()
+			if look {
+				j.closely()
+			}
+			go j.watch()
+			if !cancel {
+				return
+			}
+			time.Sleep(after)
+			if j.cancel(); look {
+				j.closely()
+			}
+		}()
+	}
+	// The last troubles last a minute and more; those services that run are
+	// enough to fill a team, so they are cancelled after a while.
+	w.until("all troubles over", 4*micro.Minute, func() bool { return w.calm() })
+	quiet := w.now()
+	for {
+		left := []string{}
+		for _, j := range jobs {
+			if s := j.is(); !j.served() && (s.accepted || w.now() < quiet+60*micro.Second) {
+				left = append(left, j.id)
+			}
+		}
+		if len(left) == 0 {
+			break
+		}
+		if w.now() > quiet+4*micro.Minute {
+			w.t.Errorf("%.1f s: four minutes after the last trouble not served: %v", w.now().Seconds(), left)
+			return
+		}
+		time.Sleep(time.Second)
+		// Whoever runs for ever makes room for the rest by and by.
+		if w.now() > quiet+30*micro.Second {
+			for _, j := range jobs {
+				if jd := w.check.job(j.id); jd.accepted && !jd.asked && (jd.broken || jd.spec.Kind == wire.Service && j.served()) {
+					go j.cancel()
+				}
+			}
+		}
+	}
+	for _, j := range jobs { // and nothing is forgotten
+		for _, p := range w.procs {
+			j.poll(p)
+		}
+	}
+	w.t.Logf("%d jobs, %d tasks began, %d of them after a confirmed cancellation, %d answers, %.0f s", len(jobs), w.check.starts, w.check.late, w.check.answers, w.now().Seconds())
+	if w.check.starts == 0 {
+		w.t.Error("nothing ran")
+	}
+}
+
+// order draws a job.
+func (w *world) order() order {
+	o := order{tasks: 1 + w.drawn(6), run: micro.Time(1+w.drawn(30)) * micro.Second, cpus: float64(1 + w.drawn(2)), team: []string{"team", "other"}[w.drawn(2)]}
+	o.rank = []wire.Priority{wire.Production, wire.High, wire.Normal, wire.Low}[w.drawn(4)]
+	o.spot = w.chance(0.4)
+	o.broken = w.chance(0.05)
+	switch w.drawn(6) {
+	case 0, 1, 2:
+		o.kind = wire.Array
+	case 3:
+		o.kind, o.tasks, o.oneZone = wire.Gang, 1+w.drawn(4), w.chance(0.5)
+	default:
+		o.kind, o.tasks, o.run = wire.Service, 1+w.drawn(3), 0
+		o.spread = w.chance(0.5)
+	}
+	if o.broken {
+		o.kind, o.spread, o.oneZone = wire.Array, false, false
+	}
+	if !o.spread && w.chance(0.2) {
+		o.zone = []string{"a", "b"}[w.drawn(2)]
+	}
+	return o
+}
--- /dev/null
+++ b/internal/controller/troubles_test.go
@@ -0,0 +1,185 @@
+package controller
+
+import (
+	"time"
+
+	"notchmux.dev/notchmux/internal/micro"
+)
+
+// The troubles of a world. Each begins and ends by itself, and counts as long as
+// it lasts.
+
+// trouble runs one, and notes when it is over.
+func (w *world) trouble(d micro.Time, on, off func()) {
+	w.mu.Lock()
+	w.active++
+	w.mu.Unlock()
+	on()
+	time.AfterFunc(d.Std(), func() {
+		off()
+		w.mu.Lock()
+		w.active--
+		w.mu.Unlock()
+	})
+}
+
+// calm reports whether no trouble is left.
+func (w *world) calm() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.active == 0 }
+
+// outage takes the store from all nodes.
+func (w *world) outage(d micro.Time) {
+	w.trouble(d, func() { w.store.Outage(true) }, func() { w.store.Outage(false) })
+}
+
+// refuse has the store refuse one node for a while.
+func (w *world) refuse(p *proc, d micro.Time) {
+	w.trouble(d, func() { p.refuse(true) }, func() { p.refuse(false) })
+}
+
+// cutOff keeps some of its surroundings from a node for a while.
+func (w *world) cutOff(p *proc, d micro.Time, what ...string) {
+	w.trouble(d, func() { p.cut(true, what...) }, func() { p.cut(false, what...) })
+}
+
+// cutZone keeps a zone's nodes and workers from everything outside.
+func (w *world) cutZone(zone string, d micro.Time) {
+	set := func(on bool) func() {
+		return func() {
+			w.mu.Lock()
+			w.away[zone] = on
+			w.mu.Unlock()
+			for _, p := range w.procs {
+				if p.zone == zone {
+					p.cut(on, "state", "users", "cloud")
+				}
+			}
+		}
+	}
+	w.trouble(d, set(true), set(false))
+}
+
+// unsure has a share of the commits carried out late, or their answers lost.
+func (w *world) unsure(late, lost float64, d micro.Time) {
+	set := func(a, b float64) func() {
+		return func() {
+			for _, p := range w.procs {
+				p.mu.Lock()
+				if p.link != nil {
+					p.link.Unsure(a, b)
+				}
+				p.mu.Unlock()
+			}
+		}
+	}
+	w.trouble(d, set(late, lost), set(0, 0))
+}
+
+// slow makes the store slow for all.
+func (w *world) slow(delay, d micro.Time) {
+	set := func(x micro.Time) func() {
+		return func() {
+			for _, p := range w.procs {
+				p.mu.Lock()
+				if p.link != nil {
+					p.link.Delay(x)
+				}
+				p.mu.Unlock()
+			}
+		}
+	}
+	w.trouble(d, set(delay), set(0))
+}
+
+// stale has copies of reports come late.
+func (w *world) stale(share float64, most, d micro.Time) {
+	set := func(s float64, m micro.Time) func() {
+		return func() {
+			w.mu.Lock()
+			w.share, w.copies = s, m
+			w.mu.Unlock()
+		}
+	}
+	w.trouble(d, set(share, most), set(0, most))
+}
+
+// some draws machines.
+func (w *world) some(n int) []*host {
+	hs := w.hosts()
+	var out []*host
+	for range min(n, len(hs)) {
+		out = append(out, hs[w.drawn(len(hs))])
+	}
+	return out
+}
+
+// troubles draws them until a day is over.
+func (w *world) troubles(day micro.Time) {
+	nothing := func() {}
+	for w.now() < day-60*micro.Second && w.ctx.Err() == nil {
+		time.Sleep(w.between(2*micro.Second, 20*micro.Second))
+		p := w.procs[w.drawn(len(w.procs))]
+		if l := w.leader(); l != nil && w.chance(0.7) {
+			p = l
+		}
+		d := micro.Time(w.between(2*micro.Second, 50*micro.Second) / time.Microsecond)
+		w.log("world").Debug("trouble drawn", "node", p.name, "for_s", d.Seconds())
+		switch w.drawn(16) {
+		case 0:
+			w.outage(micro.Time(w.between(2*micro.Second, 70*micro.Second) / time.Microsecond))
+		case 1:
+			w.refuse(p, d)
+			if w.chance(0.5) {
+				time.Sleep(w.between(0, 8*micro.Second))
+				w.outage(micro.Time(w.between(50*micro.Second, 70*micro.Second) / time.Microsecond))
+			}
+		case 2, 3:
+			after := micro.Time(w.between(100*micro.Millisecond, 8*micro.Second) / time.Microsecond)
+			w.trouble(after+micro.Second, func() { w.restart(p, after) }, nothing)
+		case 4:
+			after := micro.Time(w.between(100*micro.Millisecond, 40*micro.Second) / time.Microsecond)
+			w.trouble(after+10*micro.Second, func() {
+				for _, p := range w.procs {
+					w.restart(p, after+micro.Time(w.between(0, micro.Second)/time.Microsecond))
+				}
+			}, nothing)
+		case 5:
+			w.cutOff(p, d, "state", "peers")
+		case 6:
+			w.cutOff(p, d, [][]string{{"workers"}, {"peers"}, {"state"}, {"state", "peers", "workers", "users", "cloud"}}[w.drawn(4)]...)
+		case 7:
+			w.cutZone([]string{"a", "b"}[w.drawn(2)], d)
+		case 8:
+			w.unsure(0.3, 0, d)
+		case 9:
+			w.unsure(0, 0.3, d)
+		case 10:
+			w.slow(600*micro.Millisecond, d)
+		case 11:
+			w.stale(0.2, 45*micro.Second, d)
+		case 12:
+			hs := w.some(3)
+			w.trouble(d, func() {
+				for _, h := range hs {
+					h.hang(d)
+				}
+			}, nothing)
+		case 13:
+			hs := w.some(2)
+			w.trouble(d, func() {
+				for _, h := range hs {
+					if w.chance(0.5) {
+						h.deafen(d)
+					} else {
+						h.silence(d)
+					}
+				}
+			}, nothing)
+		case 14:
+			for _, h := range w.some(1) {
+				h.die()
+			}
+		case 15:
+			w.trouble(d, func() { p.freeze(d) }, nothing)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/world_test.go
@@ -0,0 +1,566 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"sort"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"notchmux.dev/notchmux/internal/agent"
+	"notchmux.dev/notchmux/internal/cloud"
+	"notchmux.dev/notchmux/internal/config"
+	"notchmux.dev/notchmux/internal/election"
+	"notchmux.dev/notchmux/internal/fake"
+	"notchmux.dev/notchmux/internal/front"
+	"notchmux.dev/notchmux/internal/metrics"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/peer"
+	"notchmux.dev/notchmux/wire"
+)
+
+// A world is a whole site in fake time: nodes with all their parts but the
+// sockets, workers, the cloud, the store and users, with the troubles that the
+// protocol and the users foresee. A checker of the rules sees every start, exit
+// and answer. Stories bring one meeting of troubles about; the random test draws
+// them.
+type world struct {
+	t       testing.TB
+	mu      sync.Mutex // of rand, workers and troubles
+	rand    *rand.Rand
+	from    time.Time
+	store   *fake.Store
+	cloud   *skies
+	procs   []*proc
+	workers map[string]*host
+	check   *checker
+	ctx     context.Context
+	base    config.Config
+	queue   int // jobs named so far
+	types   []wire.MachineType
+	quick   bool            // machines are up within two seconds
+	copies  micro.Time      // how late copies of reports come at the most; 0: none come
+	share   float64         // of the reports that are copied
+	away    map[string]bool // zones that are cut off from the others
+	active  int             // troubles that are not over
+	log     func(node string) *slog.Logger
+}
+
+const (
+	leaseS  = 30
+	reportS = 3
+	cancelS = 50
+	teamMax = 16
+)
+
+// play runs a story in fake time.
+func play(t *testing.T, seed uint64, nodes int, set func(*world), story func(*world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		w := newWorld(t, ctx, seed)
+		if set != nil {
+			set(w)
+		}
+		for i := range nodes {
+			w.addProc(fmt.Sprintf("n-%d", i), []string{"a", "b"}[i%2], nodes)
+		}
+		for _, p := range w.procs {
+			w.begin(p)
+		}
+		go w.steps(ctx)
+		story(w)
+		stop()
+		for _, p := range w.procs {
+			w.kill(p)
+		}
+		synctest.Wait()
+		time.Sleep(30 * time.Second) // what is under way comes to its end
+		for _, v := range w.check.broken {
+			t.Error(v)
+		}
+	})
+}
+
+func newWorld(t testing.TB, ctx context.Context, seed uint64) *world {
+	w := &world{t: t, rand: rand.New(rand.NewPCG(seed, 17)), from: time.Now(), store: fake.NewStore(), workers: map[string]*host{}, away: map[string]bool{}, ctx: ctx}
+	w.store.Now = w.now
+	w.types = []wire.MachineType{
+		{Name: "small", CPUs: 4, MemoryGB: 16, Price: 1, SpotPrice: 0.3, BootS: 5, FetchGBPerS: 1, Zones: []string{"a", "b"}},
+		{Name: "large", CPUs: 8, GPUs: 2, MemoryGB: 64, Price: 3, SpotPrice: 1, BootS: 8, FetchGBPerS: 1, Zones: []string{"a", "b"}},
+	}
+	w.cloud = &skies{w: w, Cloud: fake.NewCloud(16, w.types...)}
+	w.check = newChecker(w.now, cancelS*micro.Second)
+	w.base = config.Config{Properties: config.Defaults()}
+	f := &w.base.Facts
+	f.Zones = []string{"a", "b"}
+	f.Workers.LeaseS, f.Workers.ReportS, f.Workers.CancelS, f.Workers.GangWaitS, f.Workers.GangPeerS = leaseS, reportS, cancelS, 40, 8
+	f.State.ValueKB, f.State.TxnOps = 16, 24
+	f.Cloud.ListLagS = 2
+	f.Quota.MaxSockets = 3000
+	f.Teams = []config.Team{{Name: "team", CPUsMax: teamMax}, {Name: "other", CPUsMax: teamMax, CPUs: 4}}
+	f.Objectives = []config.Objective{{Kind: "finished", Class: "c", WithinS: 30}}
+	for _, t := range f.Teams {
+		w.check.limits[t.Name] = t.CPUsMax
+	}
+	for _, t := range w.types {
+		w.check.types[t.Name] = t
+	}
+	w.log = func(string) *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+	if os.Getenv("WORLD_LOG") != "" {
+		w.log = func(node string) *slog.Logger {
+			return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+				if a.Key == slog.TimeKey {
+					return slog.Float64("at", w.now().Seconds())
+				}
+				return a
+			}})).With("node", node)
+		}
+	}
+	return w
+}
+
+// now is true time since the world began.
+func (w *world) now() micro.Time { return micro.Time(time.Since(w.from).Microseconds()) }
+
+func (w *world) drawn(below int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rand.IntN(below)
+}
+
+func (w *world) chance(share float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return share > 0 && w.rand.Float64() < share
+}
+
+// between draws a span.
+func (w *world) between(least, most micro.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return (least + micro.Time(w.rand.Int64N(int64(most-least)+1))).Std()
+}
+
+func (w *world) sleep(d micro.Time) { time.Sleep(d.Std()) }
+
+// until waits for something that must come about, for so long at the most.
+func (w *world) until(what string, most micro.Time, ok func() bool) {
+	w.t.Helper()
+	for end := w.now() + most; !ok(); w.sleep(50 * micro.Millisecond) {
+		if w.now() > end {
+			w.t.Fatalf("%v: never: %s", w.now(), what)
+		}
+	}
+}
+
+// proc is a node over its incarnations.
+type proc struct {
+	w          *world
+	name, zone string
+	drift      float64
+	offset     micro.Time
+
+	mu     sync.Mutex
+	node   *Node
+	link   *fake.Link
+	cancel context.CancelFunc
+	alive  bool
+	thaw   time.Time       // it stands still until then
+	cuts   map[string]bool // what the network keeps from it: state, peers, workers, users
+	reach  fake.Reach
+}
+
+func (w *world) addProc(name, zone string, all int) *proc {
+	p := &proc{w: w, name: name, zone: zone, drift: 1 + float64(w.drawn(50))/1e5, offset: micro.Time(w.drawn(3_600_000_000)), cuts: map[string]bool{}}
+	w.procs = append(w.procs, p)
+	return p
+}
+
+// begin starts a process of the node.
+func (w *world) begin(p *proc) {
+	cfg := w.base
+	cfg.Node, cfg.Zone = p.name, p.zone
+	cfg.Peers = nil
+	for _, o := range w.procs {
+		if o != p {
+			cfg.Peers = append(cfg.Peers, config.Peer{Node: o.name, Zone: o.zone})
+		}
+	}
+	cfg.Derive()
+	w.mu.Lock()
+	link := fake.NewLink(w.store, rand.New(rand.NewPCG(w.rand.Uint64(), 1)))
+	w.mu.Unlock()
+	ctx, cancel := context.WithCancel(w.ctx)
+	began := w.now()
+	n := &Node{Cfg: &cfg, Store: link, Cloud: &sky{w.cloud, p, link}, Agent: &wires{p, link}, Peers: &peerLines{p, link}, Log: w.log(p.name), Metrics: metrics.New(),
+		Now:  func() micro.Time { return p.offset + micro.Time(float64(w.now()-began)*p.drift) + micro.Second },
+		Wall: micro.Wall}
+	n.Init()
+	n.election.OnLead = func(t *election.Term) { n.startLead(ctx, t) }
+	n.election.OnLose = n.stopLead
+	p.mu.Lock()
+	p.node, p.link, p.cancel, p.alive = n, link, cancel, true
+	link.Set(p.reach)
+	if p.cuts["state"] {
+		link.Set(fake.Silent)
+	}
+	p.mu.Unlock()
+	go func() { _ = n.election.Run(ctx) }()
+	go func() { _ = n.fetchCatalog(ctx) }()
+	go func() { _ = n.watchHealth(ctx) }()
+	go func() { _ = n.keepTouch(ctx) }()
+	go func() { _ = n.watchGate(ctx) }()
+}
+
+// kill ends the process with no signal.
+func (w *world) kill(p *proc) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.alive {
+		return
+	}
+	p.alive = false
+	p.link.Die()
+	p.cancel()
+}
+
+// restart kills the process, and starts another after a while.
+func (w *world) restart(p *proc, after micro.Time) {
+	w.kill(p)
+	time.AfterFunc(after.Std(), func() {
+		if w.ctx.Err() == nil && !p.up() {
+			w.begin(p)
+		}
+	})
+}
+
+func (p *proc) up() bool { p.mu.Lock(); defer p.mu.Unlock(); return p.alive }
+
+// freeze lets the process stand still: what it sends, and what it is sent, waits.
+func (p *proc) freeze(d micro.Time) {
+	p.mu.Lock()
+	p.thaw = time.Now().Add(d.Std())
+	p.link.Hold(p.thaw)
+	p.mu.Unlock()
+}
+
+// stand waits while the process stands still.
+func (p *proc) stand() {
+	p.mu.Lock()
+	d := time.Until(p.thaw)
+	p.mu.Unlock()
+	if d > 0 {
+		time.Sleep(d)
+	}
+}
+
+// cut sets what the network keeps from the node.
+func (p *proc) cut(on bool, what ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, x := range what {
+		p.cuts[x] = on
+		if x == "state" {
+			if p.link.Set(p.reach); on {
+				p.link.Set(fake.Silent)
+			}
+		}
+	}
+}
+
+// refuse has the store refuse the node, and it alone.
+func (p *proc) refuse(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reach = fake.Served
+	if on {
+		p.reach = fake.Refused
+	}
+	if !p.cuts["state"] {
+		p.link.Set(p.reach)
+	}
+}
+
+func (p *proc) cutFrom(what string) bool { p.mu.Lock(); defer p.mu.Unlock(); return p.cuts[what] }
+
+// current is the process that answers now; nil: none.
+func (p *proc) current() *Node {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.alive {
+		return nil
+	}
+	return p.node
+}
+
+// leader is the node with the right to act, nil if there is none.
+func (w *world) leader() *proc {
+	for _, p := range w.procs {
+		if n := p.current(); n != nil && n.leading() != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+// parted reports whether the network keeps two zones apart.
+func (w *world) parted(a, b string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return a != b && (w.away[a] || w.away[b])
+}
+
+// call asks a process, as one that waits for so long.
+func (w *world) call(p *proc, from string, wait time.Duration, ask func(*Node) front.Reply) (front.Reply, bool) {
+	n := p.current()
+	if n == nil {
+		return front.Reply{}, false
+	}
+	if p.cutFrom(from) {
+		time.Sleep(wait)
+		return front.Reply{}, false
+	}
+	ch := make(chan front.Reply, 1)
+	go func() {
+		p.stand()
+		if p.current() == n {
+			r := ask(n)
+			p.stand()
+			ch <- r
+		}
+	}()
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case r := <-ch:
+		if p.current() != n || p.cutFrom(from) {
+			<-t.C
+			return front.Reply{}, false
+		}
+		return r, true
+	case <-t.C:
+		return front.Reply{}, false
+	}
+}
+
+// peerLines are the calls of one process to the other nodes.
+type peerLines struct {
+	p    *proc
+	link *fake.Link
+}
+
+// Call asks a node.
+func (c *peerLines) Call(ctx context.Context, node, call string, body []byte, wait micro.Time) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait.Std())
+	defer cancel()
+	c.p.stand()
+	type answer struct {
+		status int
+		out    []byte
+	}
+	ch := make(chan answer, 1)
+	for _, o := range c.p.w.procs {
+		if o.name != node {
+			continue
+		}
+		n := o.current()
+		if n == nil {
+			return 0, nil, peer.ErrUnreachable
+		}
+		if o.cutFrom("peers") || c.p.cutFrom("peers") || c.p.current() == nil || c.p.w.parted(o.zone, c.p.zone) {
+			break
+		}
+		go func() {
+			o.stand()
+			if o.current() == n {
+				status, out := n.peerCall(context.Background(), call, body)
+				o.stand()
+				ch <- answer{status, out}
+			}
+		}()
+	}
+	select {
+	case a := <-ch:
+		return a.status, a.out, nil
+	case <-ctx.Done():
+		return 0, nil, peer.ErrUnreachable
+	}
+}
+
+// wires carry the direct orders of one process.
+type wires struct {
+	p    *proc
+	link *fake.Link
+}
+
+// Send delivers orders to a worker. A machine that hangs keeps them until it
+// goes on, long after the sender has given up.
+func (s *wires) Send(addr string, o wire.Orders) (*wire.Report, bool, error) {
+	s.p.stand()
+	if s.p.current() == nil {
+		return nil, false, agent.ErrUncertain
+	}
+	w := s.p.w
+	h := w.host(addr[:len(addr)-len(":9000")])
+	type answer struct {
+		r  *wire.Report
+		ok bool
+	}
+	ch := make(chan answer, 1)
+	if h != nil && !s.p.cutFrom("workers") && !w.parted(h.w.Zone, s.p.zone) && !h.deaf() {
+		go func() {
+			h.wake()
+			r, ok, there := h.direct(o)
+			if there {
+				ch <- answer{r, ok}
+			}
+		}()
+	}
+	t := time.NewTimer(3 * time.Second)
+	defer t.Stop()
+	select {
+	case a := <-ch:
+		return a.r, a.ok, nil
+	case <-t.C:
+		return nil, false, agent.ErrUncertain
+	}
+}
+
+// skies are the cloud, which boots workers.
+type skies struct {
+	*fake.Cloud
+	w     *world
+	down  bool
+	never float64 // share of machines that never come up
+	lost  float64 // share of rentals whose answer is lost
+}
+
+// sky is the cloud as one process reaches it.
+type sky struct {
+	*skies
+	p    *proc
+	link *fake.Link
+}
+
+func (s *sky) away(ctx context.Context) error {
+	s.p.stand()
+	time.Sleep(s.w.between(20*micro.Millisecond, 200*micro.Millisecond))
+	if s.p.current() == nil || s.p.cutFrom("cloud") {
+		<-ctx.Done()
+		return cloud.ErrUncertain
+	}
+	s.w.mu.Lock()
+	defer s.w.mu.Unlock()
+	if s.down {
+		return cloud.ErrTrouble
+	}
+	return nil
+}
+
+// Catalog lists the types.
+func (s *sky) Catalog(ctx context.Context) (*wire.Catalog, error) {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	if err := s.away(ctx); err != nil {
+		return nil, err
+	}
+	return s.Cloud.Catalog(ctx)
+}
+
+// Rent rents machines, which boot by and by or at once.
+func (s *sky) Rent(ctx context.Context, r wire.Rental) ([]string, error) {
+	if err := s.away(ctx); err != nil {
+		return nil, err
+	}
+	names, err := s.Cloud.Rent(ctx, r)
+	for _, name := range names {
+		s.w.boot(name, r)
+	}
+	if s.w.chance(s.lost) {
+		<-ctx.Done()
+		return nil, cloud.ErrUncertain
+	}
+	return names, err
+}
+
+// Return deletes machines.
+func (s *sky) Return(ctx context.Context, names []string) error {
+	if err := s.away(ctx); err != nil {
+		return err
+	}
+	for _, name := range names {
+		if h := s.w.host(name); h != nil {
+			h.die()
+		}
+	}
+	return s.Cloud.Return(ctx, names)
+}
+
+// List lists all machines.
+func (s *sky) List(ctx context.Context, after string) (*wire.MachineList, error) {
+	if err := s.away(ctx); err != nil {
+		return nil, err
+	}
+	return s.Cloud.List(ctx, after)
+}
+
+func (w *world) host(name string) *host {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.workers[name]
+}
+
+// hosts lists the machines that are there, in the order of their names.
+func (w *world) hosts() []*host {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make([]*host, 0, len(w.workers))
+	for _, h := range w.workers {
+		if h.alive() {
+			out = append(out, h)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].w.Name < out[b].w.Name })
+	return out
+}
+
+// boot brings a rented machine up, once.
+func (w *world) boot(name string, r wire.Rental) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.workers[name] != nil {
+		return
+	}
+	fw := fake.NewWorker(name, r.Type, r.Zone, leaseS*micro.Second)
+	fw.Spot = r.Spot
+	fw.First = wire.TaskFetching
+	h := &host{world: w, w: fw, since: map[fake.Key]micro.Time{}, at: w.rand.IntN(len(w.procs))}
+	w.workers[name] = h
+	if w.rand.Float64() < w.cloud.never {
+		return
+	}
+	d := 3*time.Second + time.Duration(w.rand.Int64N(int64(4*time.Second)))
+	if w.quick {
+		d = time.Duration(w.rand.Int64N(int64(2 * time.Second)))
+	}
+	time.AfterFunc(d, h.boot)
+}
+
+// steps lets the machines go on, every tenth of a second.
+func (w *world) steps(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, h := range w.hosts() {
+			h.step()
+		}
+		w.gangs()
+		w.check.look()
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/controller/world_users_test.go
@@ -0,0 +1,182 @@
+package controller
+
+import (
+	"fmt"
+	"time"
+
+	"notchmux.dev/notchmux/internal/front"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/wire"
+)
+
+// order is a job as a user wants it.
+type order struct {
+	kind    wire.Kind
+	tasks   int
+	run     micro.Time
+	cpus    float64
+	team    string
+	rank    wire.Priority
+	spread  bool
+	oneZone bool
+	spot    bool
+	zone    string
+	broken  bool
+}
+
+func (o order) body(id string) []byte {
+	m := map[string]any{"nameId": id, "jobclass": "c", "outfit": o.team, "shape": string(o.kind), "rank": string(o.rank),
+		"pieces": o.tasks, "vcpus": o.cpus, "gpus": 0, "ramGb": 1, "bundle": "i", "pullGb": 1, "oneZone": o.oneZone, "scatter": o.spread, "loaners": o.spot,
+		"guessS": o.run.Seconds(), "bookmarkS": 0, "stashS": 0}
+	if o.kind == wire.Service {
+		m["guessS"] = 0
+	}
+	if o.zone != "" {
+		m["yard"] = o.zone
+	}
+	return wire.MustMarshal(m)
+}
+
+// job is a submission by its user, who keeps to the protocol.
+type job struct {
+	w    *world
+	id   string
+	body []byte
+}
+
+// wants makes a job that nobody has submitted yet.
+func (w *world) wants(o order) *job {
+	if o.cpus == 0 {
+		o.cpus = 1
+	}
+	if o.team == "" {
+		o.team = "team"
+	}
+	if o.rank == "" {
+		o.rank = wire.Normal
+	}
+	w.mu.Lock()
+	w.queue++
+	id := fmt.Sprintf("j-%04d", w.queue)
+	w.mu.Unlock()
+	body := o.body(id)
+	spec, err := wire.DecodeJob(body)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.check.sent(*spec, o.run, o.broken)
+	return &job{w, id, body}
+}
+
+// any draws a node that takes users, nil if there is none.
+func (w *world) any() *proc {
+	for range 8 {
+		if p := w.procs[w.drawn(len(w.procs))]; p.up() && !p.cutFrom("users") {
+			return p
+		}
+	}
+	return nil
+}
+
+// try sends one request to one node.
+func (j *job) try(p *proc, wait time.Duration, ask func(*Node) front.Reply) front.Reply {
+	if p == nil {
+		return front.Reply{}
+	}
+	knew := j.w.check.asks(j.id)
+	r, ok := j.w.call(p, "users", wait, ask)
+	if !ok {
+		return front.Reply{}
+	}
+	j.w.check.told(j.id, p.name, knew, r)
+	return r
+}
+
+func (j *job) send(p *proc) front.Reply {
+	return j.try(p, 5*time.Second, func(n *Node) front.Reply { return n.Submit(j.body) })
+}
+
+func (j *job) poll(p *proc) front.Reply {
+	return j.try(p, 2*time.Second, func(n *Node) front.Reply { return n.Show(j.id) })
+}
+
+func (j *job) withdraw(p *proc) front.Reply {
+	j.w.check.withdraws(j.id)
+	return j.try(p, 5*time.Second, func(n *Node) front.Reply { return n.Withdraw(j.id) })
+}
+
+// state is what the answer says, "" if it says nothing.
+func stateOf(r front.Reply) wire.JobState {
+	if s, ok := r.Body.(wire.JobStatus); ok && (r.Status == 200 || r.Status == 201) {
+		return s.State
+	}
+	return ""
+}
+
+// submit goes on until the job is accepted.
+func (j *job) submit() *job {
+	for j.w.ctx.Err() == nil {
+		if r := j.send(j.w.any()); r.Status == 200 || r.Status == 201 {
+			break
+		}
+		time.Sleep(time.Second)
+	}
+	return j
+}
+
+// cancel goes on until the user is told.
+func (j *job) cancel() wire.JobState {
+	for j.w.ctx.Err() == nil {
+		if s := stateOf(j.withdraw(j.w.any())); s.Final() {
+			return s
+		}
+		time.Sleep(time.Second)
+	}
+	return ""
+}
+
+// watch polls until the job is over.
+func (j *job) watch() {
+	for j.w.ctx.Err() == nil {
+		if stateOf(j.poll(j.w.any())).Final() {
+			return
+		}
+		time.Sleep(j.w.between(3*micro.Second, 6*micro.Second))
+	}
+}
+
+// closely asks all nodes, again and again within milliseconds, and repeats the
+// submission.
+func (j *job) closely() {
+	for range 3 {
+		for _, p := range j.w.procs {
+			go j.poll(p)
+			go j.send(p)
+		}
+		time.Sleep(j.w.between(micro.Millisecond, 20*micro.Millisecond))
+	}
+}
+
+// running is how many tasks of the job are on machines.
+func (j *job) running() int {
+	c := j.w.check
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for task, ms := range c.on {
+		if id, _, _ := wire.SplitTask(task); id == j.id {
+			n += len(ms)
+		}
+	}
+	return n
+}
+
+// is what the user was told so far.
+func (j *job) is() seen { return j.w.check.asks(j.id) }
+
+// served reports whether a job has got what it is owed: it is over, or a service
+// that runs in full, or fails wherever it runs.
+func (j *job) served() bool {
+	s, jd := j.is(), j.w.check.job(j.id)
+	return s.done || s.aborted || jd.broken || jd.spec.Kind == wire.Service && j.running() == jd.spec.Tasks
+}
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -46,11 +46,12 @@
 	Bad    int        // requests refused as malformed, for their size
 	Busy   int        // requests refused for being over the rate
 	Now    func() micro.Time
+	wake   chan struct{} // closed when something changes
 }
 
 // NewStore makes an empty store.
 func NewStore() *Store {
-	return &Store{keys: map[string]value{}, leases: map[uint64]*lease{}, Now: micro.Now}
+	return &Store{keys: map[string]value{}, leases: map[uint64]*lease{}, Now: micro.Now, wake: make(chan struct{})}
 }
 
 // Limits are what the store enforces; 0: no limit.
@@ -117,6 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.out = on
+	s.stir()
 	if !on {
 		for _, l := range s.leases {
 			l.ends = s.Now() + l.ttl
@@ -124,6 +126,12 @@
 	}
 }
 
+// stir wakes the watches.
+func (s *Store) stir() {
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
 // Cut makes the store silent, as for a node that the network keeps from it.
 func (s *Store) Cut(on bool) { s.mu.Lock(); s.cut = on; s.mu.Unlock() }
 
@@ -179,6 +187,7 @@
 			s.rev++
 			delete(s.keys, k)
 			s.log = append(s.log, wire.Event{Delete: k, Version: wire.Count(s.rev)})
+			s.stir()
 		}
 	}
 }
@@ -273,6 +282,7 @@
 		s.keys[c.Put] = value{raw, s.rev, uint64(c.Lease)}
 		s.log = append(s.log, wire.Event{Put: c.Put, Value: raw, Version: wire.Count(s.rev)})
 	}
+	s.stir()
 	return s.rev, nil
 }
 
@@ -321,20 +331,31 @@
 		s.mu.Lock()
 		s.expire()
 		ev := wire.Events{Revision: wire.Count(s.rev)}
-		for _, e := range s.log {
-			if uint64(e.Version) > after && strings.HasPrefix(e.Put+e.Delete, prefix) {
+		i := sort.Search(len(s.log), func(i int) bool { return uint64(s.log[i].Version) > after })
+		for _, e := range s.log[i:] {
+			if strings.HasPrefix(e.Put+e.Delete, prefix) {
 				ev.Events = append(ev.Events, e)
 			}
 		}
-		out := s.out
+		out, wake, now := s.out, s.wake, s.Now()
+		left := end - now
+		if !out {
+			for _, l := range s.leases { // a lease that ends is a change as well
+				left = min(left, max(l.ends-now, 0)+micro.Millisecond)
+			}
+		}
 		s.mu.Unlock()
-		if !out && len(ev.Events) > 0 || s.Now() > end {
+		if !out && len(ev.Events) > 0 || now > end {
 			return ev, nil
 		}
+		t := time.NewTimer(max(left, 0).Std() + time.Millisecond)
 		select {
 		case <-ctx.Done():
+			t.Stop()
 			return wire.Events{}, fmt.Errorf("%w: %v", store.ErrUncertain, ctx.Err())
-		case <-time.After(5 * time.Millisecond):
+		case <-wake:
+		case <-t.C:
 		}
+		t.Stop()
 	}
 }
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -18,7 +18,9 @@
 	Lease            micro.Time
 	Sent             micro.Time // when its last answered report was sent
 	Tasks            map[Key]*wire.TaskReport
-	Started          []string // every start that took effect, in order
+	Started          []string                     // every start that took effect, in order
+	First            wire.TaskState               // what a task does first; "": it runs at once
+	Refuse           func(task string) wire.Cause // why a start is refused, "" if it is not; nil: never
 }
 
 // Key names an attempt.
@@ -71,7 +73,18 @@
 		t := w.Tasks[key]
 		switch {
 		case o.Op == wire.OpStart && t == nil:
-			w.Tasks[key] = &wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.TaskRunning}
+			t = &wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.TaskRunning}
+			if w.First != "" {
+				t.State = w.First
+			}
+			if w.Refuse != nil {
+				t.Cause = w.Refuse(o.Task)
+			}
+			w.Tasks[key] = t
+			if t.Cause != "" {
+				t.State = wire.TaskExited
+				break
+			}
 			w.Started = append(w.Started, o.Task)
 		case o.Op == wire.OpStop && t != nil && t.State != wire.TaskExited:
 			t.State, t.Cause = wire.TaskExited, wire.CauseStopped
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -36,7 +36,12 @@
 // Handler answers a call with a status and a body.
 type Handler func(ctx context.Context, call string, body []byte) (int, []byte)
 
-// Client calls the other nodes.
+// Caller calls the other nodes.
+type Caller interface {
+	Call(ctx context.Context, node, call string, body []byte, wait micro.Time) (status int, out []byte, err error)
+}
+
+// Client calls the other nodes over the network.
 type Client struct {
 	addrs map[string]string
 	http  *http.Client
