--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -517,12 +517,18 @@
 	return w.workers[name]
 }
 
-// hosts lists the machines that are there, in the order of their names.
+// hosts lists the machines that are there, in the order of their names. No lock
+// of a machine is taken under that of the world: a machine takes them the other
+// way round.
 func (w *world) hosts() []*host {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	out := make([]*host, 0, len(w.workers))
+	all := make([]*host, 0, len(w.workers))
 	for _, h := range w.workers {
+		all = append(all, h)
+	}
+	w.mu.Unlock()
+	var out []*host
+	for _, h := range all {
 		if h.alive() {
 			out = append(out, h)
 		}
