--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -1,13 +1,17 @@
 package controller
 
 import (
+	"bytes"
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"sort"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -25,6 +29,8 @@
 	"notchmux.dev/notchmux/wire"
 )
 
+var worldLog = flag.String("world.log", "", "folder for the nodes' logs of those worlds that failed")
+
 // A world is a whole site in fake time: nodes with all their parts but the
 // sockets, workers, the cloud, the store and users, with the troubles that the
 // protocol and the users foresee. A checker of the rules sees every start, exit
@@ -50,6 +56,7 @@
 	away    map[string]bool // zones that are cut off from the others
 	active  int             // troubles that are not over
 	log     func(node string) *slog.Logger
+	logs    *logs
 }
 
 const (
@@ -85,6 +92,12 @@
 		for _, v := range w.check.broken {
 			t.Error(v)
 		}
+		if w.logs != nil && t.Failed() {
+			name := filepath.Join(*worldLog, strings.NewReplacer("/", "-", " ", "-").Replace(t.Name())+".log")
+			if err := os.WriteFile(name, w.logs.b.Bytes(), 0o644); err != nil {
+				t.Error(err)
+			}
+		}
 	})
 }
 
@@ -113,9 +126,10 @@
 		w.check.types[t.Name] = t
 	}
 	w.log = func(string) *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
-	if os.Getenv("WORLD_LOG") != "" {
+	if *worldLog != "" {
+		w.logs = &logs{}
 		w.log = func(node string) *slog.Logger {
-			return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+			return slog.New(slog.NewTextHandler(w.logs, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
 				if a.Key == slog.TimeKey {
 					return slog.Float64("at", w.now().Seconds())
 				}
@@ -126,6 +140,18 @@
 	return w
 }
 
+// logs keeps what the nodes log until it is known whether anybody wants to read it.
+type logs struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logs) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
 // now is true time since the world began.
 func (w *world) now() micro.Time { return micro.Time(time.Since(w.from).Microseconds()) }
 
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -94,7 +94,7 @@
 			if running == nil {
 				running = p.running(now)
 			}
-			soon = comesFree(running, d.spec, left, now+p.readyIn(d.spec)/2)
+			soon = comesFree(running, d, left, zoneN, now+p.readyIn(d.spec)/2)
 		}
 		waited, counted, lasting := false, false, false
 		for left > 0 && total < maxNew {
@@ -125,7 +125,7 @@
 					running = p.running(now)
 				}
 				by := max(min(d.late, now+dearWait), now+p.readyIn(d.spec)/2)
-				soon += comesFree(running, d.spec, left-soon, by)
+				soon += comesFree(running, d, left-soon, zoneN, by)
 				soon += coming.turnover(d, left-soon, now, by, func(g *group) bool { return p.dear(d.spec, g.typ, g.Spot, p.Props.DearRatio) })
 			}
 			per := b.fits(d.spec)
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -141,3 +141,36 @@
 		t.Fatal("work waits, and the machine still takes none")
 	}
 }
+
+// A spread service had one task beside free room in one zone and may have no more
+// there. That room came free, by the plan, so nothing was rented in the other zone.
+func TestRoomWhereASpreadJobMayHaveNoMoreIsNotWaitedFor(t *testing.T) {
+	p := planner()
+	for _, name := range []string{"i-1", "i-2"} {
+		m := p.C.Machine(name, now)
+		p.C.Describe(m, "small", "a", false)
+		p.C.Become(m, model.Up, "reports")
+	}
+	j := p.C.AddJob(wire.Job{ID: "j-1", Class: "c", Kind: wire.Service, Priority: wire.Normal, Tasks: 2, CPUs: 1, MemoryGB: 1, Spread: true}, now-micro.Minute, now)
+	p.C.NewPlace(j, 0, p.C.Machines["i-1"], 1, 1, now)
+	asks, _ := p.Plan(now)
+	if len(asks) != 1 || asks[0].Zone != "b" {
+		t.Fatalf("its second task waits for good: %+v", asks)
+	}
+}
+
+// The same for a job that must stay in the zone where it has begun.
+func TestRoomInAnotherZoneIsNotWaitedForByAJobOfOneZone(t *testing.T) {
+	p := planner()
+	for _, name := range []string{"i-1", "i-2"} {
+		m := p.C.Machine(name, now)
+		p.C.Describe(m, "small", map[string]string{"i-1": "a", "i-2": "b"}[name], false)
+		p.C.Become(m, model.Up, "reports")
+	}
+	j := p.C.AddJob(wire.Job{ID: "j-1", Class: "c", Kind: wire.Array, Priority: wire.Normal, Tasks: 2, CPUs: 4, MemoryGB: 1, OneZone: true, EstimateS: 100}, now-micro.Minute, now)
+	p.C.NewPlace(j, 0, p.C.Machines["i-1"], 1, 4, now)
+	asks, _ := p.Plan(now)
+	if len(asks) != 1 || asks[0].Zone != "a" {
+		t.Fatalf("its second task waits for room that it may not use: %+v", asks)
+	}
+}
--- a/internal/scale/stock.go
+++ b/internal/scale/stock.go
@@ -193,25 +193,43 @@
 }
 
 // comesFree is how many of n tasks fit on running machines by a time; it takes
-// what it counts.
-func comesFree(running []*bin, s *wire.Job, n int, at micro.Time) int {
+// what it counts. Room in a zone where the job may have no more is none: a spread
+// service once waited for good for room beside its own tasks, since as much of it
+// was about to come free, and nothing was rented in the other zone.
+func comesFree(running []*bin, d *demand, n int, zoneN map[string]int, at micro.Time) int {
 	soon := 0
+	taken := map[string]int{}
 	for _, b := range running {
 		if soon == n {
 			break
 		}
-		if !sched.Allowed(s, b.typ, b.zone, b.spot) {
+		if !sched.Allowed(d.spec, b.typ, b.zone, b.spot) || d.bound(b.zone) {
 			continue
 		}
 		v := b.by(at)
-		if k := min(n-soon, v.fits(s)); k > 0 {
-			b.take(s, k)
+		if k := min(n-soon, v.fits(d.spec), zoneRoom(d, b.zone, zoneN)-taken[b.zone]); k > 0 {
+			b.take(d.spec, k)
+			taken[b.zone] += k
 			soon += k
 		}
 	}
 	return soon
 }
 
+// bound reports whether the demand's job must be in one zone and holds places in
+// another than the given one.
+func (d *demand) bound(zone string) bool {
+	if d.job == nil || !d.spec.OneZone {
+		return false
+	}
+	for z, n := range d.job.ZoneHeld {
+		if n > 0 && z != zone {
+			return true
+		}
+	}
+	return false
+}
+
 // coming lists the room of machines that are expected to come up.
 func (p *Planner) coming(now micro.Time) *stock {
 	out := &stock{by: map[Offer]*group{}}
