--- /dev/null
+++ b/internal/ci/known_red_test.go
@@ -0,0 +1,97 @@
+// Package ci tests the scripts in .ci.
+package ci
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// site makes a tiny module with the scripts: in it TestBroken and TestTorn (which
+// panics) fail, and so does TestOther if it is told to.
+func site(t *testing.T) string {
+	dir := t.TempDir()
+	write := func(name, text string) {
+		path := filepath.Join(dir, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, name := range []string{"run", "known-red"} {
+		text, err := os.ReadFile(filepath.Join("..", "..", ".ci", name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		write(".ci/"+name, string(text))
+	}
+	write("go.mod", "module tiny\n\ngo 1.24\n")
+	write("cmd/x/x.go", "package x\n")
+	write("wire/x.go", "package x\n")
+	write("internal/x/x_test.go", `package x
+
+import (
+	"os"
+	"testing"
+)
+
+func TestBroken(t *testing.T) { t.Fatal("broken") }
+
+func TestTorn(*testing.T) { panic("torn") }
+
+func TestMended(*testing.T) {}
+
+// A name that begins like another's is not skipped with it.
+func TestBrokenNoMore(t *testing.T) {
+	if os.Getenv("OTHER_FAILS") != "" {
+		t.Fatal("a new fault")
+	}
+}
+`)
+	return dir
+}
+
+func TestOnlyListedTestsMayFail(t *testing.T) {
+	dir := site(t)
+	const two = "TestBroken breaks by design, issue 1\nTestTorn panics, issue 2"
+	for _, c := range []struct {
+		name, list, env string
+		ok              bool
+		says            []string
+	}{
+		{"nothing listed", "", "", false, []string{"--- FAIL: TestBroken "}},
+		{"all that fail are listed", two + "\nTestMended was red, issue 3\n\n", "", true,
+			[]string{"known red: TestBroken failed", "known red: TestTorn failed", "known red: TestMended passed", "ok  \ttiny/internal/x"}},
+		{"another fails", two + "\n", "OTHER_FAILS=1", false, []string{"known red: TestTorn failed", "--- FAIL: TestBrokenNoMore "}},
+		{"one that fails is not listed", "TestTorn panics, issue 2\n", "", false, []string{"--- FAIL: TestBroken "}},
+		{"no such test", "TestBroke breaks, issue 1\n", "", false, []string{"no such test: TestBroke"}},
+		{"no cause", "TestBroken\n", "", false, []string{"not a test, its cause and its issue"}},
+		{"a pattern", "TestBroken|TestTorn both, issue 1\n", "", false, []string{"not a test, its cause and its issue"}},
+		{"too many", two + "\nTestMended x\nTestBrokenNoMore y\n", "", false, []string{"at most three"}},
+	} {
+		list := filepath.Join(dir, "KNOWN-RED.txt")
+		if c.list == "" {
+			_ = os.Remove(list)
+		} else if err := os.WriteFile(list, []byte(c.list), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		run := exec.Command("bash", filepath.Join(dir, ".ci", "run"))
+		run.Env = append(os.Environ(), "GOFLAGS=", "GOWORK=off", c.env)
+		out, err := run.CombinedOutput()
+		if (err == nil) != c.ok {
+			t.Errorf("%s: %v\n%s", c.name, err, out)
+		}
+		for _, s := range c.says {
+			if !strings.Contains(string(out), s) {
+				t.Errorf("%s: nothing said of %q:\n%s", c.name, s, out)
+			}
+		}
+		if c.list == "" && strings.Contains(string(out), "known red") {
+			t.Errorf("%s:\n%s", c.name, out)
+		}
+	}
+}
