--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -106,6 +106,45 @@
 // CancelSpan is how long the tasks of a withdrawn job may take to be gone.
 func (c *Config) CancelSpan() micro.Time { return micro.Of(c.Facts.Workers.CancelS) }
 
+// LeaseOut is after how long without a renewal a worker's lease has surely run
+// out, by the clock of whoever counts it.
+func (c *Config) LeaseOut() micro.Time { return c.LeaseSpan() + c.LeaseSpan()/500 + micro.Second }
+
+// CancelSlack is what may pass between a look at the clock and the user being
+// told of a cancellation.
+const CancelSlack = 3 * micro.Second
+
+// Outlive is how long a task may live on after its user was told that its job is
+// cancelled, if from then on the state service answers nobody and no order
+// arrives: until its right to act lapses the leader may answer the worker's
+// reports, and the worker's lease runs from the last one answered.
+func (c *Config) Outlive() micro.Time { return c.LeaderLease + c.LeaseOut() + CancelSlack }
+
+// ProveFirst reports whether leases alone do not end a cancelled job's tasks in
+// time: its user is then told only once they are proven gone.
+func (c *Config) ProveFirst() bool { return c.Outlive() > c.CancelSpan() }
+
+// repeats is for how long users repeat a withdrawal that is not confirmed.
+const repeats = micro.Minute
+
+// checkCancel refuses settings by which cancellations cannot be kept to.
+func (c *Config) checkCancel(path, propertiesPath string) error {
+	if !c.ProveFirst() {
+		return nil
+	}
+	room := c.CancelSpan() - c.LeaseOut() - CancelSlack
+	if room >= Defaults().LeaderLease {
+		// It is the operators' own value that breaks the bound.
+		return fmt.Errorf("%s: key %q: must be at most %v: after a cancellation the leader's lease and then the workers' must be over within facts.workers.cancel_s",
+			propertiesPath, "leader.lease.s", room.Seconds())
+	}
+	if c.LeaseOut()+CancelSlack > repeats {
+		return fmt.Errorf("%s: key %q: must be at least %v: the leader's lease and then the workers' must be over by then, and users repeat a withdrawal for too short a time to wait for that",
+			path, "facts.workers.cancel_s", c.Outlive().Seconds())
+	}
+	return nil
+}
+
 // less is the smaller of two limits, of which the second may not be given.
 func less[T int | float64](now, next T) T {
 	if next > 0 {
@@ -153,6 +192,9 @@
 	if c.Properties, err = loadProperties(propertiesPath); err != nil {
 		return nil, err
 	}
+	if err := c.checkCancel(path, propertiesPath); err != nil {
+		return nil, err
+	}
 	c.Derive()
 	return c, nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -100,6 +100,42 @@
 	}
 }
 
+// A worker's lease runs out after 31.06 s at the latest, 3 s are slack.
+func TestSettingsThatKeepNoCancellationAreRefused(t *testing.T) {
+	workers := func(lease, cancel string) string {
+		return strings.NewReplacer("lease_s = 30.0", "lease_s = "+lease, "cancel_s = 50.0", "cancel_s = "+cancel).Replace(settings)
+	}
+	for _, c := range []struct {
+		lease, cancel, props string
+		prove                bool
+		want                 string
+	}{
+		{"30.0", "50.0", "", false, ""},
+		{"36.0", "66.0", "", false, ""},
+		{"30.0", "50.0", "leader.lease.s = 15.9\n", false, ""},
+		{"30.0", "50.0", "leader.lease.s = 16\n", false, `.properties: key "leader.lease.s": must be at most 15.94: `},
+		{"30.0", "50.0", "leader.lease.s = 60\n", false, `.properties: key "leader.lease.s": must be at most 15.94: `},
+		{"30.0", "100.0", "leader.lease.s = 60\n", false, ""},
+		// Too short for the leases, yet kept: users are told once tasks are proven gone.
+		{"30.0", "37.5", "", true, ""},
+		{"30.0", "5.0", "leader.lease.s = 60\n", true, ""},
+		{"55.0", "20.0", "", true, ""},
+		// That proof may come after users have given up asking.
+		{"60.0", "50.0", "", false, `.toml: key "facts.workers.cancel_s": must be at least 67.62: `},
+		{"60.0", "67.7", "", false, ""},
+	} {
+		cfg, err := load(t, workers(c.lease, c.cancel), c.props)
+		switch {
+		case c.want == "" && err != nil:
+			t.Errorf("lease %s, cancel %s, %q: %v", c.lease, c.cancel, c.props, err)
+		case c.want == "" && cfg.ProveFirst() != c.prove:
+			t.Errorf("lease %s, cancel %s, %q: proofs first: %v", c.lease, c.cancel, c.props, !c.prove)
+		case c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n")):
+			t.Errorf("lease %s, cancel %s, %q: want %s, got: %v", c.lease, c.cancel, c.props, c.want, err)
+		}
+	}
+}
+
 func TestLimitsToComeAreReadAndTheSmallerCounts(t *testing.T) {
 	c, err := load(t, settings, "")
 	if err != nil {
--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"notchmux.dev/notchmux/internal/config"
 	"notchmux.dev/notchmux/internal/front"
 	"notchmux.dev/notchmux/internal/keep"
 	"notchmux.dev/notchmux/internal/micro"
@@ -135,17 +136,7 @@
 // those that must not renew more: where a user was told of a job's end, a worker
 // that may still run its tasks must not be kept alive past the time for that.
 func (l *Lead) bound(now micro.Time) {
-	barred := map[string]bool{}
-	for j := range l.unproven {
-		if j.HeldN == 0 {
-			delete(l.unproven, j)
-			continue
-		}
-		for _, p := range j.AllPlaces() {
-			barred[p.Machine.Zone] = true
-		}
-	}
-	l.barred.Store(&barred)
+	l.bar()
 	own := l.n.keeper.Kept() // of a time when this very term had lapsed
 	for _, z := range append([]string{""}, l.n.Cfg.Facts.Zones...) {
 		until := l.ledger.Until(z, now)
@@ -164,6 +155,21 @@
 	}
 }
 
+// bar notes which zones' keepers are not answered.
+func (l *Lead) bar() {
+	barred := map[string]bool{}
+	for j := range l.unproven {
+		if j.HeldN == 0 {
+			delete(l.unproven, j)
+			continue
+		}
+		for _, p := range j.AllPlaces() {
+			barred[p.Machine.Zone] = true
+		}
+	}
+	l.barred.Store(&barred)
+}
+
 // bars reports whether the keepers of a zone are not to renew leases.
 func (l *Lead) bars(zone string) bool {
 	b := l.barred.Load()
@@ -182,20 +188,19 @@
 	l.settle(j, now)
 }
 
-// cancelSlack is what may pass between a look at the clock here and the user
-// being told.
-const cancelSlack = 3 * micro.Second
-
 // settle writes the end of a withdrawn job as soon as its user may be told.
 func (l *Lead) settle(j *model.Job, now micro.Time) {
 	if j.HeldN > 0 {
+		if l.n.Cfg.ProveFirst() {
+			return // without any order, its tasks could outlive the time for that
+		}
 		limits := map[string]micro.Time{}
 		for _, p := range j.AllPlaces() {
 			z := p.Machine.Zone
 			if _, ok := limits[z]; !ok {
 				limits[z] = l.ledger.Limit(z, now)
 			}
-			if limits[z] > 0 && limits[z]+l.c.Lease+cancelSlack > now+l.n.Cfg.CancelSpan() {
+			if limits[z] > 0 && limits[z]+l.c.Lease+config.CancelSlack > now+l.n.Cfg.CancelSpan() {
 				return
 			}
 		}
--- a/internal/controller/keep_test.go
+++ b/internal/controller/keep_test.go
@@ -102,6 +102,31 @@
 	wait(t, "confirmed", func() bool { return n.Withdraw("j-9").Status == 200 })
 }
 
+// Where leases are too long for the time that a cancellation may take, a user who
+// was told at once was told what could not be kept: the workers were out of reach.
+func TestWithdrawalWaitsForProofsWhereLeasesAreTooLong(t *testing.T) {
+	for _, c := range []struct {
+		cancelS float64
+		told    bool
+	}{{50, true}, {34, false}} {
+		h := newHerd(t, 2)
+		h.l.n.Cfg.Facts.Workers.CancelS = c.cancelS
+		j := h.l.c.Jobs["j-000000"]
+		h.l.leave(j)
+		if told := !h.l.leaving[j]; told != c.told {
+			t.Fatalf("within %v s, with tasks that may run on: written: %v", c.cancelS, told)
+		}
+		for _, w := range h.workers {
+			h.report(w) // takes the order to stop
+			h.report(w)
+		}
+		h.l.act(h.now)
+		if j.HeldN > 0 || h.l.leaving[j] {
+			t.Fatalf("within %v s, all gone: not written", c.cancelS)
+		}
+	}
+}
+
 // Two nodes had lost the store, one of them the leader until then. It sent its
 // workers on, and the other sent them back.
 func TestNodeThatLostTheStoreNamesNoLeaderItCannotReach(t *testing.T) {
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -96,7 +96,7 @@
 		zones[p.Node] = p.Zone
 	}
 	l.ledger = keep.NewLedger(t.Stamp, l.c.Began, n.Cfg.KeepSpan(), zones, n.Cfg.Zone)
-	l.c.Lease = n.Cfg.LeaseSpan() + n.Cfg.LeaseSpan()/500 + micro.Second
+	l.c.Lease = n.Cfg.LeaseOut()
 	l.c.ErrJobs = n.Cfg.ErrorMachines
 	l.c.Verbose = n.Log.Enabled(context.Background(), slog.LevelDebug)
 	for _, t := range n.Cfg.Facts.Teams {
