--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -205,6 +205,9 @@
 			}
 		}
 		l.unproven[j] = true
+		// At once, not with the next look around: a loop that is held up meanwhile
+		// would let keepers be answered after the limits were read.
+		l.bar()
 	}
 	delete(l.leaving, j)
 	if j.State == model.Aborting {
--- a/internal/controller/keep_test.go
+++ b/internal/controller/keep_test.go
@@ -6,6 +6,7 @@
 
 	"notchmux.dev/notchmux/internal/config"
 	"notchmux.dev/notchmux/internal/fake"
+	"notchmux.dev/notchmux/internal/keep"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/model"
 	"notchmux.dev/notchmux/internal/peer"
@@ -127,6 +128,28 @@
 	}
 }
 
+// The end was written by what keepers might do if none was answered from then on;
+// yet they were answered until the leader's next look around, however late.
+func TestKeepersAreNotAnsweredFromWhenTheEndIsWritten(t *testing.T) {
+	h := newHerd(t, 2)
+	cfg := h.l.n.Cfg
+	cfg.Facts.Workers.CancelS, cfg.Facts.Zones = 50, []string{"a", "b"}
+	h.l.ledger = keep.NewLedger(7, h.now, cfg.KeepSpan(), map[string]string{"n-1": "a", "n-2": "a"}, "c")
+	h.now += 40 * micro.Second // nobody asked meanwhile
+	h.l.bound(h.now)
+	if h.l.bars("a") {
+		t.Fatal("barred though nobody was told of an end")
+	}
+	j := h.l.c.Jobs["j-000000"]
+	h.l.leave(j)
+	if h.l.leaving[j] || j.HeldN == 0 {
+		t.Fatal("no keeper can keep its tasks alive for too long: its end may be written")
+	}
+	if !h.l.bars("a") {
+		t.Fatal("a keeper that asks now may keep the tasks alive for too long")
+	}
+}
+
 // Two nodes had lost the store, one of them the leader until then. It sent its
 // workers on, and the other sent them back.
 func TestNodeThatLostTheStoreNamesNoLeaderItCannotReach(t *testing.T) {
