--- a/internal/micro/micro.go
+++ b/internal/micro/micro.go
@@ -23,8 +23,15 @@
 // Wall reads the time of day.
 func Wall() Time { return Time(time.Now().UnixMicro()) }
 
-// Of converts seconds as they appear on the wire.
-func Of(seconds float64) Time { return Time(seconds * 1e6) }
+// Longest is the longest span that seconds convert to, about a thousand years:
+// sums of a hundred such still fit.
+const Longest Time = 1 << 55
+
+// Of converts seconds as they appear on the wire. What a user gives may be any
+// amount: out of range, the conversion alone would give a negative time.
+func Of(seconds float64) Time {
+	return Time(min(max(seconds*1e6, -float64(Longest)), float64(Longest)))
+}
 
 // Seconds converts back to the wire's unit.
 func (t Time) Seconds() float64 { return float64(t) / 1e6 }
