--- a/internal/controller/keep_test.go
+++ b/internal/controller/keep_test.go
@@ -128,6 +128,57 @@
 	}
 }
 
+// A start sent directly was held back by the network, or by a machine that hung,
+// until its job was withdrawn. It may run as long as the worker has seen no newer
+// token: what reports it is told to stop it, and with the next token it is refused.
+func TestStartHeldBackBeyondAWithdrawalEndsWithTheNextAnswer(t *testing.T) {
+	for _, sooner := range []bool{true, false} {
+		h := newHerd(t, 2)
+		l := h.l
+		l.n.Cfg.Facts.Workers.CancelS = 50
+		l.leave(l.c.Jobs["j-000000"])
+		for _, w := range h.workers {
+			h.report(w)
+			h.report(w)
+		}
+		l.addJob(wire.Job{ID: "j-9", Class: "c", Team: "team", Kind: wire.Service, Priority: wire.Normal, Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i"})
+		h.now += micro.Second
+		l.placer.Pass(h.now)
+		j := l.c.Jobs["j-9"]
+		l.c.Persisted(j.Chunk(0), 1<<40)
+		p := j.AllPlaces()[0]
+		late := wire.Orders{Token: wire.Count(l.token), Session: wire.Count(p.Machine.Session), Orders: l.c.Orders(p.Machine, l.token, true, h.now)}
+		var w *fake.Worker
+		for _, x := range h.workers {
+			if x.Name == p.Machine.Name {
+				w = x
+			}
+		}
+		l.leave(j)
+		if l.leaving[j] || j.HeldN != 1 {
+			t.Fatal("no keepers: the end is written, with the start under way")
+		}
+		h.now += micro.Second
+		l.tick(h.now)
+		if !sooner {
+			h.report(w)
+		}
+		if _, executed := w.Direct(late); executed != sooner {
+			t.Fatalf("the late start ran: %v", executed)
+		}
+		h.report(w)
+		for key, task := range w.Tasks {
+			if key.Task == "j-9/0" && task.State != wire.TaskExited {
+				t.Fatalf("sooner %v: its task is %s after an answer", sooner, task.State)
+			}
+		}
+		h.report(w)
+		if j.HeldN != 0 {
+			t.Fatalf("sooner %v: its place is not free", sooner)
+		}
+	}
+}
+
 // The end was written by what keepers might do if none was answered from then on;
 // yet they were answered until the leader's next look around, however late.
 func TestKeepersAreNotAnsweredFromWhenTheEndIsWritten(t *testing.T) {
