--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -155,6 +155,7 @@
 	types, zone, class string
 	spot, saves        bool
 	gpu                bool
+	oneZone, spread    bool // a gang of one zone finds no room where another does
 	level              int
 }
 
@@ -165,7 +166,7 @@
 
 func keyOf(j *model.Job) (blockedKey, blockedAmount) {
 	s := &j.Spec
-	k := blockedKey{class: s.Class, spot: s.Spot, saves: s.CheckpointS > 0, gpu: s.GPUs > 0, level: j.Level}
+	k := blockedKey{class: s.Class, spot: s.Spot, saves: s.CheckpointS > 0, gpu: s.GPUs > 0, oneZone: s.OneZone, spread: s.Spread, level: j.Level}
 	if s.Zone != nil {
 		k.zone = *s.Zone
 	}
