--- a/internal/sched/late_test.go
+++ b/internal/sched/late_test.go
@@ -79,3 +79,20 @@
 		t.Fatal("it found no room, though it fits")
 	}
 }
+
+func TestRefusedRoomIsNotReserved(t *testing.T) {
+	for _, dear := range []bool{false, true} {
+		y := newYard(t)
+		m := y.machine("gpu-1", "gpu", "a")
+		if dear {
+			y.p.Affordable = func(*model.Job, *model.Type, bool, micro.Time) bool { return false }
+		} else {
+			y.c.Class("g").Last = &wire.Job{GPUs: 4, CPUs: 8, MemoryGB: 64, Priority: wire.High}
+		}
+		y.array("j-1", 1, 1, 0)
+		y.p.Pass(micro.Second)
+		if m.Reserve != nil {
+			t.Errorf("dear %v: it is reserved for a job that does not take it", dear)
+		}
+	}
+}
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -142,7 +142,7 @@
 	var bestVictims []*model.Place
 	bestCost, seen := 0.0, 0
 	for _, pool := range p.C.Pools {
-		if pool.N == 0 || zone != "" && pool.Zone != zone || !Allowed(&j.Spec, pool.Type, pool.Zone, pool.Spot) || !ZoneOK(j, pool.Zone, zoneN) {
+		if pool.N == 0 || zone != "" && pool.Zone != zone || !Allowed(&j.Spec, pool.Type, pool.Zone, pool.Spot) || !ZoneOK(j, pool.Zone, zoneN) || p.refuses(j, pool, now) {
 			continue
 		}
 		w := need(&j.Spec, pool.Type)
@@ -155,6 +155,9 @@
 				if !fits(w, m, extra[m], m.Yields(j.Level)) || m.Reserve != nil && m.Reserve != j || m.Avoid > now || !p.C.Reachable(m) || j.FailedOn[m.Name] {
 					continue
 				}
+				if fits(w, m, extra[m], room{}) && !p.may(j, m, now) {
+					continue // its room is refused, not taken
+				}
 				seen++
 				victims, cost, ok := p.clear(j, m, w, extra[m], freed[m], chosen, now)
 				if ok && (best == nil || cost < bestCost) {
@@ -166,6 +169,13 @@
 	return best, bestVictims
 }
 
+// refuses reports whether room is dear for a job that would not take it once it
+// is cleared. Machines that stood empty were reserved for such jobs, again and
+// again, and closed to all others.
+func (p *Placer) refuses(j *model.Job, pool *model.Pool, now micro.Time) bool {
+	return (j.Level > 0 || j.Spec.Kind == wire.Gang) && p.Affordable != nil && !p.Affordable(j, pool.Type, pool.Spot, now)
+}
+
 // clear lists what must go from a machine for a task to fit.
 func (p *Placer) clear(j *model.Job, m *model.Machine, w room, extra, freed *room, chosen map[*model.Place]bool, now micro.Time) (victims []*model.Place, cost float64, ok bool) {
 	var f room
