--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -25,6 +25,7 @@
 	UsedCPU, UsedGPU float64
 	Saving           *Job // its limit's room is kept for this job, which waited long
 	SavingAt         micro.Time
+	SaveAfter        micro.Time // nothing is saved up before, so that its other jobs get their turn
 	Placed           micro.Time // when one of its tasks was last placed
 	unfinished       []*Job
 }
--- a/internal/sched/age.go
+++ b/internal/sched/age.go
@@ -126,7 +126,7 @@
 			continue
 		}
 		if t := j.Team; t != nil && !t.Allows(j.Spec.CPUs, j.Spec.GPUs, wants(j)) {
-			if t.Saving == nil && j.HeldN == 0 {
+			if t.Saving == nil && j.HeldN == 0 && now >= t.SaveAfter {
 				// Its smaller jobs would use up each bit of its limit that comes
 				// free.
 				t.Saving, t.SavingAt = j, now
--- a/internal/sched/late_test.go
+++ b/internal/sched/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 
 	"notchmux.dev/notchmux/internal/config"
@@ -65,6 +66,33 @@
 	}
 }
 
+func TestLimitSavedUpInVainIsOpenToTheTeamsOtherWork(t *testing.T) {
+	y := newYard(t)
+	y.c.Teams["team"] = &model.Team{Name: "team", CPUsMax: 8}
+	for i := range 3 {
+		y.machine("i-"+strconv.Itoa(1+i), "small", "a")
+	}
+	add := func(id string, kind wire.Kind, tasks int, at micro.Time) *model.Job {
+		return y.c.AddJob(wire.Job{ID: id, Team: "team", Class: id, Kind: kind, Priority: wire.Normal, Tasks: tasks, CPUs: 4}, at, at)
+	}
+	add("j-1", wire.Service, 1, 0)
+	y.p.Pass(micro.Second) // half of the limit, for good
+	add("j-2", wire.Gang, 2, micro.Second)
+	tm, from := y.c.Teams["team"], micro.Second
+	for from < 4*micro.Minute || tm.Saving == nil || tm.SavingAt < from-micro.Second {
+		if from += micro.Second; from > 10*micro.Minute {
+			t.Fatal("nothing is saved up")
+		}
+		y.p.Pass(from)
+	}
+	j := add("j-3", wire.Array, 1, from)
+	j.NotBefore = from + 65*micro.Second // just after the limit was given up
+	at, _ := y.placedAt(j, 1, from, nil)
+	if at-from > bound {
+		t.Fatalf("placed after %v s", (at - from).Seconds())
+	}
+}
+
 func TestGangOfOneZoneDoesNotStandForThoseOfAny(t *testing.T) {
 	y := newYard(t)
 	y.machine("i-1", "small", "a")
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -15,6 +15,11 @@
 	gatherLife  = micro.Minute
 )
 
+// saveRest is for how long no team's limit is saved up after it was. Saved up
+// again at once, for a job that never got enough, it kept all others of its team
+// waiting for ever.
+const saveRest = 15 * micro.Second
+
 // Preemption looks at no more machines than this that could make room. Work of
 // the first rank clears so many at a time; other arrays one: the work they stop
 // has objectives of its own.
@@ -36,7 +41,7 @@
 func (p *Placer) tidy(now micro.Time) {
 	for _, t := range p.C.Teams {
 		if j := t.Saving; j != nil && (j.State != model.Active || j.Waiting() == 0 || j.HeldN > 0 || now-t.SavingAt > gatherLife) {
-			t.Saving = nil
+			t.Saving, t.SaveAfter = nil, now+saveRest
 		}
 	}
 	for m := range p.reserved {
