--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -76,6 +76,8 @@
 	GangStop  bool // the gang's attempt is being wound up
 	FailedOn  map[string]bool
 	NotBefore micro.Time
+	WaitsFrom micro.Time // since when it waits and none of its tasks was given a place
+	Explained micro.Time // when operators were last told why it waits
 	Level     int
 	Started   bool
 	Guar      bool // lies within its team's guarantee, see MarkGuarantees
@@ -155,6 +157,7 @@
 func (c *Cluster) enter(j *Job) {
 	c.Live[j] = true
 	c.Pending[j] = true
+	j.WaitsFrom = max(j.Since, c.Began) // no leader looks for room in its predecessor's time
 	if j.Team != nil {
 		// Kept in the order in which they could start, for guarantees.
 		u := append(j.Team.unfinished, j)
@@ -213,14 +216,17 @@
 }
 
 // requeue puts a task back in line.
-func (c *Cluster) requeue(j *Job, index int) {
+func (c *Cluster) requeue(j *Job, index int, now micro.Time) {
 	t := &j.Tasks[index]
 	if j.State != Active || t.Done || t.Queued || t.Held > 0 || index >= j.fresh {
 		return
 	}
 	t.Queued = true
 	j.queue = append(j.queue, int32(index))
-	c.Pending[j] = true
+	if !c.Pending[j] {
+		c.Pending[j] = true
+		j.WaitsFrom = now
+	}
 	c.Changed()
 }
 
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -73,7 +73,8 @@
 	Deaf       bool            // reports, but hears nothing: takes no new tasks
 	Overruns   int             // attempts in a row that ran far over what was expected
 	Errors     map[string]bool // jobs that failed here
-	Avoid      micro.Time      // takes no tasks until then
+	Avoid      micro.Time      // takes no tasks until then, except as a last resort
+	FaultAt    micro.Time      // when a failure, or a refusal for want of room, last made it avoided
 	Wanted     micro.Time      // last time that headroom counted on it
 	Busy       bool            // a direct order is under way
 	Again      bool            // more came up meanwhile
@@ -81,7 +82,9 @@
 	Mute       bool            // left the latest direct order unanswered, and was not heard since
 	Reserve    *Job            // being cleared for this job
 	ReserveAt  micro.Time
-	Gathered   bool // reserved for a job that has waited long
+	HeldFrom   micro.Time // since when it is reserved, for one job or another, and none of them used it
+	HeldTo     micro.Time // when a reservation of it last ended unused
+	Gathered   bool       // reserved for a job that has waited long
 	Hire       string
 
 	images map[string]image // images fetched
@@ -318,7 +321,8 @@
 		m.Avoid = now + slowPause
 		c.Log("machine avoided", "machine", m.Name, "why", "much slower than its type")
 	}
-	if len(p.Job.FailedOn) == 0 && p.Job.Spec.Kind == wire.Array {
+	// A task that found no other machine would be stopped over and over.
+	if len(p.Job.FailedOn) == 0 && p.Job.Spec.Kind == wire.Array && !p.Last {
 		c.Stop(p, "slow machine", p.Job.Spec.SaveS, now)
 	}
 }
--- a/internal/model/place.go
+++ b/internal/model/place.go
@@ -42,6 +42,7 @@
 	Planned  micro.Time
 	RunFrom  micro.Time // first running report; 0: none
 	Seen     bool       // a report showed it
+	Last     bool       // on a machine that is avoided, for want of any other
 	over     bool       // counted as an overrun
 	known    bool       // Job has a task of that index
 }
@@ -104,8 +105,9 @@
 	c.hold(p)
 	p.Ver = c.touch(j, index).Ver
 	c.Press(j.Chunk(index))
+	j.WaitsFrom = now
 	if m.Reserve == j {
-		m.Reserve = nil
+		m.Reserve, m.HeldFrom = nil, 0
 	}
 	return p
 }
@@ -182,7 +184,7 @@
 		c.gangLost(j, now)
 		return
 	}
-	c.requeue(j, p.Index)
+	c.requeue(j, p.Index, now)
 }
 
 // gangLost winds up a gang's attempt after a member went; when all its places
@@ -205,7 +207,7 @@
 	}
 	j.GangStop = false
 	for i := range j.Tasks {
-		c.requeue(j, i)
+		c.requeue(j, i, now)
 	}
 }
 
--- a/internal/model/report.go
+++ b/internal/model/report.go
@@ -224,14 +224,14 @@
 			d := micro.Second << min(len(j.FailedOn), 5)
 			j.NotBefore = max(j.NotBefore, now+d)
 		} else if len(m.Errors) >= c.ErrJobs {
-			m.Avoid = now + 10*micro.Minute
+			m.Avoid, m.FaultAt = now+10*micro.Minute, now
 			c.Log("machine avoided", "machine", m.Name, "why", "several jobs failed on it")
 		}
 		c.backoff(task, now)
 	case wire.CauseNoRoom, wire.CauseBusy, wire.CauseUnknown, wire.CauseAlone:
 		c.backoff(task, now)
 		if t.Cause == wire.CauseNoRoom {
-			m.Avoid = max(m.Avoid, now+2*micro.Second)
+			m.Avoid, m.FaultAt = max(m.Avoid, now+2*micro.Second), now
 		}
 	}
 }
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -57,18 +57,19 @@
 		if p.starved(j, now) {
 			old = append(old, j)
 		}
-		if full.has(j) && !p.gathered(j) {
+		late := overdue(j, now)
+		if full.has(j, late) && !p.gathered(j) {
 			continue
 		}
 		n, none := 0, false
 		if j.Spec.Kind == wire.Gang {
-			n, none = p.gang(j, now)
+			n, none = p.gang(j, late, now)
 		} else {
-			n, none = p.tasks(j, now)
+			n, none = p.tasks(j, late, now)
 		}
 		placed += n
 		if none {
-			full.add(j)
+			full.add(j, late)
 		}
 	}
 	p.gatherFor(old, len(over) > 0, now)
@@ -148,13 +149,13 @@
 const overloadPart = 2
 
 // blocked remembers what found no room in this pass: whatever asks for as much
-// or more finds none either.
+// or more, under the same rules, finds none either.
 type blocked map[blockedKey][]blockedAmount
 
 type blockedKey struct {
 	types, zone, class string
 	spot, saves        bool
-	gpu                bool
+	gpu, late          bool
 	oneZone, spread    bool // a gang of one zone finds no room where another does
 	level              int
 }
@@ -164,9 +165,9 @@
 	n             int
 }
 
-func keyOf(j *model.Job) (blockedKey, blockedAmount) {
+func keyOf(j *model.Job, late bool) (blockedKey, blockedAmount) {
 	s := &j.Spec
-	k := blockedKey{class: s.Class, spot: s.Spot, saves: s.CheckpointS > 0, gpu: s.GPUs > 0, oneZone: s.OneZone, spread: s.Spread, level: j.Level}
+	k := blockedKey{class: s.Class, spot: s.Spot, saves: s.CheckpointS > 0, gpu: s.GPUs > 0, late: late, oneZone: s.OneZone, spread: s.Spread, level: j.Level}
 	if s.Zone != nil {
 		k.zone = *s.Zone
 	}
@@ -180,13 +181,13 @@
 	return k, a
 }
 
-func (b blocked) has(j *model.Job) bool {
+func (b blocked) has(j *model.Job, late bool) bool {
 	// Each job of the first rank is tried by itself: one for which room is being
 	// cleared must not keep the next from having room cleared too.
 	if len(b) == 0 || j.Level == 0 || (j.Spec.OneZone || j.Spec.Spread) && j.HeldN > 0 {
 		return false
 	}
-	k, a := keyOf(j)
+	k, a := keyOf(j, late)
 	for _, x := range b[k] {
 		if x.cpu <= a.cpu && x.gpu <= a.gpu && x.mem <= a.mem && x.n <= a.n {
 			return true
--- a/internal/sched/pick.go
+++ b/internal/sched/pick.go
@@ -175,7 +175,7 @@
 		if best.m != nil && bestGrade.over(g) {
 			continue
 		}
-		if !ZoneOK(j, pool.Zone, zoneN) || thrift && p.Affordable != nil && !p.Affordable(j, pool.Type, pool.Spot, now) {
+		if !ZoneOK(j, pool.Zone, zoneN) || thrift && p.leeway == ordinary && p.Affordable != nil && !p.Affordable(j, pool.Type, pool.Spot, now) {
 			continue
 		}
 		c := p.tightest(j, pool, w, from, extra, now)
@@ -227,13 +227,23 @@
 
 // may reports whether a machine of a suitable pool may take the job's tasks.
 func (p *Placer) may(j *model.Job, m *model.Machine, now micro.Time) bool {
-	if m.Avoid > now || !p.C.Reachable(m) || m.Reserve != nil && m.Reserve != j && closed(m, j) {
-		return false
-	}
-	if len(j.FailedOn) > 0 && j.FailedOn[m.Name] && len(j.FailedOn) < len(p.C.Machines)/2 {
-		return false
+	return p.C.Reachable(m) && !p.avoids(j, m, now) && !p.keeps(j, m, now) && (p.leeway >= keptRoom || p.spares(j, m))
+}
+
+// avoids reports whether a machine is avoided, or the job failed on it and there
+// are others. As a last resort it is tried again, but not soon after it last
+// failed: one that is really faulty takes the tasks of all that wait.
+func (p *Placer) avoids(j *model.Job, m *model.Machine, now micro.Time) bool {
+	if p.leeway >= avoided {
+		return m.FaultAt > 0 && now-m.FaultAt < lateAfter
 	}
-	return p.spares(j, m)
+	return m.Avoid > now || j.FailedOn[m.Name] && len(j.FailedOn) < len(p.C.Machines)/2
+}
+
+// keeps reports whether a machine is kept for another job. Reservations follow
+// one another; room that none of them used for long is open to late work.
+func (p *Placer) keeps(j *model.Job, m *model.Machine, now micro.Time) bool {
+	return m.Reserve != nil && m.Reserve != j && closed(m, j) && (p.leeway < keptRoom || now-m.HeldFrom < lateAfter)
 }
 
 // closed reports whether a machine reserved for another job is closed to this
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -25,6 +25,7 @@
 
 	Looked     int // machines looked at, for tests and metrics
 	sampling   bool
+	leeway     leeway
 	reserved   map[*model.Machine]bool
 	gatherings map[*model.Job]gathering
 	sizes      map[string]int // the most tasks that a class's jobs have
@@ -37,16 +38,17 @@
 	return room{CPU: s.CPUs, GPU: s.GPUs, Mem: s.MemoryGB, Scaled: Scaled(s.CPUs, t.K, t.CPUs)}
 }
 
-func (b blocked) add(j *model.Job) {
+func (b blocked) add(j *model.Job, late bool) {
 	if (j.Spec.OneZone || j.Spec.Spread) && j.HeldN > 0 || len(j.FailedOn) > 0 {
 		return // it alone may have found no room
 	}
-	k, a := keyOf(j)
+	k, a := keyOf(j, late)
 	b[k] = append(b[k], a)
 }
 
-// tasks places a job's independent tasks one by one.
-func (p *Placer) tasks(j *model.Job, now micro.Time) (placed int, none bool) {
+// tasks places a job's independent tasks one by one. Late ones take what room
+// there is.
+func (p *Placer) tasks(j *model.Job, late bool, now micro.Time) (placed int, none bool) {
 	for {
 		next := j.Next(now, placeBatch) // not all of a huge job at once
 		if len(next) == 0 {
@@ -57,6 +59,9 @@
 				return placed, false
 			}
 			m := p.pick(j, nil, nil, "", true, p.steady(j, i, now), now)
+			if m == nil && late {
+				m = p.pickLate(j, nil, nil, "", now)
+			}
 			if m == nil {
 				coming := j.Level < 3 && p.preempt(j, next[k:], "", now)
 				if !coming && j.Level == 0 {
@@ -91,7 +96,8 @@
 
 func (p *Placer) put(j *model.Job, i int, m *model.Machine, attempt uint32, now micro.Time) {
 	scaled := Scaled(j.Spec.CPUs, m.Type.K, m.Type.CPUs)
-	p.C.NewPlace(j, i, m, attempt, scaled, now)
+	pl := p.C.NewPlace(j, i, m, attempt, scaled, now)
+	pl.Last = m.Avoid > now
 	j.Class.Placed = now
 	if j.Team != nil {
 		j.Team.Placed = now
@@ -103,7 +109,7 @@
 }
 
 // gang places all of a gang's tasks or none.
-func (p *Placer) gang(j *model.Job, now micro.Time) (placed int, none bool) {
+func (p *Placer) gang(j *model.Job, late bool, now micro.Time) (placed int, none bool) {
 	n := len(j.Tasks)
 	if j.HeldN > 0 || j.Waiting() < n {
 		return 0, false
@@ -116,20 +122,11 @@
 		return 0, false
 	}
 	zones := p.zonesFor(j)
-	for _, z := range zones {
-		extra, zoneN := map[*model.Machine]*room{}, map[string]int{}
-		chosen := make([]*model.Machine, 0, n)
-		for range idx {
-			m := p.pick(j, extra, zoneN, z, true, false, now)
-			if m == nil {
-				break
-			}
-			p.reserve(extra, zoneN, j, m)
-			chosen = append(chosen, m)
-		}
-		if len(chosen) < n {
-			continue
-		}
+	chosen := p.together(j, n, zones, false, now)
+	if chosen == nil && late {
+		chosen = p.together(j, n, zones, true, now)
+	}
+	if chosen != nil {
 		try := j.GangTry + 1
 		for i := range j.Tasks {
 			try = max(try, j.Tasks[i].Attempt+1)
@@ -148,6 +145,29 @@
 	return 0, true
 }
 
+// together chooses machines for n tasks at once, in one of the zones.
+func (p *Placer) together(j *model.Job, n int, zones []string, late bool, now micro.Time) []*model.Machine {
+	for _, z := range zones {
+		extra, zoneN := map[*model.Machine]*room{}, map[string]int{}
+		chosen := make([]*model.Machine, 0, n)
+		for len(chosen) < n {
+			m := p.pick(j, extra, zoneN, z, true, false, now)
+			if m == nil && late {
+				m = p.pickLate(j, extra, zoneN, z, now)
+			}
+			if m == nil {
+				break
+			}
+			p.reserve(extra, zoneN, j, m)
+			chosen = append(chosen, m)
+		}
+		if len(chosen) == n {
+			return chosen
+		}
+	}
+	return nil
+}
+
 // zonesFor lists the zones to try one by one, "" for all at once.
 func (p *Placer) zonesFor(j *model.Job) []string {
 	if !j.Spec.OneZone {
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -15,6 +15,10 @@
 	gatherLife  = micro.Minute
 )
 
+// heldGap is how soon after a reservation that ended unused the next counts as
+// the same hold.
+const heldGap = 10 * micro.Second
+
 // saveRest is for how long no team's limit is saved up after it was. Saved up
 // again at once, for a job that never got enough, it kept all others of its team
 // waiting for ever.
@@ -33,6 +37,9 @@
 	if p.reserved == nil {
 		p.reserved = map[*model.Machine]bool{}
 	}
+	if m.HeldFrom == 0 || now-m.HeldTo > heldGap {
+		m.HeldFrom = now
+	}
 	m.Reserve, m.ReserveAt, m.Gathered = j, now, gathered
 	p.reserved[m] = true
 }
@@ -50,7 +57,7 @@
 			life = gatherLife
 		}
 		if r != nil && (r.State != model.Active || r.Waiting() == 0 || now-m.ReserveAt > life || !m.Usable(now)) {
-			m.Reserve = nil
+			m.Reserve, m.HeldTo = nil, now
 		}
 		if m.Reserve == nil {
 			m.Gathered = false
