--- a/internal/controller/fleet_bench_test.go
+++ b/internal/controller/fleet_bench_test.go
@@ -148,6 +148,22 @@
 	}
 }
 
+// Work that waited a minute looks at all machines, several times.
+func BenchmarkPassOfLateWork(b *testing.B) {
+	for _, n := range []int{290, 2900} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			h := newHerd(b, n)
+			for i := range 300 {
+				h.l.addJob(wire.Job{ID: fmt.Sprint("j-9999", i), Class: fmt.Sprint("c", i), Team: "team", Kind: wire.Array, Priority: wire.Normal, Tasks: 600, CPUs: 2, MemoryGB: 60, EstimateS: 50, Image: "i"})
+			}
+			h.now += 2 * micro.Minute
+			for b.Loop() {
+				h.l.placer.Pass(h.now)
+			}
+		})
+	}
+}
+
 // waitingJobs adds so many jobs that each await two of those that run.
 func (h *herd) waitingJobs(n int) {
 	var ids []string
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -240,11 +240,7 @@
 		l.lastPlan = now
 		l.plan(now)
 		l.changed = true // backoffs and reservations run out
-		waiting := 0
-		for j := range l.c.Pending {
-			waiting += j.Waiting()
-		}
-		l.pendingTasks.Store(int64(waiting))
+		l.lookOver(now)
 	}
 	if now-l.lastImages >= imagesEvery {
 		l.lastImages = now
