--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -174,3 +174,22 @@
 		t.Fatalf("its second task waits for room that it may not use: %+v", asks)
 	}
 }
+
+// Work with time in hand waits a few seconds for room to come free; drained
+// machines must not be kept from it for longer.
+func TestDrainedMachineIsTakenBackForWorkWithTimeInHand(t *testing.T) {
+	p := planner()
+	m := p.C.Machine("i-1", now)
+	p.C.Describe(m, "small", "a", false)
+	p.C.Become(m, model.Up, "reports")
+	p.C.SetDrained(m, true)
+	p.C.AddJob(wire.Job{ID: "j-1", Class: "c", Kind: wire.Array, Priority: wire.Low, Tasks: 1, CPUs: 1, EstimateS: 10}, now, now)
+	p.Plan(now + micro.Second)
+	if !m.Drained {
+		t.Fatal("taken back at once")
+	}
+	p.Plan(now + 9*micro.Second)
+	if m.Drained {
+		t.Fatal("the work still waits")
+	}
+}
