--- a/internal/sched/late_test.go
+++ b/internal/sched/late_test.go
@@ -294,3 +294,39 @@
 		}
 	}
 }
+
+// One job tries a machine that had failed several; the others follow once it has
+// been there for a while, and not if it fails too.
+func TestOneJobTriesAnAvoidedMachineBeforeOthers(t *testing.T) {
+	for _, fails := range []bool{false, true} {
+		y := newYard(t)
+		m := y.machine("i-1", "small", "a")
+		m.Avoid, m.FaultAt = 10*micro.Minute, micro.Second
+		for i := range 4 {
+			y.array("j-"+strconv.Itoa(1+i), 1, 1, micro.Second)
+		}
+		first, all := micro.Time(0), micro.Time(0)
+		for now := micro.Second; now < 4*micro.Minute && all == 0; now += micro.Second {
+			y.p.Pass(now)
+			switch n := len(m.Places); {
+			case n == 1 && first == 0:
+				first = now
+				if fails {
+					y.c.Stop(m.Sorted()[0], "failed", 0, now) // still planned: free at once
+					m.FaultAt = now
+				}
+			case n > 1:
+				all = now
+				if n < 4 && !fails {
+					t.Fatalf("%d follow", n-1)
+				}
+			case fails && n == 1:
+				all = now // the next try
+			}
+		}
+		wait := all - first
+		if first-micro.Second != lateAfter || !fails && (wait < trialFor || all > bound) || fails && wait != lateAfter {
+			t.Errorf("fails %v: tried at %v s, again %v s after", fails, first.Seconds(), wait.Seconds())
+		}
+	}
+}
--- a/internal/sched/pick.go
+++ b/internal/sched/pick.go
@@ -232,14 +232,35 @@
 
 // avoids reports whether a machine is avoided, or the job failed on it and there
 // are others. As a last resort it is tried again, but not soon after it last
-// failed: one that is really faulty takes the tasks of all that wait.
+// failed, and by one job first: one that is really faulty would fail the tasks of
+// all that wait.
 func (p *Placer) avoids(j *model.Job, m *model.Machine, now micro.Time) bool {
 	if p.leeway >= avoided {
-		return m.FaultAt > 0 && now-m.FaultAt < lateAfter
+		return m.FaultAt > 0 && (now-m.FaultAt < lateAfter || onTrial(j, m, now))
 	}
 	return m.Avoid > now || j.FailedOn[m.Name] && len(j.FailedOn) < len(p.C.Machines)/2
 }
 
+// trialFor is how long a job's tasks must have been on an avoided machine before
+// others follow.
+const trialFor = 15 * micro.Second
+
+// onTrial reports whether another job tries an avoided machine, and has not done so
+// for long enough to tell.
+func onTrial(j *model.Job, m *model.Machine, now micro.Time) bool {
+	tried := false
+	for _, v := range m.Places {
+		if !v.Last || v.Job == j {
+			continue
+		}
+		if now-v.Planned >= trialFor {
+			return false
+		}
+		tried = true
+	}
+	return tried
+}
+
 // keeps reports whether a machine is kept for another job. Reservations follow
 // one another; room that none of them used for long is open to late work.
 func (p *Placer) keeps(j *model.Job, m *model.Machine, now micro.Time) bool {
