--- a/internal/model/limit_test.go
+++ b/internal/model/limit_test.go
@@ -104,6 +104,7 @@
 	s.used(4)
 	s.place(1)
 	s.persist()
+	s.beat(m2) // the start
 	s.now += 5 * micro.Second
 	s.next(3, m2)
 	s.used(8) // what hangs, and the place that the last leader gave
--- a/internal/model/place.go
+++ b/internal/model/place.go
@@ -42,6 +42,7 @@
 	Planned  micro.Time
 	RunFrom  micro.Time // first running report; 0: none
 	Seen     bool       // a report showed it
+	Restored bool       // read from the records of an earlier term: it is never started again
 	Last     bool       // on a machine that is avoided, for want of any other
 	over     bool       // counted as an overrun
 	known    bool       // Job has a task of that index
--- a/internal/model/record.go
+++ b/internal/model/record.go
@@ -66,7 +66,11 @@
 
 // Restore reads a chunk's record, in its first form, into a job that was just
 // added. Every place in it counts as taken, with a start that may still be under
-// way. What a record in the later form covers is left to that.
+// way; but no start of this term goes out for it. The records lag behind what the
+// earlier leader knew: a place that it had given up, or had taken for a late copy
+// of a report, was started anew under the next one, beside what had taken its
+// part of the limit, or beside the task itself elsewhere. What a record in the
+// later form covers is left to that.
 func (c *Cluster) Restore(j *Job, n int, rec *ChunkRecord, stamp uint64, now micro.Time) {
 	if n < 0 || n*ChunkTasks >= len(j.Tasks) {
 		return
@@ -122,7 +126,7 @@
 		p := &Place{
 			Job: j, Index: r.Index, Name: wire.TaskName(j.Spec.ID, r.Index), Attempt: uint64(r.Attempt),
 			Machine: m, Session: uint64(r.Session), State: Starting, Direct: c.BaseTok - 1,
-			Scaled: j.Spec.CPUs, Planned: now, known: true,
+			Scaled: j.Spec.CPUs, Planned: now, known: true, Restored: true,
 		}
 		c.hold(p)
 	}
--- a/internal/model/report.go
+++ b/internal/model/report.go
@@ -114,6 +114,10 @@
 			// beat runs before the next beat or not at all, and direct ones
 			// carry tokens below what the worker has seen by now.
 			c.free(p, now)
+		case p.Restored && m.Token > p.Direct:
+			// Never seen, and the worker has seen a token of this term: whatever an
+			// earlier one sent, in an answer or directly, it drops.
+			c.free(p, now)
 		}
 	}
 	return m, Taken
@@ -266,7 +270,7 @@
 		case p.Stopping && (p.Seen || p.State != Planned):
 			grace := p.GraceS
 			out = append(out, wire.Order{Op: wire.OpStop, Task: p.Name, Attempt: wire.Count(p.Attempt), GraceS: &grace})
-		case p.State == Starting && !p.Seen && p.Session == m.Session:
+		case p.State == Starting && !p.Seen && !p.Restored && p.Session == m.Session:
 			if direct {
 				p.Direct = max(p.Direct, token)
 			}
