--- a/internal/controller/random_test.go
+++ b/internal/controller/random_test.go
@@ -12,7 +12,8 @@
 
 var (
 	worldSeeds = flag.Int("world.seeds", 12, "how many days the random test plays")
-	worldSeed  = flag.Uint64("world.seed", 0, "the one day that it plays; 0: those from 1 on")
+	worldFirst = flag.Uint64("world.first", 1, "the seed of the first of them")
+	worldSeed  = flag.Uint64("world.seed", 0, "the one day that it plays; 0: all of them")
 )
 
 // Random days: jobs of all kinds, and troubles that meet as they come. After the
@@ -23,7 +24,7 @@
 func TestRandomDaysKeepTheRules(t *testing.T) {
 	seeds := []uint64{}
 	for i := range *worldSeeds {
-		seeds = append(seeds, uint64(i+1))
+		seeds = append(seeds, *worldFirst+uint64(i))
 	}
 	if *worldSeed > 0 {
 		seeds = []uint64{*worldSeed}
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -50,7 +50,7 @@
 	Seq        uint64
 	Token      uint64
 	Heard      micro.Time // last new proof of life
-	Answered   micro.Time // last report answered, new or not: the worker's lease may count from it
+	Answered   micro.Time // last report answered, new or not, or first sign of the session: the worker's lease may count from it
 	Prove      uint64     // it counts as up once it has shown this token
 	Misses     int        // reports in a row that had not seen the token they should have
 	DeafFrom   micro.Time // since when it hears nothing
--- a/internal/model/report.go
+++ b/internal/model/report.go
@@ -64,6 +64,10 @@
 			}
 		}
 		clear(m.exits)
+		// The lease of a session counts from its beginning, before any answer to a
+		// report: heard of in the answer to a direct order after an outage, a new
+		// session was taken for over by the last answer to the one before.
+		m.Answered = now
 	}
 	m.Session, m.Seq = session, seq
 	m.Token = max(m.Token, uint64(r.Token))
--- a/internal/model/story_test.go
+++ b/internal/model/story_test.go
@@ -529,3 +529,35 @@
 		t.Fatal("its tasks did not move")
 	}
 }
+
+// After an outage that outlived its lease, a worker answered a direct order before
+// it reported, and hung then. Its session had just begun, and was given up by the
+// last answer to the session before: its tasks started elsewhere beside it.
+func TestLeaseOfASessionHeardOfByAnAnswerCountsFromThen(t *testing.T) {
+	s := newSite(t)
+	w := s.worker("m1", "a")
+	s.now += lease + 10*micro.Second // nobody answers
+	if !w.Expire(s.now) {
+		t.Fatal("its lease should have run out")
+	}
+	s.token++
+	r, _ := w.Direct(wire.Orders{Token: wire.Count(s.token), Session: 2})
+	s.c.Apply(r, model.Answer, s.now)
+	j := s.job("j-1", wire.Array, 1, 1)
+	s.place(1)
+	s.persist()
+	w.Direct(s.direct(w))
+	if len(w.Started) != 1 {
+		t.Fatal("not started")
+	}
+	m := s.c.Machines["m1"]
+	s.now += lease - micro.Second
+	if s.c.LeaseOut(m, s.now) {
+		t.Fatal("given up within the lease of its session")
+	}
+	s.now += 3 * micro.Second
+	if !s.c.LeaseOut(m, s.now) {
+		t.Fatal("never given up")
+	}
+	s.held(j, 1)
+}
