--- a/internal/controller/checker_test.go
+++ b/internal/controller/checker_test.go
@@ -88,8 +88,6 @@
 	}
 }
 
-func (c *checker) hang(string) {}
-
 // machine looks at what is on a machine; its lock is held.
 func (c *checker) machine(h *host) {
 	tasks := map[string]bool{}
--- a/internal/controller/world_hosts_test.go
+++ b/internal/controller/world_hosts_test.go
@@ -63,7 +63,6 @@
 	h.mu.Lock()
 	h.hung = h.world.now() + d
 	h.mu.Unlock()
-	h.world.check.hang(h.w.Name)
 }
 
 func (h *host) deafen(d micro.Time) { h.mu.Lock(); h.deafTo = h.world.now() + d; h.mu.Unlock() }
