--- a/internal/controller/checker_test.go
+++ b/internal/controller/checker_test.go
@@ -34,7 +34,8 @@
 type judged struct {
 	spec     wire.Job
 	run      micro.Time
-	broken   bool // fails wherever it runs
+	apart    micro.Time // how much longer each task runs than the one before
+	broken   bool       // fails wherever it runs
 	accepted bool
 	asked    bool // its user asked to cancel it
 	done     bool
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -1,9 +1,11 @@
 package controller
 
 import (
+	"bytes"
 	"time"
 
 	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/wire"
 )
 
 // The troubles of a world. Each begins and ends by itself, and counts as long as
@@ -102,6 +104,92 @@
 	w.trouble(d, set(share, most), set(0, most))
 }
 
+// holdUp has the network hold up the next direct order to a machine, until it is
+// released: long after its sender gave up, and after what was sent later.
+func (h *host) holdUp() { h.mu.Lock(); h.holds = true; h.mu.Unlock() }
+
+func (h *host) holdsUp(o wire.Orders) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.holds || len(o.Orders) == 0 {
+		return false
+	}
+	h.holds, h.held = false, append(h.held, o)
+	return true
+}
+
+// release delivers what was held up, and reports whether the machine took it.
+func (h *host) release() bool {
+	h.mu.Lock()
+	held := h.held
+	h.held = nil
+	h.mu.Unlock()
+	took := false
+	for _, o := range held {
+		_, ok, there := h.direct(o)
+		took = took || ok && there
+	}
+	return took
+}
+
+func (h *host) heldUp() int { h.mu.Lock(); defer h.mu.Unlock(); return len(h.held) }
+
+// tape keeps what all machines report from now on.
+func (w *world) tape() { w.mu.Lock(); w.taping = true; w.mu.Unlock() }
+
+// late delivers a copy of the machine's last report from before a job's task was
+// on it to every node, and lateWith one of the last that shows the task.
+func (h *host) late(j *job) { h.resend(j, false) }
+
+func (h *host) lateWith(j *job) { h.resend(j, true) }
+
+func (h *host) resend(j *job, with bool) {
+	h.world.t.Helper()
+	var body []byte
+	h.mu.Lock()
+	for _, r := range h.reports {
+		if bytes.Contains(r, []byte(j.id+"/")) == with {
+			body = r
+		} else if body != nil {
+			break
+		}
+	}
+	h.mu.Unlock()
+	if r, err := wire.DecodeReport(body); err != nil || r.Token == 0 {
+		h.world.t.Fatal("no such report that shows a token")
+	}
+	for _, p := range h.world.procs {
+		if n := p.current(); n != nil {
+			n.Beat(body)
+		}
+	}
+}
+
+// isolate cuts a machine off both ways.
+func (h *host) isolate(d micro.Time) { h.silence(d); h.deafen(d) }
+
+// term names the term of whoever leads, 0 if nobody does.
+func (w *world) term() uint64 {
+	if p := w.leader(); p != nil {
+		if l := p.current().leading(); l != nil {
+			return l.term.Stamp
+		}
+	}
+	return 0
+}
+
+// depose ends the leader's process, which is back after a while, and waits until
+// another term has begun.
+func (w *world) depose(back micro.Time) {
+	w.t.Helper()
+	was := w.term()
+	if was == 0 {
+		w.t.Fatal("nobody leads")
+	}
+	w.restart(w.leader(), back)
+	w.until("another term", 20*micro.Second, func() bool { x := w.term(); return x != 0 && x != was })
+}
+
 // some draws machines.
 func (w *world) some(n int) []*host {
 	hs := w.hosts()
--- a/internal/controller/world_hosts_test.go
+++ b/internal/controller/world_hosts_test.go
@@ -18,9 +18,12 @@
 	w       *fake.Worker
 	booted  bool
 	gone    bool
-	hung    micro.Time // it stands still until then
-	deafTo  micro.Time // nothing that is sent to it arrives until then
-	muteTo  micro.Time // it reaches no controller until then
+	hung    micro.Time    // it stands still until then
+	deafTo  micro.Time    // nothing that is sent to it arrives until then
+	muteTo  micro.Time    // it reaches no controller until then
+	holds   bool          // the network holds up the next direct order
+	held    []wire.Orders // those that it holds up
+	reports [][]byte      // in the order in which they were sent
 	since   map[fake.Key]micro.Time
 	at      int // the node it reports to
 	sending bool
@@ -174,7 +177,7 @@
 			h.since[k], h.changed = now, true
 		case t.State == wire.TaskRunning && j.broken && now-h.since[k] >= micro.Second:
 			h.exit(k, t, wire.CauseError)
-		case t.State == wire.TaskRunning && j.spec.Kind == wire.Array && now-h.since[k] >= j.run:
+		case t.State == wire.TaskRunning && j.spec.Kind == wire.Array && now-h.since[k] >= j.run+micro.Time(index)*j.apart:
 			h.exit(k, t, wire.CauseDone)
 			h.world.check.completed(id, index)
 		}
@@ -183,6 +186,9 @@
 	if !h.sending && (now >= h.next || h.changed && now-h.last >= 500*micro.Millisecond) {
 		h.sending, h.changed, h.last = true, false, now
 		r := h.w.Report()
+		if h.world.tapes() {
+			h.reports = append(h.reports, wire.MustMarshal(r))
+		}
 		go h.report(r, wire.MustMarshal(r), now)
 	}
 }
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -55,6 +55,7 @@
 	share   float64         // of the reports that are copied
 	away    map[string]bool // zones that are cut off from the others
 	active  int             // troubles that are not over
+	taping  bool            // reports are kept, so that copies can come late
 	log     func(node string) *slog.Logger
 	logs    *logs
 }
@@ -81,26 +82,32 @@
 		for _, p := range w.procs {
 			w.begin(p)
 		}
+		// Also after a story that gave up: a world that goes on would hide why.
+		defer w.close(stop)
 		go w.steps(ctx)
 		story(w)
-		stop()
-		for _, p := range w.procs {
-			w.kill(p)
-		}
-		synctest.Wait()
-		time.Sleep(2 * time.Minute) // what is under way comes to its end
-		for _, v := range w.check.broken {
-			t.Error(v)
-		}
-		if w.logs != nil && t.Failed() {
-			name := filepath.Join(*worldLog, strings.NewReplacer("/", "-", " ", "-").Replace(t.Name())+".log")
-			if err := os.WriteFile(name, w.logs.b.Bytes(), 0o644); err != nil {
-				t.Error(err)
-			}
-		}
 	})
 }
 
+// close ends a world and reports what broke in it.
+func (w *world) close(stop func()) {
+	stop()
+	for _, p := range w.procs {
+		w.kill(p)
+	}
+	synctest.Wait()
+	time.Sleep(2 * time.Minute) // what is under way comes to its end
+	for _, v := range w.check.broken {
+		w.t.Error(v)
+	}
+	if w.logs != nil && w.t.Failed() {
+		name := filepath.Join(*worldLog, strings.NewReplacer("/", "-", " ", "-").Replace(w.t.Name())+".log")
+		if err := os.WriteFile(name, w.logs.b.Bytes(), 0o644); err != nil {
+			w.t.Error(err)
+		}
+	}
+}
+
 func newWorld(t testing.TB, ctx context.Context, seed uint64) *world {
 	w := &world{t: t, rand: rand.New(rand.NewPCG(seed, 17)), from: time.Now(), store: fake.NewStore(), workers: map[string]*host{}, away: map[string]bool{}, ctx: ctx}
 	w.store.Now = w.now
@@ -155,6 +162,8 @@
 // now is true time since the world began.
 func (w *world) now() micro.Time { return micro.Time(time.Since(w.from).Microseconds()) }
 
+func (w *world) tapes() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.taping }
+
 func (w *world) drawn(below int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -440,6 +449,9 @@
 		ok bool
 	}
 	ch := make(chan answer, 1)
+	if h != nil && h.holdsUp(o) {
+		h = nil
+	}
 	if h != nil && !s.p.cutFrom("workers") && !w.parted(h.w.Zone, s.p.zone) && !h.deaf() {
 		go func() {
 			h.wake()
--- a/internal/controller/world_users_test.go
+++ b/internal/controller/world_users_test.go
@@ -14,6 +14,7 @@
 	kind    wire.Kind
 	tasks   int
 	run     micro.Time
+	apart   micro.Time // each task of an array runs so much longer than the one before
 	cpus    float64
 	team    string
 	rank    wire.Priority
@@ -27,7 +28,7 @@
 func (o order) body(id string) []byte {
 	m := map[string]any{"nameId": id, "jobclass": "c", "outfit": o.team, "shape": string(o.kind), "rank": string(o.rank),
 		"pieces": o.tasks, "vcpus": o.cpus, "gpus": 0, "ramGb": 1, "bundle": "i", "pullGb": 1, "oneZone": o.oneZone, "scatter": o.spread, "loaners": o.spot,
-		"guessS": o.run.Seconds(), "bookmarkS": 0, "stashS": 0}
+		"guessS": (o.run + micro.Time(o.tasks-1)*o.apart).Seconds(), "bookmarkS": 0, "stashS": 0}
 	if o.kind == wire.Service {
 		m["guessS"] = 0
 	}
@@ -65,6 +66,7 @@
 		w.t.Fatal(err)
 	}
 	w.check.sent(*spec, o.run, o.broken)
+	w.check.job(id).apart = o.apart
 	return &job{w, id, body}
 }
 
@@ -171,6 +173,64 @@
 	return n
 }
 
+// on lists the machines that tasks of the job are on.
+func (j *job) on() []*host {
+	c := j.w.check
+	c.mu.Lock()
+	names := map[string]bool{}
+	for task, ms := range c.on {
+		if id, _, _ := wire.SplitTask(task); id == j.id {
+			for m := range ms {
+				names[m] = true
+			}
+		}
+	}
+	c.mu.Unlock()
+	var out []*host
+	for _, h := range j.w.hosts() {
+		if names[h.w.Name] {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// ripe lists the tasks of a job that have run for so long.
+func (w *world) ripe(j *job, d micro.Time) []string {
+	var out []string
+	for _, h := range w.hosts() {
+		h.mu.Lock()
+		for k, t := range h.w.Tasks {
+			if id, _, _ := wire.SplitTask(k.Task); id == j.id && t.State == wire.TaskRunning && w.now()-h.since[k] >= d {
+				out = append(out, k.Task)
+			}
+		}
+		h.mu.Unlock()
+	}
+	return out
+}
+
+// starts is how many starts of its tasks took effect so far.
+func (j *job) starts() int {
+	j.w.mu.Lock()
+	var all []*host
+	for _, h := range j.w.workers {
+		all = append(all, h)
+	}
+	j.w.mu.Unlock()
+	n := 0
+	for _, h := range all {
+		h.mu.Lock()
+		for _, task := range h.w.Started {
+			if id, _, _ := wire.SplitTask(task); id == j.id {
+				n++
+			}
+		}
+		h.mu.Unlock()
+	}
+	return n
+}
+
 // is what the user was told so far.
 func (j *job) is() seen { return j.w.check.asks(j.id) }
 
