--- a/internal/controller/meet_leader_test.go
+++ b/internal/controller/meet_leader_test.go
@@ -1,10 +1,13 @@
 package controller
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
+	"notchmux.dev/notchmux/internal/election"
 	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -137,3 +140,141 @@
 		})
 	}
 }
+
+// All controllers ended, and one was back within a second: whoever had led, its
+// tasks are known, and those of the leader before are taken over at once.
+func TestOneControllerIsBackWithinASecondOfTheEndOfAll(t *testing.T) {
+	for _, after := range []micro.Time{100, 300, 500, 700, 900} {
+		for _, led := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d ms, led %v", after, led), func(t *testing.T) {
+				t.Parallel()
+				play(t, 1, 3, nil, func(w *world) {
+					j := w.fills("b", 4)
+					l, was := w.leader(), w.term()
+					back := l
+					for _, p := range w.procs {
+						w.kill(p)
+						if !led && p != l {
+							back = p
+						}
+					}
+					w.restart(back, after*micro.Millisecond)
+					most := 10 * micro.Second
+					if led {
+						most = after*micro.Millisecond + 500*micro.Millisecond // no need to wait for its own old lease
+					}
+					w.until("leads", most, func() bool { x := w.term(); return x > was })
+					w.sleep(20 * micro.Second)
+					for _, p := range w.procs {
+						if p != back {
+							w.begin(p)
+						}
+					}
+					w.depose(micro.Second)
+					w.sleep(20 * micro.Second)
+					if j.running() != 4 || j.starts() != 4 {
+						w.t.Errorf("%d of its tasks run, %d starts", j.running(), j.starts())
+					}
+				})
+			})
+		}
+	}
+}
+
+// All ended, one came back and ended again in mid-election: it had won, and never
+// knew. Back once more, it does not wait for the lease that it then took.
+func TestNodeThatEndedInMidElectionLeadsAtOnceWhenItIsBack(t *testing.T) {
+	for _, after := range []micro.Time{100, 500, 900} {
+		t.Run(fmt.Sprintf("%d ms", after), func(t *testing.T) {
+			t.Parallel()
+			play(t, 1, 3, nil, func(w *world) {
+				j := w.fills("b", 4)
+				p, was := w.leader(), w.term()
+				for _, p := range w.procs {
+					w.kill(p)
+				}
+				w.sleep(300 * micro.Millisecond)
+				w.begin(p)
+				w.slow(600*micro.Millisecond, 5*micro.Second)
+				won := func() bool {
+					it, err := w.store.Get(context.Background(), store.Leadership, election.Key)
+					return err == nil && uint64(it.Version) > was
+				}
+				for end := w.now() + 20*micro.Second; !won() && w.now() < end; {
+					w.sleep(5 * micro.Millisecond)
+				}
+				if !won() || w.leader() != nil {
+					w.t.Fatal("it was to have won without knowing")
+				}
+				w.restart(p, after*micro.Millisecond)
+				w.until("leads", (after+500)*micro.Millisecond, func() bool { return w.leader() == p })
+				w.sleep(20 * micro.Second)
+				if j.running() != 4 || j.starts() != 4 {
+					w.t.Errorf("%d of its tasks run, %d starts", j.running(), j.starts())
+				}
+			})
+		})
+	}
+}
+
+// The store refused the leader alone just as tasks ended and others got their
+// places: a start whose record cannot be written must not go out, since the next
+// leader could not know of it.
+func TestStartWhoseRecordIsNotWrittenDoesNotGoOut(t *testing.T) {
+	for _, before := range []micro.Time{100, 500, 1500} {
+		t.Run(fmt.Sprintf("%d ms", before), func(t *testing.T) {
+			t.Parallel()
+			play(t, 1, 3, nil, func(w *world) {
+				j := w.wants(order{kind: wire.Array, tasks: 6, run: 20 * micro.Second, cpus: 4}).submit()
+				w.runs(j, 4)
+				w.until("soon over", 30*micro.Second, func() bool { return len(w.ripe(j, 20*micro.Second-before*micro.Millisecond)) > 0 })
+				l, was := w.leader(), w.term()
+				w.refuse(l, 8*micro.Second)
+				w.until("one ended", 5*micro.Second, func() bool { return j.running() < 4 })
+				if w.term() != was {
+					w.t.Fatal("it leads no more: it would have started nothing anyway")
+				}
+				w.until("another leader", 20*micro.Second, func() bool { x := w.leader(); return x != nil && x != l })
+				w.until("done", 90*micro.Second, func() bool { j.poll(w.any()); return j.is().done })
+				if j.starts() != 6 {
+					w.t.Errorf("%d starts of 6 tasks", j.starts())
+				}
+			})
+		})
+	}
+}
+
+// Leaders changed ten times in two minutes, each as a start went out, and one of
+// them inside an outage: a start goes out only once the next leader can read of it.
+func TestTenLeadersInTwoMinutesStartNothingTwice(t *testing.T) {
+	seeds(t, 3, 3, func(w *world) {
+		long := w.fills("b", 2)
+		w.sleep(90 * micro.Second) // the first leader has counted its token up
+		from := w.now()
+		var jobs []*job
+		terms := map[uint64]bool{}
+		w.slow(300*micro.Millisecond, 2*micro.Minute)
+		for i := range 10 {
+			j := w.wants(order{kind: wire.Array, tasks: 2, run: 15 * micro.Second, cpus: 1}).submit()
+			jobs = append(jobs, j)
+			w.until("a start", 20*micro.Second, func() bool { return j.starts() > 0 })
+			if i == 5 {
+				w.outage(4 * micro.Second)
+			}
+			w.depose(500 * micro.Millisecond)
+			terms[w.term()] = true
+		}
+		if len(terms) < 10 || w.now()-from > 2*micro.Minute {
+			w.t.Fatalf("%d terms in %v s", len(terms), (w.now() - from).Seconds())
+		}
+		for _, j := range jobs {
+			w.until(j.id+" is done", 90*micro.Second, func() bool { j.poll(w.any()); return j.is().done })
+			if j.starts() != 2 {
+				w.t.Errorf("%s: %d starts of 2 tasks", j.id, j.starts())
+			}
+		}
+		if long.running() != 2 || long.starts() != 2 {
+			w.t.Errorf("%d of the long tasks run, %d starts", long.running(), long.starts())
+		}
+	})
+}
