--- a/internal/controller/meet_leader_test.go
+++ b/internal/controller/meet_leader_test.go
@@ -278,3 +278,56 @@
 		}
 	})
 }
+
+// A zone with two or three of five controllers was cut off for longer than the
+// workers' leases, which its controllers kept: what runs there runs on, once.
+func TestZoneCutOffForLongerThanALeaseKeepsItsTasks(t *testing.T) {
+	for _, zone := range []string{"a", "b"} {
+		t.Run(zone, func(t *testing.T) {
+			seeds(t, 2, 5, func(w *world) {
+				j := w.wants(order{kind: wire.Service, tasks: 4, cpus: 2, zone: zone}).submit()
+				w.runs(j, 4)
+				was := w.leader()
+				w.cutZone(zone, 55*micro.Second)
+				w.sleep(50 * micro.Second)
+				l := w.leader()
+				if l == nil || l.zone == zone || was.zone == zone && l == was {
+					w.t.Fatal("the other zone should lead")
+				}
+				if j.running() != 4 {
+					w.t.Errorf("%d tasks run: leases were not kept", j.running())
+				}
+				w.until("over", 30*micro.Second, w.calm)
+				w.sleep(20 * micro.Second)
+				if j.running() != 4 || j.starts() != 4 {
+					w.t.Errorf("%d of its tasks run, %d starts", j.running(), j.starts())
+				}
+			})
+		})
+	}
+}
+
+// The tasks of a job end far apart, and the leader ends soon after the first: its
+// completion is not forgotten by the worker before the next leader can read of it.
+func TestTasksThatEndFarApartAcrossAChangeOfLeaderRunOnce(t *testing.T) {
+	for _, tasks := range []int{2, 3} {
+		for _, after := range []micro.Time{700, 900, 1100, 1300, 8000} {
+			t.Run(fmt.Sprintf("%d tasks, %d ms", tasks, after), func(t *testing.T) {
+				t.Parallel()
+				play(t, 1, 3, nil, func(w *world) {
+					j := w.wants(order{kind: wire.Array, tasks: tasks, run: 5 * micro.Second, apart: 25 * micro.Second, cpus: 1}).submit()
+					w.until("one ended", 60*micro.Second, func() bool { return j.starts() == tasks && j.running() == tasks-1 })
+					w.sleep(after * micro.Millisecond)
+					w.depose(micro.Second)
+					if j.running() != tasks-1 {
+						w.t.Fatal("the others were to run on")
+					}
+					w.until("done", 90*micro.Second, func() bool { j.poll(w.any()); return j.is().done })
+					if j.starts() != tasks {
+						w.t.Errorf("%d starts of %d tasks", j.starts(), tasks)
+					}
+				})
+			})
+		}
+	}
+}
