--- a/internal/controller/meet_leader_test.go
+++ b/internal/controller/meet_leader_test.go
@@ -331,3 +331,163 @@
 		}
 	}
 }
+
+// A report from before a task began arrives after newer ones, also under another
+// leader that has acted: that the task is missing in it proves nothing.
+func TestReportFromBeforeATaskBeganFreesNothing(t *testing.T) {
+	for _, changes := range []bool{false, true} {
+		t.Run(fmt.Sprint("another leader ", changes), func(t *testing.T) {
+			seeds(t, 2, 3, func(w *world) {
+				w.tape()
+				w.idle("a") // it reports a while before it has a task
+				j := w.fills("a", 1)
+				h := j.on()[0]
+				if changes {
+					w.depose(5 * micro.Second)
+				}
+				w.sleep(8 * micro.Second) // the machine was heard since
+				h.late(j)
+				w.sleep(30 * micro.Second)
+				if j.running() != 1 || j.starts() != 1 {
+					w.t.Errorf("%d of its tasks run, %d starts", j.running(), j.starts())
+				}
+			})
+		})
+	}
+}
+
+// An old report reaches every controller just as a new leader begins, which has
+// heard nothing newer: a cancelled job's task is missing in it, and yet runs.
+func TestOldReportToANewLeaderFreesNoCancelledTask(t *testing.T) {
+	seeds(t, 4, 3, func(w *world) {
+		w.tape()
+		w.idle("b") // it reports a while before it has a task
+		j := w.fills("b", 1)
+		h := j.on()[0]
+		w.fills("a", 3)
+		w.idle("a") // ready for what is next
+		h.isolate(20 * micro.Second)
+		j.cancel()
+		next := w.wants(order{kind: wire.Service, tasks: 1, cpus: 4, zone: "a"}).submit()
+		w.depose(5 * micro.Second)
+		h.late(j)
+		w.sleep(4 * micro.Second)
+		if j.running() != 1 {
+			w.t.Fatal("its task was to run on, out of reach")
+		}
+		w.runs(next, 1)
+	})
+}
+
+// A machine died with a report on its way, which arrives once a new leader has
+// begun: it is no sign of life, and work that waits is not sent there.
+func TestReportHeldBackUntilAnotherLeaderActsIsNoSignOfLife(t *testing.T) {
+	seeds(t, 3, 3, func(w *world) {
+		w.tape()
+		h := w.idle("b")[0]
+		j := w.wants(order{kind: wire.Service, tasks: 1, cpus: 4, zone: "b"})
+		h.die()
+		w.depose(5 * micro.Second)
+		w.sleep(micro.Second)
+		h.late(j)
+		from := w.now()
+		j.submit()
+		w.runs(j, 1)
+		if took := w.now() - from; took > 12*micro.Second {
+			w.t.Errorf("it ran after %v s: another machine is up within 8", took.Seconds())
+		}
+	})
+}
+
+// A report of an earlier attempt arrives while the next one runs elsewhere. To
+// the leader that knows its lease ran out it means nothing, not even room that is
+// taken; the next leader counts what it shows until it is proven gone. Neither
+// starts anything for it.
+func TestReportOfAnEarlierAttemptStartsNothing(t *testing.T) {
+	for _, changes := range []bool{false, true} {
+		t.Run(fmt.Sprint("another leader ", changes), func(t *testing.T) {
+			seeds(t, 3, 3, func(w *world) {
+				w.tape()
+				j := w.fills("b", 1)
+				h := j.on()[0]
+				w.sleep(5 * micro.Second)
+				h.isolate(60 * micro.Second)
+				w.until("another attempt", 60*micro.Second, func() bool { return j.starts() == 2 && j.running() == 1 && j.on()[0] != h })
+				if changes {
+					w.depose(5 * micro.Second)
+				}
+				h.lateWith(j)
+				from := w.now()
+				w.fills("a", 3)
+				if took := w.now() - from; !changes && took > 12*micro.Second {
+					w.t.Errorf("the team's room was held for %v s by a task that is gone", took.Seconds())
+				}
+				w.sleep(50 * micro.Second)
+				if j.running() != 1 || j.starts() != 2 {
+					w.t.Errorf("%d of its tasks run, %d starts", j.running(), j.starts())
+				}
+			})
+		})
+	}
+}
+
+// A report of a session that is over arrives under a new leader, which has heard
+// of the next session, and of a task that runs in it.
+func TestReportOfAnEarlierSessionChangesNothing(t *testing.T) {
+	seeds(t, 2, 3, func(w *world) {
+		w.tape()
+		w.idle("b", "b")
+		j := w.fills("b", 2)
+		old := j.on()
+		for _, h := range old {
+			h.isolate(36 * micro.Second)
+		}
+		sessions := func() bool {
+			for _, h := range old {
+				h.mu.Lock()
+				over := h.w.Session > 1
+				h.mu.Unlock()
+				if !over {
+					return false
+				}
+			}
+			return true
+		}
+		w.until("another session", 50*micro.Second, sessions)
+		w.sleep(10 * micro.Second)
+		var again []*job
+		for range 4 { // so many that the machines of before are used again
+			again = append(again, w.wants(order{kind: wire.Service, tasks: 1, cpus: 4, zone: "b", team: "other"}).submit())
+		}
+		for _, x := range again {
+			w.runs(x, 1)
+		}
+		w.runs(j, 2)
+		used := 0
+		for _, x := range again {
+			if h := x.on()[0]; h == old[0] || h == old[1] {
+				used++
+			}
+		}
+		if used == 0 && j.on()[0] != old[0] {
+			w.t.Fatal("none of the machines is used again")
+		}
+		n := j.starts()
+		for range 2 {
+			w.depose(micro.Second)
+			w.sleep(8 * micro.Second)
+			for _, h := range old {
+				h.late(j)
+			}
+			w.sleep(8 * micro.Second)
+		}
+		for _, x := range again {
+			if x.running() != 1 || x.starts() != 1 {
+				w.t.Errorf("%s: %d of its tasks run, %d starts", x.id, x.running(), x.starts())
+			}
+		}
+		if j.running() != 2 || j.starts() != n {
+			w.t.Errorf("%d of its tasks run, %d starts, %d before", j.running(), j.starts(), n)
+		}
+	})
+}
