--- a/internal/controller/meet_leader_test.go
+++ b/internal/controller/meet_leader_test.go
@@ -491,3 +491,52 @@
 		}
 	})
 }
+
+// All controllers were away for longer than the workers' leases, which killed
+// their tasks: each begins again, once.
+func TestAllControllersAwayForLongerThanALease(t *testing.T) {
+	for _, away := range []micro.Time{32, 45, 70} {
+		t.Run(fmt.Sprintf("%d s", away), func(t *testing.T) {
+			t.Parallel()
+			play(t, 1, 3, nil, func(w *world) {
+				j := w.fills("a", 4)
+				for _, p := range w.procs {
+					w.restart(p, away*micro.Second+micro.Time(w.drawn(900))*micro.Millisecond)
+				}
+				w.until("killed", 40*micro.Second, func() bool { return j.running() == 0 })
+				w.until("back", 90*micro.Second, func() bool { return w.leader() != nil })
+				w.runs(j, 4)
+				w.sleep(20 * micro.Second)
+				if j.running() != 4 || j.starts() != 8 {
+					w.t.Errorf("%d of its tasks run, %d starts", j.running(), j.starts())
+				}
+			})
+		})
+	}
+}
+
+// The leader ended while machines with long tasks could not be reached, or heard
+// no answer. The next one has heard nothing of them, and counts their leases from
+// its takeover, since the last leader may have renewed them until then.
+func TestLeaderEndsWhileMachinesWithLongTasksAreOutOfReach(t *testing.T) {
+	for what, cut := range map[string]func(*host, micro.Time){"unreachable": (*host).isolate, "deaf": (*host).deafen} {
+		for _, zone := range []string{"a", "b"} {
+			t.Run(what+" in "+zone, func(t *testing.T) {
+				seeds(t, 3, 3, func(w *world) {
+					j := w.fills(zone, 4)
+					for _, h := range j.on()[:2] {
+						cut(h, 20*micro.Second)
+					}
+					w.depose(5 * micro.Second)
+					if !j.on()[0].deaf() {
+						w.t.Fatal("it hears again")
+					}
+					w.sleep(40 * micro.Second)
+					if j.running() != 4 || j.starts() != 4 {
+						w.t.Errorf("%d of its tasks run, %d starts", j.running(), j.starts())
+					}
+				})
+			})
+		}
+	}
+}
