--- a/internal/controller/meet_leader_test.go
+++ b/internal/controller/meet_leader_test.go
@@ -141,6 +141,36 @@
 	}
 }
 
+// Workers that reach no controller for long end their tasks with their leases,
+// though direct orders still arrive, which renew nothing: the tasks begin elsewhere
+// as soon as that is sure, and not only once their machines are given up.
+func TestTasksOfWorkersThatReachNobodyForLongBeginElsewhere(t *testing.T) {
+	for _, changes := range []bool{false, true} {
+		t.Run(fmt.Sprint("another leader ", changes), func(t *testing.T) {
+			seeds(t, 3, 3, func(w *world) {
+				j := w.fills("b", 4)
+				mute := j.on()[:2]
+				for _, h := range mute {
+					h.silence(2 * micro.Minute)
+				}
+				from := w.now()
+				if changes {
+					w.depose(5 * micro.Second)
+				}
+				w.until("killed", 32*micro.Second, func() bool { return j.running() == 2 })
+				w.until("begun elsewhere", 50*micro.Second-(w.now()-from), func() bool { return j.running() == 4 })
+				if !mute[0].mute() || !mute[1].mute() {
+					w.t.Fatal("they reach the controllers again")
+				}
+				w.sleep(80 * micro.Second) // they are back meanwhile
+				if j.running() != 4 || j.starts() != 6 {
+					w.t.Errorf("%d of its tasks run, %d starts", j.running(), j.starts())
+				}
+			})
+		})
+	}
+}
+
 // All controllers ended, and one was back within a second: whoever had led, its
 // tasks are known, and those of the leader before are taken over at once.
 func TestOneControllerIsBackWithinASecondOfTheEndOfAll(t *testing.T) {
