--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"strings"
 	"time"
 
+	"notchmux.dev/notchmux/internal/fake"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/wire"
 )
@@ -76,11 +78,31 @@
 	w.trouble(d, set(late, lost), set(0, 0))
 }
 
+// meets says what befalls the commits of one process that put a key of a prefix:
+// the first of them, the second, and so on.
+func (w *world) meets(p *proc, prefix string, fate func(n int, c wire.Change) fake.Fate) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	p.link.Meets(func(t wire.Txn) fake.Fate {
+		for _, c := range t.Then {
+			if strings.HasPrefix(c.Put, prefix) {
+				n++
+				return fate(n, c)
+			}
+		}
+		return fake.Fate{}
+	})
+}
+
 // slow makes the store slow for all.
-func (w *world) slow(delay, d micro.Time) {
+func (w *world) slow(delay, d micro.Time) { w.slowFor(w.procs, delay, d) }
+
+// slowFor makes it slow for some nodes.
+func (w *world) slowFor(procs []*proc, delay, d micro.Time) {
 	set := func(x micro.Time) func() {
 		return func() {
-			for _, p := range w.procs {
+			for _, p := range procs {
 				p.mu.Lock()
 				if p.link != nil {
 					p.link.Delay(x)
@@ -92,6 +114,23 @@
 	w.trouble(d, set(delay), set(0))
 }
 
+// slowWorkers makes every report, direct command and answer of workers take half
+// to one and a half times so long.
+func (w *world) slowWorkers(delay, d micro.Time) {
+	set := func(x micro.Time) func() { return func() { w.mu.Lock(); w.way = x; w.mu.Unlock() } }
+	w.trouble(d, set(delay), set(0))
+}
+
+// travel is one way between a worker and a node.
+func (w *world) travel() {
+	w.mu.Lock()
+	d := w.way
+	w.mu.Unlock()
+	if d > 0 {
+		time.Sleep(w.between(d/2, d+d/2))
+	}
+}
+
 // stale has copies of reports come late.
 func (w *world) stale(share float64, most, d micro.Time) {
 	set := func(s float64, m micro.Time) func() {
--- a/internal/controller/world_hosts_test.go
+++ b/internal/controller/world_hosts_test.go
@@ -209,7 +209,11 @@
 	if h.mute() || w.parted(h.w.Zone, to.zone) {
 		time.Sleep(4 * time.Second)
 	} else {
-		got, ok = w.call(to, "workers", 4*time.Second, func(n *Node) front.Reply { return n.Beat(body) })
+		got, ok = w.call(to, "workers", 4*time.Second, func(n *Node) front.Reply {
+			w.travel()
+			defer w.travel()
+			return n.Beat(body)
+		})
 		if w.chance(w.share) {
 			w.again(body)
 		}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -54,6 +54,7 @@
 	copies  micro.Time      // how late copies of reports come at the most; 0: none come
 	share   float64         // of the reports that are copied
 	away    map[string]bool // zones that are cut off from the others
+	way     micro.Time      // how long what workers send or are sent is on its way; 0: no time
 	active  int             // troubles that are not over
 	taping  bool            // reports are kept, so that copies can come late
 	log     func(node string) *slog.Logger
@@ -454,8 +455,10 @@
 	}
 	if h != nil && !s.p.cutFrom("workers") && !w.parted(h.w.Zone, s.p.zone) && !h.deaf() {
 		go func() {
+			w.travel()
 			h.wake()
 			r, ok, there := h.direct(o)
+			w.travel()
 			if there {
 				ch <- answer{r, ok}
 			}
--- a/internal/fake/link.go
+++ b/internal/fake/link.go
@@ -31,8 +31,9 @@
 	reach   Reach
 	dead    bool
 	delay   micro.Time
-	late    float64 // share of commits that are carried out late, and answered by nothing
-	lost    float64 // share of commits that are carried out at once, and answered by nothing
+	late    float64             // share of commits that are carried out late, and answered by nothing
+	lost    float64             // share of commits that are carried out at once, and answered by nothing
+	meets   func(wire.Txn) Fate // nil: nothing of note
 	hold    time.Time
 	rand    *rand.Rand
 	Patient micro.Time // how long a call without a deadline waits for an answer
@@ -56,6 +57,16 @@
 // share only the answers lost.
 func (l *Link) Unsure(late, lost float64) { l.mu.Lock(); l.late, l.lost = late, lost; l.mu.Unlock() }
 
+// Fate is what befalls one commit.
+type Fate struct {
+	Refused bool       // it is not carried out
+	Mute    bool       // it is answered by nothing
+	After   micro.Time // when one without an answer is carried out
+}
+
+// Meets lets a story say what befalls each commit; nil: nothing more.
+func (l *Link) Meets(f func(wire.Txn) Fate) { l.mu.Lock(); l.meets = f; l.mu.Unlock() }
+
 // Hold keeps every call back until a time, as a process does that stands still
 // just before it sends.
 func (l *Link) Hold(until time.Time) { l.mu.Lock(); l.hold = until; l.mu.Unlock() }
@@ -171,8 +182,22 @@
 		return 0, err
 	}
 	l.mu.Lock()
-	late, lost := l.late, l.lost
+	late, lost, meets := l.late, l.lost, l.meets
 	l.mu.Unlock()
+	var fate Fate
+	if meets != nil {
+		fate = meets(t)
+	}
+	switch {
+	case fate.Refused:
+		return 0, store.ErrRefused
+	case fate.Mute && fate.After > 0:
+		time.AfterFunc(fate.After.Std(), func() { _, _ = l.Store.Commit(context.Background(), c, t) })
+		return 0, l.silence(ctx)
+	case fate.Mute:
+		_, _ = l.Store.Commit(ctx, c, t)
+		return 0, l.silence(ctx)
+	}
 	if l.chance(late) {
 		l.mu.Lock()
 		after := 2*time.Second + time.Duration(l.rand.Int64N(int64(10*time.Second)))
