--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -517,6 +517,9 @@
 // hearing gives the lead to another node if no worker reaches this one: it may
 // be cut off from them, and their leases run.
 func (l *Lead) hearing(up, silent int, now micro.Time) {
+	if up > 0 {
+		l.n.handover.Store(nil)
+	}
 	if up > 0 || silent < 3 || len(l.n.Cfg.Peers) == 0 {
 		l.deaf = 0
 		return
@@ -524,8 +527,34 @@
 	if l.deaf == 0 {
 		l.deaf = now
 	}
-	if now-l.deaf > micro.Second {
-		l.deaf = 0
-		l.resign("no worker reaches this node")
+	if now-l.deaf <= micro.Second {
+		return
+	}
+	l.deaf = 0
+	was := l.n.handover.Load()
+	if was == nil || l.c.Began-was.at > l.n.handoverSpan() {
+		was = &handover{}
+	}
+	if was.times == maxHandovers {
+		return
 	}
+	l.n.handover.Store(&handover{now, was.times + 1})
+	l.resign("no worker reaches this node")
+}
+
+// handover is when this node last gave the lead away because no worker reached it,
+// and how often in a row. Where all machines had died, the nodes once handed the
+// lead round for ever: no term lasted long enough to find them dead, and to rent
+// others. One that has tried the others in vain stays.
+type handover struct {
+	at    micro.Time
+	times int
+}
+
+// maxHandovers leaves each of the others its chance, whoever is elected first.
+const maxHandovers = 2
+
+// handoverSpan is how soon this node leads again if none of the others hears more.
+func (n *Node) handoverSpan() micro.Time {
+	return micro.Time(len(n.Cfg.Peers)+1) * (n.Cfg.SilentAfter + 5*micro.Second)
 }
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -51,7 +51,8 @@
 	health   health
 	keeper   keep.Keeper
 	gate     atomic.Int32 // a GateState
-	seen     sync.Map     // ids of jobs known to have been accepted
+	handover atomic.Pointer[handover]
+	seen     sync.Map // ids of jobs known to have been accepted
 	seenN    atomic.Int64
 }
 
