--- a/internal/controller/meet_store_test.go
+++ b/internal/controller/meet_store_test.go
@@ -95,7 +95,7 @@
 			w.sleep(900 * micro.Millisecond)
 			j := w.wants(order{kind: wire.Array, tasks: 1, run: 9 * micro.Second})
 			if r := j.send(others[0]); r.Status != 201 {
-				t.Fatalf("%+v", r)
+				w.t.Fatalf("%+v", r)
 			}
 			if l.remembers(j.id) == "" {
 				met++
@@ -107,12 +107,12 @@
 			}
 			j.closely()
 			if s := j.cancel(); s != wire.JobAborted {
-				t.Errorf("%s: %s", j.id, s)
+				w.t.Errorf("%s: %s", j.id, s)
 			}
 			j.looks(100 * micro.Millisecond)
 		}
 		if met == 0 {
-			t.Error("the leader always knew")
+			w.t.Error("the leader always knew")
 		}
 	})
 }
@@ -146,7 +146,7 @@
 		for _, j := range jobs {
 			w.until("cancelled through the next", micro.Minute, func() bool { return stateOf(j.withdraw(next)) == wire.JobAborted })
 			if !old.cutFrom("state") {
-				t.Error("the cut is over")
+				w.t.Error("the cut is over")
 			}
 			j.looks(200 * micro.Millisecond)
 		}
@@ -182,7 +182,7 @@
 					j.settled()
 				}
 				if met < 3 {
-					t.Errorf("the leader knew but in %d of 4", met)
+					w.t.Errorf("the leader knew but in %d of 4", met)
 				}
 			})
 		})
@@ -212,7 +212,7 @@
 			w.until("the end told", 2*micro.Minute, func() bool { return stateOf(j.poll(reader)).Final() })
 			mu.Lock()
 			if s := l.remembers(j.id); tries < 2 || s != model.Finishing.String() {
-				t.Errorf("%d tries, the leader has %s", tries, s)
+				w.t.Errorf("%d tries, the leader has %s", tries, s)
 			}
 			mu.Unlock()
 			j.looks(2 * micro.Second)
@@ -327,12 +327,12 @@
 			w.until(j.id+" over", 2*micro.Minute, func() bool { return stateOf(j.poll(reader)).Final() })
 			j.settled()
 		}
-		t.Logf("%d answers read in time, %d reads under way when the end was told, the oldest told %.3f s after it", answers, across, late.Seconds())
+		w.t.Logf("%d answers read in time, %d reads under way when the end was told, the oldest told %.3f s after it", answers, across, late.Seconds())
 		if answers == 0 || across == 0 {
-			t.Error("no answer was read in time, or no read was under way at the end")
+			w.t.Error("no answer was read in time, or no read was under way at the end")
 		}
 		if late > freshRead {
-			t.Errorf("a job was called unfinished %.3f s after it was called over", late.Seconds())
+			w.t.Errorf("a job was called unfinished %.3f s after it was called over", late.Seconds())
 		}
 	})
 }
@@ -375,7 +375,7 @@
 		}
 		ev, err := w.store.Watch(w.ctx, "job/", 0, 0)
 		if err != nil {
-			t.Fatal(err)
+			w.t.Fatal(err)
 		}
 		ends := map[string]int{}
 		for _, e := range ev.Events {
@@ -383,12 +383,12 @@
 		}
 		for _, j := range jobs {
 			if n := ends[endKey(j.id)]; n != 1 {
-				t.Errorf("%s has %d ends", j.id, n)
+				w.t.Errorf("%s has %d ends", j.id, n)
 			}
 		}
-		t.Logf("%d of %d done, the others cancelled", done, len(jobs))
+		w.t.Logf("%d of %d done, the others cancelled", done, len(jobs))
 		if done < 10 || done > 50 {
-			t.Errorf("%d of 60 are done: the cancellations missed the ends", done)
+			w.t.Errorf("%d of 60 are done: the cancellations missed the ends", done)
 		}
 	})
 }
--- a/internal/controller/world_hosts_test.go
+++ b/internal/controller/world_hosts_test.go
@@ -140,6 +140,9 @@
 		if _, ok := h.since[k]; !ok && t.State != wire.TaskExited {
 			h.since[k] = now
 			h.changed = true
+			if h.world.starts != nil {
+				h.world.starts(h, k)
+			}
 		}
 	}
 	for k := range h.since {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -50,13 +50,15 @@
 	base    config.Config
 	queue   int // jobs named so far
 	types   []wire.MachineType
-	quick   bool            // machines are up within two seconds
-	copies  micro.Time      // how late copies of reports come at the most; 0: none come
-	share   float64         // of the reports that are copied
-	away    map[string]bool // zones that are cut off from the others
-	way     micro.Time      // how long what workers send or are sent is on its way; 0: no time
-	active  int             // troubles that are not over
-	taping  bool            // reports are kept, so that copies can come late
+	quick   bool                      // machines are up within two seconds
+	writes  float64                   // changes a second that the store takes; 0: any number
+	starts  func(h *host, k fake.Key) // told of every start that takes effect
+	copies  micro.Time                // how late copies of reports come at the most; 0: none come
+	share   float64                   // of the reports that are copied
+	away    map[string]bool           // zones that are cut off from the others
+	way     micro.Time                // how long what workers send or are sent is on its way; 0: no time
+	active  int                       // troubles that are not over
+	taping  bool                      // reports are kept, so that copies can come late
 	log     func(node string) *slog.Logger
 	logs    *logs
 }
@@ -101,11 +103,21 @@
 	for _, v := range w.check.broken {
 		w.t.Error(v)
 	}
-	if w.logs != nil && w.t.Failed() {
-		name := filepath.Join(*worldLog, strings.NewReplacer("/", "-", " ", "-").Replace(w.t.Name())+".log")
-		if err := os.WriteFile(name, w.logs.b.Bytes(), 0o644); err != nil {
-			w.t.Error(err)
-		}
+	if w.t.Failed() {
+		w.save()
+	}
+}
+
+// save keeps the nodes' logs, if anybody wants to read them.
+func (w *world) save() {
+	if w.logs == nil {
+		return
+	}
+	w.logs.mu.Lock()
+	defer w.logs.mu.Unlock()
+	name := filepath.Join(*worldLog, strings.NewReplacer("/", "-", " ", "-").Replace(w.t.Name())+".log")
+	if err := os.WriteFile(name, w.logs.b.Bytes(), 0o644); err != nil {
+		w.t.Error(err)
 	}
 }
 
@@ -191,6 +203,7 @@
 	w.t.Helper()
 	for end := w.now() + most; !ok(); w.sleep(50 * micro.Millisecond) {
 		if w.now() > end {
+			w.save() // the story ends here
 			w.t.Fatalf("%v: never: %s", w.now(), what)
 		}
 	}
@@ -233,6 +246,9 @@
 	w.mu.Lock()
 	link := fake.NewLink(w.store, rand.New(rand.NewPCG(w.rand.Uint64(), 1)))
 	w.mu.Unlock()
+	if w.writes > 0 {
+		link.Budget(w.writes, 1/float64(len(w.procs)))
+	}
 	ctx, cancel := context.WithCancel(w.ctx)
 	began := w.now()
 	n := &Node{Cfg: &cfg, Store: link, Cloud: &sky{w.cloud, p, link}, Agent: &wires{p, link}, Peers: &peerLines{p, link}, Log: w.log(p.name), Metrics: metrics.New(),
@@ -479,8 +495,9 @@
 	*fake.Cloud
 	w     *world
 	down  bool
-	never float64 // share of machines that never come up
-	lost  float64 // share of rentals whose answer is lost
+	never float64  // share of machines that never come up
+	lost  float64  // share of rentals whose answer is lost
+	back  []string // machines that were returned
 }
 
 // sky is the cloud as one process reaches it.
@@ -536,6 +553,9 @@
 	if err := s.away(ctx); err != nil {
 		return err
 	}
+	s.w.mu.Lock()
+	s.back = append(s.back, names...)
+	s.w.mu.Unlock()
 	for _, name := range names {
 		if h := s.w.host(name); h != nil {
 			h.die()
--- a/internal/fake/link.go
+++ b/internal/fake/link.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
@@ -35,6 +37,8 @@
 	lost    float64             // share of commits that are carried out at once, and answered by nothing
 	meets   func(wire.Txn) Fate // nil: nothing of note
 	hold    time.Time
+	writes  *rate.Limiter // what the process may change; nil: no limit
+	wps     float64       // of which its share is a part
 	rand    *rand.Rand
 	Patient micro.Time // how long a call without a deadline waits for an answer
 }
@@ -57,6 +61,35 @@
 // share only the answers lost.
 func (l *Link) Unsure(late, lost float64) { l.mu.Lock(); l.late, l.lost = late, lost; l.mu.Unlock() }
 
+// Budget holds the process to its share of a rate of changes, as the real client
+// does; until a share is set, it is that part.
+func (l *Link) Budget(writeRPS, share float64) {
+	l.mu.Lock()
+	l.wps, l.writes = writeRPS, rate.NewLimiter(0, 0)
+	l.mu.Unlock()
+	l.SetShare(share, share)
+}
+
+// SetShare sets the part of the limits that the process may use.
+func (l *Link) SetShare(_, writes float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.writes != nil {
+		l.writes.SetLimit(rate.Limit(l.wps * writes))
+		l.writes.SetBurst(max(1, int(l.wps*writes)))
+	}
+}
+
+func (l *Link) limiter() *rate.Limiter { l.mu.Lock(); defer l.mu.Unlock(); return l.writes }
+
+// WriteRoom is how many puts and deletes the budget allows now.
+func (l *Link) WriteRoom(class store.Class) int {
+	if lim := l.limiter(); lim != nil {
+		return int(lim.Tokens() - max(class.Reserve(), 0)*float64(lim.Burst()))
+	}
+	return l.Store.WriteRoom(class)
+}
+
 // Fate is what befalls one commit.
 type Fate struct {
 	Refused bool       // it is not carried out
@@ -178,6 +211,9 @@
 
 // Commit runs a transaction, or has it run late.
 func (l *Link) Commit(ctx context.Context, c store.Class, t wire.Txn) (uint64, error) {
+	if lim := l.limiter(); lim != nil && !store.Admit(lim, c, len(t.Then)) {
+		return 0, store.ErrBudget
+	}
 	if err := l.enter(ctx); err != nil {
 		return 0, err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -44,8 +44,8 @@
 	Lazy             // what can wait: completions, records of what is over
 )
 
-// reserve is the part of the burst that a class must leave untouched.
-func (c Class) reserve() float64 {
+// Reserve is the part of the burst that a class must leave untouched.
+func (c Class) Reserve() float64 {
 	switch c {
 	case Leadership:
 		return -1 // may borrow: renewal is never held back
@@ -152,11 +152,11 @@
 
 // WriteRoom is how many puts and deletes the budget allows now.
 func (c *Client) WriteRoom(class Class) int {
-	return int(c.writes.Tokens() - max(class.reserve(), 0)*float64(c.writes.Burst()))
+	return int(c.writes.Tokens() - max(class.Reserve(), 0)*float64(c.writes.Burst()))
 }
 
-// admit takes n tokens if the class may have them now.
-func admit(lim *rate.Limiter, class Class, n int) bool {
+// Admit takes n tokens if the class may have them now.
+func Admit(lim *rate.Limiter, class Class, n int) bool {
 	if n == 0 {
 		return true
 	}
@@ -164,14 +164,14 @@
 		lim.ReserveN(time.Now(), min(n, lim.Burst()))
 		return true
 	}
-	if lim.Tokens()-float64(n) < class.reserve()*float64(lim.Burst()) {
+	if lim.Tokens()-float64(n) < class.Reserve()*float64(lim.Burst()) {
 		return false
 	}
 	return lim.AllowN(time.Now(), min(n, lim.Burst()))
 }
 
 func (c *Client) call(ctx context.Context, class Class, writes int, method, path string, body []byte, timeout time.Duration, out any) (int, error) {
-	if !admit(c.writes, class, writes) || !admit(c.reads, class, 1) {
+	if !Admit(c.writes, class, writes) || !Admit(c.reads, class, 1) {
 		return 0, ErrBudget
 	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
