--- /dev/null
+++ b/internal/controller/meet_cancel_test.go
@@ -0,0 +1,168 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/wire"
+)
+
+// Meetings of a cancellation with other troubles. The checker fails a story by
+// itself when a task of a job is there cancel_s after its user was told.
+
+// cancelSpan is the time that tasks have after their user was told.
+const cancelSpan = cancelS * micro.Second
+
+// forever is a run that no story sees the end of.
+const forever = 10 * micro.Minute
+
+// runs submits a job and waits until all its tasks run.
+func (w *world) runs(o order) *job {
+	w.t.Helper()
+	j := w.wants(o).submit()
+	w.until(j.id+" runs", 2*micro.Minute, func() bool { return j.running() == max(o.tasks, 1) })
+	return j
+}
+
+// span draws a span of time.
+func (w *world) span(least, most micro.Time) micro.Time {
+	return micro.Of(w.between(least, most).Seconds())
+}
+
+// leads reports whether the node has the right to act.
+func (p *proc) leads() bool { n := p.current(); return n != nil && n.leading() != nil }
+
+// follows waits until another node than the old leader leads, whatever that one
+// takes itself for.
+func (w *world) follows(old *proc) *proc {
+	w.t.Helper()
+	var next *proc
+	w.until("another leads", 15*micro.Second, func() bool {
+		for _, p := range w.procs {
+			if p != old && p.leads() {
+				next = p
+			}
+		}
+		return next != nil
+	})
+	return next
+}
+
+// outlasts takes the store from all nodes for longer than the tasks of cancelled
+// jobs have, and goes on until that time is over for each of them.
+func (w *world) outlasts(jobs ...*job) {
+	w.t.Helper()
+	from := w.now()
+	lasts := cancelSpan + w.span(8*micro.Second, 20*micro.Second)
+	w.outage(lasts)
+	for _, j := range jobs {
+		at, _, _, ok := j.aborted()
+		if !ok || from-at > 1500*micro.Millisecond || from+lasts < at+cancelSpan+micro.Second {
+			w.t.Fatalf("%s: told at %v (%v), the outage lasts from %v to %v: they don't meet", j.id, at, ok, from, from+lasts)
+		}
+		w.sleep(max(at+cancelSpan+micro.Second-w.now(), 0))
+	}
+	for _, j := range jobs {
+		if n := j.running(); n > 0 {
+			w.t.Errorf("%s has %d tasks still", j.id, n)
+		}
+	}
+}
+
+// recovers sees that a job is served once all troubles are over.
+func (w *world) recovers() {
+	w.t.Helper()
+	w.until("calm", 5*micro.Minute, w.calm)
+	j := w.wants(order{kind: wire.Array, tasks: 1, run: 2 * micro.Second, rank: wire.Production}).submit()
+	go j.watch()
+	w.until("served again", 90*micro.Second, func() bool { return j.is().done })
+}
+
+func each(t *testing.T, seeds uint64, name string, story func(t *testing.T, seed uint64)) {
+	for seed := uint64(1); seed <= seeds; seed++ {
+		t.Run(fmt.Sprintf("%s/seed %d", name, seed), func(t *testing.T) {
+			t.Parallel()
+			story(t, seed)
+		})
+	}
+}
+
+// The state service refused the leader alone, another node led and told users that
+// their jobs are cancelled, and then the service was down for all. The workers had
+// reported to the old leader all the time: had that gone on answering after its
+// right lapsed, the tasks would have run on through the whole outage. Where a zone
+// has no keepers the end is written while the tasks run; else they are gone before.
+func TestCancelledByTheNextLeaderBeforeAnOutage(t *testing.T) {
+	service, array := order{kind: wire.Service, tasks: 3}, order{kind: wire.Array, tasks: 3, run: forever}
+	gang := order{kind: wire.Gang, tasks: 3, run: forever}
+	inB := func(o order) order { o.zone = "b"; return o }
+	const within, after = "within", "after"
+	const some, none, either = "some", "none", "either"
+	for _, c := range []struct {
+		name    string
+		nodes   int
+		keepers bool
+		o       order
+		when    string // the cancellation is first sent within the refusal, or once another leads
+		far     bool   // no worker hears the next leader
+		trouble func(w *world, h *host)
+		left    string // which tasks run when the user is told
+	}{
+		{"service", 3, false, service, after, true, nil, some},
+		{"array", 3, false, array, after, true, nil, some},
+		{"gang", 3, false, gang, after, true, nil, some},
+		{"sent within the refusal", 3, false, service, within, true, nil, either},
+		{"five nodes", 5, false, array, after, true, nil, some},
+		{"zone of one node, others with keepers", 3, true, inB(service), after, true, nil, some},
+		{"gang in a zone of one node", 3, true, inB(gang), within, true, nil, either},
+		{"deaf", 3, false, service, after, false, func(w *world, h *host) { h.deafen(w.span(10*micro.Second, 25*micro.Second)) }, some},
+		{"mute", 3, false, array, after, false, func(w *world, h *host) { h.silence(w.span(10*micro.Second, 60*micro.Second)) }, some},
+		{"deaf and mute", 3, false, gang, after, false, func(w *world, h *host) { h.deafen(micro.Minute); h.silence(micro.Minute) }, some},
+		{"hung, goes on within its lease", 3, false, service, after, false, func(w *world, h *host) { h.hang(w.span(8*micro.Second, 16*micro.Second)) }, some},
+		{"hung, in a zone of one node", 3, true, inB(array), after, false, func(w *world, h *host) { h.hang(w.span(8*micro.Second, 16*micro.Second)) }, some},
+		{"keepers", 4, true, service, after, false, nil, none},
+		{"keepers, five nodes", 5, true, gang, within, false, nil, none},
+		{"keepers and deaf", 4, true, array, after, false, func(w *world, h *host) { h.deafen(w.span(10*micro.Second, 25*micro.Second)) }, none},
+		{"keepers and hung", 4, true, service, within, false, func(w *world, h *host) { h.hang(w.span(8*micro.Second, 16*micro.Second)) }, none},
+	} {
+		each(t, 4, c.name, func(t *testing.T, seed uint64) {
+			play(t, seed, c.nodes, func(w *world) {
+				if !c.keepers {
+					w.base.KeepLeases = 0
+				}
+			}, func(w *world) {
+				j := w.runs(c.o)
+				w.sleep(w.span(0, 5*micro.Second))
+				old := w.leader()
+				w.refuse(old, 2*micro.Minute)
+				if c.when == within {
+					w.sleep(w.span(0, 2*micro.Second))
+					go j.cancel()
+				}
+				next := w.follows(old)
+				led := w.now()
+				if c.far {
+					w.cutOff(next, 80*micro.Second, "workers")
+				}
+				if c.trouble != nil {
+					for _, h := range j.machines() {
+						c.trouble(w, h)
+					}
+				}
+				if c.when == after {
+					w.sleep(w.span(0, micro.Second))
+					go j.cancel()
+				}
+				w.until("told", 70*micro.Second, func() bool { return j.is().aborted })
+				at, by, left, _ := j.aborted()
+				if at < led-50*micro.Millisecond || !next.leads() || c.left == none && left > 0 || c.left == some && left == 0 {
+					t.Fatalf("another led at %v; told at %v by %s with %d tasks, which was to be with %s", led, at, by, left, c.left)
+				}
+				w.sleep(w.span(0, micro.Second))
+				w.outlasts(j)
+				w.recovers()
+			})
+		})
+	}
+}
--- a/internal/controller/world_users_test.go
+++ b/internal/controller/world_users_test.go
@@ -22,6 +22,7 @@
 	spot    bool
 	zone    string
 	broken  bool
+	awaits  []string // ids of jobs that must be done before
 }
 
 func (o order) body(id string) []byte {
@@ -34,6 +35,9 @@
 	if o.zone != "" {
 		m["yard"] = o.zone
 	}
+	if o.awaits != nil {
+		m["awaits"] = o.awaits
+	}
 	return wire.MustMarshal(m)
 }
 
@@ -171,6 +175,38 @@
 	return n
 }
 
+// machines are those that tasks of the job are on, in the order of their names.
+func (j *job) machines() []*host {
+	c := j.w.check
+	c.mu.Lock()
+	on := map[string]bool{}
+	for task, ms := range c.on {
+		if id, _, _ := wire.SplitTask(task); id == j.id {
+			for m := range ms {
+				on[m] = true
+			}
+		}
+	}
+	c.mu.Unlock()
+	var out []*host
+	for _, h := range j.w.hosts() {
+		if on[h.w.Name] {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// aborted is when the user was told that the job is cancelled, by which node, and
+// how many of its tasks were on machines then; false: not yet.
+func (j *job) aborted() (at micro.Time, by string, left int, ok bool) {
+	c := j.w.check
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x := c.jobs[j.id]
+	return x.toldAt, x.toldBy, x.left, x.aborted
+}
+
 // is what the user was told so far.
 func (j *job) is() seen { return j.w.check.asks(j.id) }
 
