--- a/internal/controller/meet_cancel_test.go
+++ b/internal/controller/meet_cancel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 
 	"notchmux.dev/notchmux/internal/micro"
@@ -166,3 +167,150 @@
 		})
 	}
 }
+
+// Jobs were cancelled at the very moment at which the state service refused the
+// leader alone, and a second later it was out for all. Some users were told in
+// between, before another could lead. Where the refusal is shorter than the
+// leader's lease, the same term goes on after the outage; else another leads.
+func TestCancelledAsTheStoreRefusesTheLeader(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		nodes   int
+		keepers bool
+		refused micro.Time
+		same    bool // the same term goes on
+		slow    micro.Time
+		lost    float64
+		trouble func(w *world, h *host)
+		met     []string // what came about in one of the worlds at least
+	}{
+		{"short refusal", 3, false, 2 * micro.Second, true, 0, 0, nil, []string{"told"}},
+		{"short refusal, keepers", 4, true, 2 * micro.Second, true, 0, 0, nil, []string{"told"}},
+		{"long refusal", 3, false, 100 * micro.Second, false, 0, 0, nil, []string{"told"}},
+		{"long refusal, keepers", 5, true, 100 * micro.Second, false, 0, 0, nil, []string{"told"}},
+		{"machines deaf", 3, false, 2 * micro.Second, true, 0, 0, func(w *world, h *host) { h.deafen(w.span(5*micro.Second, 75*micro.Second)) }, []string{"told", "running"}},
+		{"machines mute", 3, false, 100 * micro.Second, false, 0, 0, func(w *world, h *host) { h.silence(w.span(5*micro.Second, 75*micro.Second)) }, []string{"told"}},
+		{"machines hung", 3, false, 2 * micro.Second, true, 0, 0, func(w *world, h *host) { h.hang(w.span(5*micro.Second, 25*micro.Second)) }, []string{"told", "running"}},
+		{"machines hung, keepers", 4, true, 100 * micro.Second, false, 0, 0, func(w *world, h *host) { h.hang(w.span(5*micro.Second, 25*micro.Second)) }, []string{"not told"}},
+		{"a renewal is answered after the refusal", 3, false, 100 * micro.Second, false, 600 * micro.Millisecond, 0, func(w *world, h *host) { h.deafen(w.span(5*micro.Second, 20*micro.Second)) }, []string{"told", "running", "renewed"}},
+		{"answers lost", 3, false, 2 * micro.Second, true, 0, 0.7, func(w *world, h *host) { h.deafen(w.span(5*micro.Second, 20*micro.Second)) }, []string{"told", "running", "told by another"}},
+	} {
+		met := newTally(t)
+		each(t, 6, c.name, func(t *testing.T, seed uint64) {
+			play(t, seed, c.nodes, func(w *world) {
+				if !c.keepers {
+					w.base.KeepLeases = 0
+				}
+			}, func(w *world) {
+				var jobs []*job
+				for i := range 6 {
+					jobs = append(jobs, w.runs([]order{{kind: wire.Service, tasks: 2}, {kind: wire.Array, tasks: 2, run: forever}, {kind: wire.Gang, tasks: 2, run: forever}}[i%3]))
+				}
+				old := w.leader()
+				term := old.current().leading().term
+				if c.slow > 0 {
+					w.slow(c.slow, 5*micro.Second)
+					w.sleep(2 * micro.Second)
+				}
+				if c.lost > 0 {
+					w.unsure(0, c.lost, 5*micro.Second)
+				}
+				if c.trouble != nil {
+					for _, j := range jobs {
+						for _, h := range j.machines() {
+							c.trouble(w, h)
+						}
+					}
+				}
+				for _, j := range jobs {
+					go func() {
+						w.sleep(w.span(0, 600*micro.Millisecond))
+						go j.closely()
+						go j.watch()
+						j.cancel()
+					}()
+				}
+				w.sleep(300 * micro.Millisecond)
+				w.refuse(old, c.refused)
+				right := rightOf(term, old)
+				w.sleep(w.span(900*micro.Millisecond, 1100*micro.Millisecond))
+				if later := rightOf(term, old); later > right+100*micro.Millisecond {
+					met.note("renewed")
+				}
+				w.outage(70 * micro.Second)
+				from := w.now()
+				w.sleep(68 * micro.Second)
+				for _, j := range jobs {
+					at, by, left, ok := j.aborted()
+					if !ok || at > from {
+						met.note("not told")
+						continue
+					}
+					met.note("told")
+					if left > 0 {
+						met.note("running")
+					}
+					if by != old.name {
+						met.note("told by another")
+					}
+				}
+				if !old.leads() && w.leader() != nil {
+					t.Error("somebody leads in an outage")
+				}
+				w.until("calm", 3*micro.Minute, w.calm)
+				w.until("somebody leads", 20*micro.Second, func() bool { return w.leader() != nil })
+				w.sleep(3 * micro.Second)
+				l := w.leader()
+				if same := l == old && l.current().leading().term == term; same != c.same {
+					t.Errorf("the same term goes on: %v", same)
+				}
+				w.until("all are told", 90*micro.Second, func() bool {
+					for _, j := range jobs {
+						if !j.is().aborted {
+							return false
+						}
+					}
+					return true
+				})
+				w.sleep(cancelSpan + micro.Second)
+				w.recovers()
+			})
+		})
+		met.wants(c.name, c.met...)
+	}
+}
+
+// rightOf is when a node's right to act ends, as far as it knows now.
+func rightOf(term interface{ Valid(micro.Time) bool }, p *proc) micro.Time {
+	now := p.current().Now()
+	var d micro.Time
+	for d < 10*micro.Second && term.Valid(now+d) {
+		d += 10 * micro.Millisecond
+	}
+	return now + d
+}
+
+// tally counts what came about in the worlds of a row: what only some of them can
+// bring about must have been there in one at least.
+type tally struct {
+	t  *testing.T
+	mu sync.Mutex
+	n  map[string]int
+}
+
+func newTally(t *testing.T) *tally { return &tally{t: t, n: map[string]int{}} }
+
+func (y *tally) note(what string) { y.mu.Lock(); y.n[what]++; y.mu.Unlock() }
+
+// wants fails the test at its end if something never came about.
+func (y *tally) wants(row string, all ...string) {
+	y.t.Cleanup(func() {
+		y.mu.Lock()
+		defer y.mu.Unlock()
+		for _, what := range all {
+			if y.n[what] == 0 {
+				y.t.Errorf("%s: in no world: %s (%v)", row, what, y.n)
+			}
+		}
+	})
+}
