--- a/internal/controller/meet_cancel_test.go
+++ b/internal/controller/meet_cancel_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/wire"
@@ -314,3 +315,144 @@
 		}
 	})
 }
+
+// The write of a cancellation was carried out and its answer lost: the leader that
+// sent it didn't know yet when another node read the end from the store and told
+// the user, by a poll or by a repeat of the submission. Then the store was down for
+// all, while the old leader, which the store had refused alone, was reported to.
+func TestCancellationThatAnotherNodeReadBeforeAnOutage(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		o       order
+		far     bool // no worker hears the next leader
+		repeats bool
+		awaited bool // it awaits a job that is done, and another awaits it
+	}{
+		{"service, by a poll", order{kind: wire.Service, tasks: 2}, false, false, false},
+		{"gang, by a repeat", order{kind: wire.Gang, tasks: 2, run: forever}, false, true, false},
+		{"array, by a poll, no worker hears the next leader", order{kind: wire.Array, tasks: 2, run: forever}, true, false, false},
+		{"pipeline, by a poll", order{kind: wire.Array, tasks: 2, run: forever}, true, false, true},
+		{"pipeline, by a repeat", order{kind: wire.Service, tasks: 2}, false, true, true},
+	} {
+		each(t, 5, c.name, func(t *testing.T, seed uint64) {
+			play(t, seed, 3, func(w *world) { w.base.KeepLeases = 0 }, func(w *world) {
+				o := c.o
+				if c.awaited {
+					one := w.wants(order{kind: wire.Array, tasks: 1, run: micro.Second}).submit()
+					o.awaits = []string{one.id}
+				}
+				j := w.runs(o)
+				jobs := []*job{j}
+				if c.awaited {
+					jobs = append(jobs, w.wants(order{kind: wire.Array, tasks: 1, run: micro.Second, awaits: []string{j.id}}).submit())
+				}
+				w.sleep(w.span(3*micro.Second, 6*micro.Second))
+				old := w.leader()
+				w.refuse(old, 2*micro.Minute)
+				next := w.follows(old)
+				for _, h := range j.machines() {
+					h.deafen(w.span(5*micro.Second, 20*micro.Second))
+				}
+				if c.far {
+					w.cutOff(next, 80*micro.Second, "workers")
+				}
+				w.sleep(w.span(500*micro.Millisecond, micro.Second))
+				w.unsure(0, 1, 5*micro.Second, next)
+				var third *proc
+				for _, p := range w.procs {
+					if p != old && p != next {
+						third = p
+					}
+				}
+				go j.withdraw(next)
+				w.until("told", 1100*micro.Millisecond, func() bool {
+					for _, x := range jobs {
+						if c.repeats {
+							go x.send(third)
+						} else {
+							go x.poll(third)
+						}
+					}
+					for _, x := range jobs {
+						if !x.is().aborted {
+							return false
+						}
+					}
+					return true
+				})
+				if n := next.current().leading(); n == nil || !n.w.unsure(j.id) {
+					t.Fatal("the leader knows that its write was carried out")
+				}
+				_, by, left, _ := j.aborted()
+				if by != third.name || left == 0 {
+					t.Fatalf("told by %s with %d tasks", by, left)
+				}
+				w.outlasts(jobs...)
+				w.recovers()
+				for _, x := range jobs {
+					for _, p := range w.procs {
+						if s := stateOf(x.poll(p)); s != wire.JobAborted && s != "" {
+							t.Errorf("%s is %s by %s", x.id, s, p.name)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// A zone was cut off with its keepers when a job there was cancelled. The user may
+// be told only once they can't keep the tasks alive for longer than cancel_s. Then
+// the cut was over for the keepers, not for the workers, whom no leader heard; had
+// a keeper been answered then, it would have kept the tasks alive through a second
+// cut and the outage.
+func TestCancelledInAZoneThatKeepersKept(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		o       order
+		ends    bool // the cut ends for a while just after the user was told
+		changes bool // the leader changes before that
+	}{
+		{"cut throughout", order{kind: wire.Service, tasks: 3, zone: "b"}, false, false},
+		{"cut ends for a while", order{kind: wire.Array, tasks: 3, zone: "b", run: forever}, true, false},
+		{"cut throughout, the leader changes", order{kind: wire.Gang, tasks: 3, zone: "b", run: forever}, false, true},
+		{"cut ends for a while, the leader changes", order{kind: wire.Service, tasks: 3, zone: "b"}, true, true},
+	} {
+		each(t, 5, c.name, func(t *testing.T, seed uint64) {
+			play(t, seed, 5, nil, func(w *world) {
+				w.until("a leader in zone a", 2*micro.Minute, func() bool {
+					l := w.leader()
+					if l != nil && l.zone == "b" {
+						w.restart(l, 10*micro.Second)
+						w.sleep(8 * micro.Second)
+					}
+					return l != nil && l.zone == "a"
+				})
+				j := w.runs(c.o)
+				w.sleep(w.span(10*micro.Second, 15*micro.Second))
+				leader := w.leader()
+				heal := w.cutZone("b", micro.Minute)
+				w.sleep(w.span(0, 2*micro.Second))
+				go j.cancel()
+				if c.changes {
+					w.sleep(3 * micro.Second)
+					w.refuse(leader, 3*micro.Minute)
+					leader = w.follows(leader)
+				}
+				w.until("told", 50*micro.Second, func() bool { return j.is().aborted })
+				_, by, left, _ := j.aborted()
+				if left != 3 || leader.zone != "a" || !leader.leads() {
+					t.Fatalf("told by %s with %d tasks, %s leads: %v", by, left, leader.name, leader.leads())
+				}
+				if c.ends {
+					w.cutOff(leader, micro.Minute, "workers")
+					heal()
+					time.AfterFunc(3*time.Second, func() { w.cutZone("b", 80*micro.Second) })
+					w.sleep(w.span(500*micro.Millisecond, micro.Second))
+				}
+				w.outlasts(j)
+				w.recovers()
+			})
+		})
+	}
+}
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"sync"
 	"time"
 
 	"notchmux.dev/notchmux/internal/micro"
@@ -9,18 +10,24 @@
 // The troubles of a world. Each begins and ends by itself, and counts as long as
 // it lasts.
 
-// trouble runs one, and notes when it is over.
-func (w *world) trouble(d micro.Time, on, off func()) {
+// trouble runs one, and notes when it is over: after a while, or when what it
+// returns is called.
+func (w *world) trouble(d micro.Time, on, off func()) func() {
 	w.mu.Lock()
 	w.active++
 	w.mu.Unlock()
 	on()
-	time.AfterFunc(d.Std(), func() {
-		off()
-		w.mu.Lock()
-		w.active--
-		w.mu.Unlock()
-	})
+	var once sync.Once
+	over := func() {
+		once.Do(func() {
+			off()
+			w.mu.Lock()
+			w.active--
+			w.mu.Unlock()
+		})
+	}
+	time.AfterFunc(d.Std(), over)
+	return over
 }
 
 // calm reports whether no trouble is left.
@@ -42,7 +49,7 @@
 }
 
 // cutZone keeps a zone's nodes and workers from everything outside.
-func (w *world) cutZone(zone string, d micro.Time) {
+func (w *world) cutZone(zone string, d micro.Time) func() {
 	set := func(on bool) func() {
 		return func() {
 			w.mu.Lock()
@@ -55,14 +62,18 @@
 			}
 		}
 	}
-	w.trouble(d, set(true), set(false))
+	return w.trouble(d, set(true), set(false))
 }
 
-// unsure has a share of the commits carried out late, or their answers lost.
-func (w *world) unsure(late, lost float64, d micro.Time) {
+// unsure has a share of the commits carried out late, or their answers lost: of
+// some nodes, or of all if none is named.
+func (w *world) unsure(late, lost float64, d micro.Time, only ...*proc) {
+	if only == nil {
+		only = w.procs
+	}
 	set := func(a, b float64) func() {
 		return func() {
-			for _, p := range w.procs {
+			for _, p := range only {
 				p.mu.Lock()
 				if p.link != nil {
 					p.link.Unsure(a, b)
