--- a/internal/controller/meet_cancel_test.go
+++ b/internal/controller/meet_cancel_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -544,3 +545,228 @@
 		})
 	}
 }
+
+// fills submits services that take up a team's limit, and waits until they run.
+func (w *world) fills(team string, cpus int, o order) []*job {
+	w.t.Helper()
+	var jobs []*job
+	for n := 0; n < cpus; n += o.tasks {
+		o.kind, o.team = wire.Service, team
+		jobs = append(jobs, w.wants(o).submit())
+	}
+	w.until(team+" is at its limit", 2*micro.Minute, func() bool {
+		for _, j := range jobs {
+			if j.running() != o.tasks {
+				return false
+			}
+		}
+		return true
+	})
+	return jobs
+}
+
+// Every team was at its limit while jobs were cancelled whose machines were cut
+// off or hung, and the leader changed, twice. What was not proven free counts for
+// the team, whoever leads; room that is proven free is used within seconds.
+func TestTeamsAtTheirLimitsWhileJobsOnLostMachinesAreCancelled(t *testing.T) {
+	far := func(w *world, h *host) {
+		d := w.span(10*micro.Second, 50*micro.Second)
+		h.deafen(d)
+		h.silence(d)
+	}
+	for _, c := range []struct {
+		name    string
+		keepers bool
+		lost    func(w *world, h *host)
+		change  func(w *world, l *proc)
+	}{
+		{"cut off, killed", true, far, func(w *world, l *proc) { w.restart(l, w.span(micro.Second, 8*micro.Second)) }},
+		{"cut off, frozen", true, far, func(w *world, l *proc) { l.freeze(w.span(4*micro.Second, 12*micro.Second)) }},
+		{"hung, killed", false, func(w *world, h *host) { h.hang(w.span(10*micro.Second, 50*micro.Second)) }, func(w *world, l *proc) { w.restart(l, w.span(micro.Second, 8*micro.Second)) }},
+		{"hung, refused", true, func(w *world, h *host) { h.hang(w.span(5*micro.Second, 28*micro.Second)) }, func(w *world, l *proc) { w.refuse(l, w.span(6*micro.Second, 12*micro.Second)) }},
+		{"deaf, cut", false, func(w *world, h *host) { h.deafen(w.span(5*micro.Second, 40*micro.Second)) }, func(w *world, l *proc) { w.cutOff(l, w.span(6*micro.Second, 12*micro.Second), "state", "peers") }},
+	} {
+		each(t, 4, c.name, func(t *testing.T, seed uint64) {
+			play(t, seed, []int{3, 5}[seed%2], func(w *world) {
+				w.quick = true
+				if !c.keepers {
+					w.base.KeepLeases = 0
+				}
+			}, func(w *world) {
+				team, other := w.fills("team", teamMax, order{tasks: 2}), w.fills("other", teamMax, order{tasks: 4})
+				var waits []*job
+				for range 4 {
+					waits = append(waits, w.wants(order{kind: wire.Service, tasks: 2}).submit(), w.wants(order{kind: wire.Array, tasks: 2, run: 3 * micro.Second, team: "other"}).submit())
+				}
+				w.sleep(3 * micro.Second)
+				gone := []*job{team[0], team[1], team[2], other[0], other[1]}
+				lost := map[*host]bool{}
+				for _, j := range gone {
+					if hs := j.machines(); len(hs) > 0 && !lost[hs[0]] {
+						lost[hs[0]] = true
+						c.lost(w, hs[0])
+					}
+					go j.cancel()
+				}
+				for range 2 {
+					w.sleep(w.span(0, 1500*micro.Millisecond))
+					l := w.leads()
+					was := l.current().leading().term
+					c.change(w, l)
+					w.until("a new term", 20*micro.Second, func() bool {
+						n := w.leads().current().leading()
+						return n != nil && n.term.Stamp > was.Stamp
+					})
+				}
+				if len(lost) < 2 {
+					t.Fatalf("%d machines lost", len(lost))
+				}
+				w.until("all proven free", 2*micro.Minute, func() bool { return w.proven(gone...) })
+				from := w.now()
+				w.until("those that waited are served", 10*micro.Second, func() bool {
+					n := 0
+					for _, j := range waits {
+						if j.poll(w.any()); j.is().done || j.running() == 2 {
+							n++
+						}
+					}
+					return n >= 3+4 // room for three services, and for all arrays
+				})
+				t.Logf("served %.1f s after the last proof", (w.now() - from).Seconds())
+				for _, j := range gone {
+					w.until(j.id+" told", 2*micro.Minute, func() bool { return j.is().aborted })
+				}
+				w.until("calm", 3*micro.Minute, w.calm)
+				w.sleep(cancelSpan)
+			})
+		})
+	}
+}
+
+// leads waits for a leader.
+func (w *world) leads() *proc {
+	w.t.Helper()
+	var l *proc
+	w.until("somebody leads", 20*micro.Second, func() bool {
+		l = w.leader()
+		return l != nil && l.leads()
+	})
+	return l
+}
+
+// proven reports whether the leader takes all places of some jobs for free.
+func (w *world) proven(jobs ...*job) bool {
+	p := w.leader()
+	if p == nil {
+		return false
+	}
+	l := p.current().leading()
+	if l == nil {
+		return false
+	}
+	ch := make(chan bool, 1)
+	go l.post(func() {
+		free := l.loaded
+		for _, j := range jobs {
+			x := l.c.Jobs[j.id]
+			free = free && (x == nil || x.State != model.Active && x.HeldN == 0)
+		}
+		ch <- free
+	})
+	select {
+	case free := <-ch:
+		return free
+	case <-time.After(time.Second):
+		return false
+	}
+}
+
+// A team was at its limit when the leader changed. Some of its machines could not
+// be asked, and a cancellation fell into that spell: what the new leader only knows
+// from the records counts until it is proven gone, whether its job is cancelled or
+// not.
+func TestTeamAtItsLimitWhenSomeOfItsMachinesCannotBeAsked(t *testing.T) {
+	const before, within, after = "before", "within", "after"
+	for _, c := range []struct {
+		name    string
+		keepers bool
+		when    string     // the cancellation, as to the change of leader
+		there   bool       // of a job on those machines; else of another
+		spell   micro.Time // how long they can't be asked
+	}{
+		{"job there, before", true, before, true, 25 * micro.Second},
+		{"job there, within", false, within, true, 25 * micro.Second},
+		{"job there, after", true, after, true, 25 * micro.Second},
+		{"job there, after, beyond the lease", false, after, true, 50 * micro.Second},
+		{"job there, before, beyond the lease", false, before, true, 50 * micro.Second},
+		{"another job, before", true, before, false, 25 * micro.Second},
+		{"another job, within", false, within, false, 45 * micro.Second},
+		{"another job, after", false, after, false, 20 * micro.Second},
+	} {
+		each(t, 4, c.name, func(t *testing.T, seed uint64) {
+			play(t, seed, []int{3, 4}[seed%2], func(w *world) {
+				w.quick = true
+				if !c.keepers {
+					w.base.KeepLeases = 0
+				}
+			}, func(w *world) {
+				full := w.fills("team", teamMax, order{tasks: 2})
+				wait := w.wants(order{kind: wire.Service, tasks: 2, rank: wire.Production}).submit()
+				w.sleep(3 * micro.Second)
+				if wait.running() > 0 {
+					t.Fatal("there was room")
+				}
+				there := full[w.drawn(len(full))]
+				spell := map[*host]bool{}
+				for _, h := range there.machines() {
+					spell[h] = true
+					h.deafen(c.spell)
+					h.silence(c.spell)
+				}
+				gone := there
+				for _, j := range full {
+					apart := true
+					for _, h := range j.machines() {
+						apart = apart && !spell[h]
+					}
+					if !c.there && apart {
+						gone = j
+					}
+				}
+				if c.there != (gone == there) {
+					t.Fatal("all of the team's jobs are on machines that can't be asked")
+				}
+				began := w.now()
+				w.sleep(w.span(500*micro.Millisecond, 2*micro.Second))
+				if c.when == before {
+					go gone.cancel()
+					w.sleep(w.span(0, micro.Second))
+				}
+				l := w.leads()
+				was := l.current().leading().term
+				w.restart(l, w.span(micro.Second, 6*micro.Second))
+				if c.when == within {
+					w.sleep(w.span(0, 4*micro.Second))
+					go gone.cancel()
+				}
+				w.until("a new term", 20*micro.Second, func() bool {
+					n := w.leads().current().leading()
+					return n != nil && n.term.Stamp > was.Stamp
+				})
+				if c.when == after {
+					w.sleep(w.span(0, 3*micro.Second))
+					go gone.cancel()
+				}
+				if w.now() > began+c.spell {
+					t.Fatal("the spell was over")
+				}
+				w.until("proven free", 2*micro.Minute, func() bool { return w.proven(gone) })
+				from := w.now()
+				w.until("the room is used", 10*micro.Second, func() bool { return wait.running() == 2 })
+				t.Logf("used %.1f s after the proof, %.1f s after the spell began", (w.now() - from).Seconds(), (from - began).Seconds())
+				w.until("told", micro.Minute, func() bool { return gone.is().aborted })
+				w.sleep(cancelSpan + micro.Second)
+			})
+		})
+	}
+}
