--- a/internal/controller/meet_cancel_test.go
+++ b/internal/controller/meet_cancel_test.go
@@ -770,3 +770,101 @@
 		})
 	}
 }
+
+// Jobs were cancelled in the seconds in which one controller's work changed hands:
+// at ten moments from a second before to six after.
+func TestCancelledWhileTheLeaderChanges(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		nodes   int
+		keepers bool
+		change  func(w *world, l *proc)
+		trouble func(w *world)
+	}{
+		{"killed", 3, false, func(w *world, l *proc) { w.restart(l, w.span(100*micro.Millisecond, 8*micro.Second)) }, nil},
+		{"killed, back within a second", 4, true, func(w *world, l *proc) { w.restart(l, w.span(50*micro.Millisecond, 900*micro.Millisecond)) }, nil},
+		{"frozen", 3, false, func(w *world, l *proc) { l.freeze(w.span(3*micro.Second, 9*micro.Second)) }, nil},
+		{"frozen, keepers", 5, true, func(w *world, l *proc) { l.freeze(w.span(3*micro.Second, 9*micro.Second)) }, nil},
+		{"cut", 4, true, func(w *world, l *proc) { w.cutOff(l, w.span(4*micro.Second, 12*micro.Second), "state", "peers") }, nil},
+		{"refused", 3, false, func(w *world, l *proc) { w.refuse(l, w.span(4*micro.Second, 12*micro.Second)) }, nil},
+		{"resigns", 4, true, func(_ *world, l *proc) { resigns(l) }, nil},
+		{"resigns, no keepers", 3, false, func(_ *world, l *proc) { resigns(l) }, nil},
+		{"killed, writes late", 3, false, func(w *world, l *proc) { w.restart(l, w.span(100*micro.Millisecond, 8*micro.Second)) }, func(w *world) { w.unsure(0.3, 0, 8*micro.Second) }},
+		{"resigns, answers lost", 4, true, func(_ *world, l *proc) { resigns(l) }, func(w *world) { w.unsure(0, 0.3, 8*micro.Second) }},
+		{"frozen, reports late", 3, false, func(w *world, l *proc) { l.freeze(w.span(3*micro.Second, 9*micro.Second)) }, func(w *world) { w.stale(0.5, 45*micro.Second, 15*micro.Second) }},
+	} {
+		met := newTally(t)
+		each(t, 6, c.name, func(t *testing.T, seed uint64) {
+			play(t, seed, c.nodes, func(w *world) {
+				if !c.keepers {
+					w.base.KeepLeases = 0
+				}
+			}, func(w *world) {
+				const n = 10
+				var jobs []*job
+				for i := range n {
+					o := []order{{kind: wire.Service, tasks: 2}, {kind: wire.Array, tasks: 3, run: forever}, {kind: wire.Gang, tasks: 2, run: forever}, {kind: wire.Array, tasks: 2, run: forever, zone: "b"}}[i%4]
+					o.team = []string{"team", "other"}[i%2]
+					jobs = append(jobs, w.runs(o))
+				}
+				l := w.leads()
+				was := l.current().leading().term
+				zero := w.now() + micro.Second
+				if c.trouble != nil {
+					c.trouble(w)
+				}
+				for _, j := range jobs {
+					look := w.chance(0.5)
+					at := w.between(0, 7*micro.Second)
+					time.AfterFunc(at, func() {
+						go j.watch()
+						if look {
+							go j.closely()
+						}
+						j.cancel()
+						if look {
+							j.closely()
+						}
+					})
+				}
+				w.sleep(micro.Second)
+				c.change(w, l)
+				var led micro.Time
+				w.until("a new term", 20*micro.Second, func() bool {
+					for _, p := range w.procs {
+						if x := p.current(); x != nil && x.leading() != nil && x.leading().term.Stamp > was.Stamp {
+							led = w.now()
+						}
+					}
+					return led > 0
+				})
+				for _, j := range jobs {
+					w.until(j.id+" told", 80*micro.Second, func() bool { return j.is().aborted })
+					switch at, _, _, _ := j.aborted(); {
+					case at < zero:
+						met.note("told before")
+					case at < led:
+						met.note("told within")
+					default:
+						met.note("told after")
+					}
+				}
+				w.sleep(cancelSpan + micro.Second)
+				for _, j := range jobs {
+					if j.running() > 0 {
+						t.Errorf("%s runs", j.id)
+					}
+				}
+				w.recovers()
+			})
+		})
+		met.wants(c.name, "told before", "told after")
+	}
+}
+
+// resigns has a leader hand over.
+func resigns(p *proc) {
+	if l := p.current().leading(); l != nil {
+		l.post(func() { l.resign("a story wants it") })
+	}
+}
