--- a/internal/controller/meet_cancel_test.go
+++ b/internal/controller/meet_cancel_test.go
@@ -8,6 +8,7 @@
 
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/model"
+	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -868,3 +869,95 @@
 		l.post(func() { l.resign("a story wants it") })
 	}
 }
+
+// A user had been told that a job is cancelled, and its machines heard nothing of
+// it; then the leader changed. The next one answers their reports, and so renews
+// their leases: it must order the tasks to stop, though no user asks it to.
+func TestNextLeaderStopsWhatWasCancelledBeforeIt(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(w *world, l *proc)
+	}{
+		{"killed", func(w *world, l *proc) { w.restart(l, w.span(micro.Second, 8*micro.Second)) }},
+		{"refused", func(w *world, l *proc) { w.refuse(l, w.span(6*micro.Second, 12*micro.Second)) }},
+		{"resigns", func(_ *world, l *proc) { resigns(l) }},
+	} {
+		each(t, 4, c.name, func(t *testing.T, seed uint64) {
+			play(t, seed, 3, func(w *world) { w.base.KeepLeases = 0 }, func(w *world) {
+				jobs := []*job{w.runs(order{kind: wire.Service, tasks: 2}), w.runs(order{kind: wire.Array, tasks: 2, run: forever}), w.runs(order{kind: wire.Gang, tasks: 2, run: forever})}
+				w.sleep(3 * micro.Second)
+				l := w.leads()
+				was := l.current().leading().term
+				for _, j := range jobs {
+					for _, h := range j.machines() {
+						h.deafen(w.span(10*micro.Second, 15*micro.Second))
+					}
+				}
+				for _, j := range jobs {
+					j.cancel()
+				}
+				c.change(w, l)
+				w.until("a new term", 20*micro.Second, func() bool {
+					n := w.leads().current().leading()
+					return n != nil && n.term.Stamp > was.Stamp
+				})
+				for _, j := range jobs {
+					if _, _, left, ok := j.aborted(); !ok || left != 2 || j.running() != 2 {
+						t.Fatalf("%s: %d tasks when told, %d when the next leader began", j.id, left, j.running())
+					}
+				}
+				w.sleep(cancelSpan)
+				w.recovers()
+			})
+		})
+	}
+}
+
+// A cancellation's write got no answer, and the leader changed. Where the write was
+// carried out after the next leader had begun, the job's end must not get into the
+// store behind that one's back: any node would tell it to the user, and the tasks
+// would run on.
+func TestCancellationCarriedOutAfterTheNextLeaderBegan(t *testing.T) {
+	met := newTally(t)
+	for name, change := range map[string]func(w *world, l *proc){
+		"killed":  func(w *world, l *proc) { w.restart(l, 20*micro.Second) },
+		"resigns": func(_ *world, l *proc) { resigns(l) },
+		"cut":     func(w *world, l *proc) { w.cutOff(l, 20*micro.Second, "state", "peers") },
+	} {
+		each(t, 5, name, func(t *testing.T, seed uint64) {
+			play(t, seed, 3, func(w *world) { w.base.KeepLeases = 0 }, func(w *world) {
+				j := w.runs(order{kind: wire.Service, tasks: 2})
+				w.sleep(3 * micro.Second)
+				old := w.leads()
+				w.unsure(1, 0, 300*micro.Millisecond, old)
+				go j.withdraw(old)
+				w.sleep(200 * micro.Millisecond)
+				if n := old.current().leading(); n == nil || !n.w.unsure(j.id) {
+					t.Fatal("its write did not go out")
+				}
+				change(w, old)
+				next := w.follows(old)
+				_, err := w.store.Get(w.ctx, store.Urgent, endKey(j.id))
+				in := err == nil
+				w.sleep(13 * micro.Second) // the write is carried out
+				if _, err := w.store.Get(w.ctx, store.Urgent, endKey(j.id)); !in && err == nil && !j.is().aborted && j.running() > 0 {
+					t.Errorf("the job's end came into the store behind the back of %s", next.name)
+				} else if !in && err != nil {
+					met.note("refused by its guard")
+				}
+				for _, p := range w.procs {
+					if p != old || p.leads() {
+						j.poll(p)
+					}
+				}
+				if !in {
+					w.until("runs", 90*micro.Second, func() bool { return j.running() == 2 })
+				}
+				w.until("calm", micro.Minute, w.calm)
+				j.cancel()
+				w.sleep(cancelSpan + micro.Second)
+			})
+		})
+	}
+	met.wants("late", "refused by its guard")
+}
