--- a/internal/controller/world_users_test.go
+++ b/internal/controller/world_users_test.go
@@ -23,6 +23,7 @@
 	spot    bool
 	zone    string
 	broken  bool
+	awaits  []string // ids of jobs that must be done before
 }
 
 func (o order) body(id string) []byte {
@@ -35,6 +36,9 @@
 	if o.zone != "" {
 		m["yard"] = o.zone
 	}
+	if o.awaits != nil {
+		m["awaits"] = o.awaits
+	}
 	return wire.MustMarshal(m)
 }
 
@@ -231,6 +235,16 @@
 	return n
 }
 
+// aborted is when the user was told that the job is cancelled, by which node, and
+// how many of its tasks were on machines then; false: not yet.
+func (j *job) aborted() (at micro.Time, by string, left int, ok bool) {
+	c := j.w.check
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x := c.jobs[j.id]
+	return x.toldAt, x.toldBy, x.left, x.aborted
+}
+
 // is what the user was told so far.
 func (j *job) is() seen { return j.w.check.asks(j.id) }
 
