--- a/internal/controller/random_test.go
+++ b/internal/controller/random_test.go
@@ -39,6 +39,9 @@
 				if seed%5 == 0 {
 					w.base.KeepLeases = 0
 				}
+				if seed%7 == 0 {
+					w.writes = 20
+				}
 			}, randomDay)
 		})
 	}
@@ -50,7 +53,13 @@
 	go w.troubles(day)
 	for w.now() < day {
 		time.Sleep(w.between(micro.Second, 6*micro.Second))
-		j := w.wants(w.order())
+		o := w.order()
+		if n := len(jobs); n > 0 && w.chance(0.15) { // a pipeline
+			if x := w.check.job(jobs[w.drawn(n)].id); x.accepted && x.spec.Kind != wire.Service && !x.broken {
+				o.awaits = []string{x.spec.ID}
+			}
+		}
+		j := w.wants(o)
 		jobs = append(jobs, j)
 		if w.chance(0.1) { // users call off much at once
 			for _, o := range jobs {
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -172,7 +172,7 @@
 func (h *host) release() bool {
 	h.mu.Lock()
 	held := h.held
-	h.held = nil
+	h.held, h.holds = nil, false
 	h.mu.Unlock()
 	took := false
 	for _, o := range held {
@@ -261,7 +261,7 @@
 		}
 		d := micro.Time(w.between(2*micro.Second, 50*micro.Second) / time.Microsecond)
 		w.log("world").Debug("trouble drawn", "node", p.name, "for_s", d.Seconds())
-		switch w.drawn(16) {
+		switch w.drawn(18) {
 		case 0:
 			w.outage(micro.Time(w.between(2*micro.Second, 70*micro.Second) / time.Microsecond))
 		case 1:
@@ -318,6 +318,25 @@
 			}
 		case 15:
 			w.trouble(d, func() { p.freeze(d) }, nothing)
+		case 16: // orders held up on their way, and delivered long after
+			hs := w.some(3)
+			w.trouble(d, func() {
+				for _, h := range hs {
+					h.holdUp()
+				}
+			}, func() {
+				for _, h := range hs {
+					h.release()
+				}
+			})
+		case 17:
+			if w.chance(0.3) {
+				for _, h := range w.hosts() {
+					if w.chance(0.8) {
+						h.die()
+					}
+				}
+			}
 		}
 	}
 }
