--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -74,6 +74,7 @@
 	Overruns   int             // attempts in a row that ran far over what was expected
 	Errors     map[string]bool // jobs that failed here
 	Avoid      micro.Time      // takes no tasks until then, except as a last resort
+	Blamed     bool            // avoided since several jobs failed on it
 	FaultAt    micro.Time      // when a failure, or a refusal for want of room, last made it avoided
 	Wanted     micro.Time      // last time that headroom counted on it
 	Busy       bool            // a direct order is under way
--- a/internal/model/report.go
+++ b/internal/model/report.go
@@ -222,17 +222,19 @@
 	}
 	switch t.Cause {
 	case wire.CauseError:
-		m.Errors[j.Spec.ID] = true
 		if j.FailedOn == nil {
 			j.FailedOn = map[string]bool{}
 		}
+		known := j.mistaken()
 		j.FailedOn[m.Name] = true
-		if len(j.FailedOn) >= 3 {
-			// Fails wherever it goes: a mistake in the submission. Try seldom.
+		if j.mistaken() {
 			d := micro.Second << min(len(j.FailedOn), 5)
 			j.NotBefore = max(j.NotBefore, now+d)
-		} else if len(m.Errors) >= c.ErrJobs {
-			m.Avoid, m.FaultAt = now+10*micro.Minute, now
+			if !known {
+				c.exonerate(j, now)
+			}
+		} else if m.Errors[j.Spec.ID] = true; len(m.Errors) >= c.ErrJobs {
+			m.Avoid, m.FaultAt, m.Blamed = now+10*micro.Minute, now, true
 			c.Log("machine avoided", "machine", m.Name, "why", "several jobs failed on it")
 		}
 		c.backoff(task, now)
@@ -244,6 +246,29 @@
 	}
 }
 
+// mistaken reports whether a job seems to fail wherever it goes, for a mistake in
+// its submission: it is tried seldom, and no machine is blamed for it. One with a
+// completed task does not.
+func (j *Job) mistaken() bool { return len(j.FailedOn) >= 3 && j.DoneN == 0 }
+
+// exonerate takes back what a job that fails everywhere was held against machines.
+// On a night with a few such jobs of many tasks, 59 machines were avoided at some time,
+// most of them for two of these.
+func (c *Cluster) exonerate(j *Job, now micro.Time) {
+	for name := range j.FailedOn {
+		m := c.Machines[name]
+		if m == nil {
+			continue
+		}
+		delete(m.Errors, j.Spec.ID)
+		if m.Blamed && len(m.Errors) < c.ErrJobs {
+			m.Blamed, m.Avoid = false, now
+			c.Log("machine trusted", "machine", name, "why", "what failed on it fails elsewhere too")
+			c.Changed()
+		}
+	}
+}
+
 func (c *Cluster) backoff(t *Task, now micro.Time) {
 	if t.Fails < 6 {
 		t.Fails++
--- a/internal/model/story_test.go
+++ b/internal/model/story_test.go
@@ -561,3 +561,83 @@
 	}
 	s.held(j, 1)
 }
+
+// Jobs with a mistake fail on every machine. Two of them had each machine avoided
+// on which both had failed; a faulty machine beside them must still be found.
+func TestNoMachineIsBlamedForJobsThatFailEverywhere(t *testing.T) {
+	s := newSite(t)
+	s.c.Teams["team"].CPUsMax = 0
+	workers := []*fake.Worker{s.worker("m1", "a"), s.worker("m2", "a"), s.worker("m3", "a")}
+	avoided := func() (names string) {
+		for _, m := range s.c.List() {
+			if m.Avoid > s.now {
+				names += m.Name + " "
+			}
+		}
+		return names
+	}
+	fails := func(id string, on ...*fake.Worker) {
+		s.persist()
+		for _, w := range workers {
+			s.beat(w)
+			s.beat(w)
+		}
+		for _, w := range on {
+			for k := range w.Tasks {
+				if job, _, _ := wire.SplitTask(k.Task); job == id {
+					w.Exit(k.Task, k.Attempt, wire.CauseError)
+				}
+			}
+			s.beat(w)
+		}
+	}
+	for _, id := range []string{"j-1", "j-2"} {
+		j := s.job(id, wire.Array, 3, 4)
+		s.place(3)
+		fails(id, workers...)
+		if j.NotBefore <= s.now {
+			t.Fatalf("%s is tried again at once", id)
+		}
+	}
+	if got := avoided(); got != "" {
+		t.Fatalf("avoided: %s", got)
+	}
+	for _, m := range s.c.List() {
+		if m.Name != "m1" {
+			s.c.SetDrained(m, true)
+		}
+	}
+	for _, id := range []string{"j-3", "j-4"} {
+		s.job(id, wire.Array, 1, 4)
+		s.place(1)
+		fails(id, workers[0])
+		s.token++ // exits are forgotten
+		s.beat(workers[0])
+		s.beat(workers[0])
+	}
+	if got := avoided(); got != "m1 " {
+		t.Fatalf("avoided: %q, want the faulty one", got)
+	}
+}
+
+// A large job met three faulty machines, and all its tasks waited as if it failed
+// everywhere, though others had completed.
+func TestJobWithACompletedTaskDoesNotFailEverywhere(t *testing.T) {
+	s := newSite(t)
+	s.c.Teams["team"].CPUsMax = 0
+	workers := []*fake.Worker{s.worker("m1", "a"), s.worker("m2", "a"), s.worker("m3", "a"), s.worker("m4", "a")}
+	j := s.job("j-1", wire.Array, 4, 4)
+	s.place(4)
+	s.persist()
+	for i, w := range workers {
+		s.beat(w)
+		s.beat(w)
+		for k := range w.Tasks {
+			w.Exit(k.Task, k.Attempt, []wire.Cause{wire.CauseDone, wire.CauseError}[min(i, 1)])
+		}
+		s.beat(w)
+	}
+	if len(j.FailedOn) != 3 || j.NotBefore > s.now {
+		t.Fatalf("failed on %d, waits until %v", len(j.FailedOn), j.NotBefore-s.now)
+	}
+}
