--- a/internal/model/report.go
+++ b/internal/model/report.go
@@ -252,8 +252,8 @@
 func (j *Job) mistaken() bool { return len(j.FailedOn) >= 3 && j.DoneN == 0 }
 
 // exonerate takes back what a job that fails everywhere was held against machines.
-// On a night with a few such jobs of many tasks, 59 machines were avoided at some time,
-// most of them for two of these.
+// On a recorded night with such jobs, machines were avoided 59 times since several
+// jobs had failed there.
 func (c *Cluster) exonerate(j *Job, now micro.Time) {
 	for name := range j.FailedOn {
 		m := c.Machines[name]
