--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -72,96 +72,10 @@
 func (p *Planner) Plan(now micro.Time) (asks []Ask, idle []*model.Machine) {
 	p.own = p.hasOwn()
 	p.watch(now)
-	coming := p.coming(now)
-	var running []*bin
 	demands := p.demands(now)
-	thrifty, bill := p.thrifty(), p.bill()
-	rented, first := map[Offer]int{}, map[Offer]*demand{}
-	open := map[Offer]int{} // asked for and not answered
-	for _, a := range p.Asked {
-		open[a.Offer] += a.Count
-	}
-	var order []Offer
-	total := 0
+	rentals := p.newRentalPlan(now)
 	for i := range demands {
-		d := &demands[i]
-		zoneN := map[string]int{}
-		left := d.n - coming.take(d, d.n, zoneN)
-		soon := 0
-		if left > 0 && d.level > 0 && thrifty {
-			// A dear machine would take this long to start the work: room that
-			// comes free by then makes it a waste.
-			if running == nil {
-				running = p.running(now)
-			}
-			soon = comesFree(running, d, left, zoneN, now+p.readyIn(d.spec)/2)
-		}
-		waited, counted, lasting := false, false, false
-		for left > 0 && total < maxNew {
-			b := p.choose(d, left, zoneN, true, now)
-			if b == nil && d.level == 0 {
-				b = p.choose(d, left, zoneN, false, now) // at any price
-			}
-			if b == nil {
-				break
-			}
-			if left <= soon && priceOf(b.offer, b.typ) > p.Props.SmallShare*bill {
-				break
-			}
-			if thrifty && d.level > 0 && !waited && p.dear(d.spec, b.typ, b.spot, p.Props.DearRatio) {
-				// Not for what it cannot help, nor for what can start in time on room
-				// that comes free.
-				if n := p.lasting(d, now); n > 0 {
-					// What was to come free does not: a few at a time.
-					left, soon, lasting = min(left, n*b.fits(d.spec)), 0, true
-				} else if !p.helps(d, b.typ, now) {
-					break
-				}
-				waited = true
-			}
-			if waited && !lasting && !counted {
-				counted = true
-				if running == nil {
-					running = p.running(now)
-				}
-				by := max(min(d.late, now+dearWait), now+p.readyIn(d.spec)/2)
-				soon += comesFree(running, d, left-soon, zoneN, by)
-				soon += coming.turnover(d, left-soon, now, by, func(g *group) bool { return p.dear(d.spec, g.typ, g.Spot, p.Props.DearRatio) })
-			}
-			per := b.fits(d.spec)
-			if waited {
-				if left <= soon {
-					break
-				}
-				left -= soon
-				soon = 0
-			}
-			want := min(left, zoneRoom(d, b.zone, zoneN))
-			n := min((want+per-1)/per, maxNew-total, p.atOnce(b.offer)-open[b.offer]-rented[b.offer])
-			if n <= 0 {
-				break // its answers first: the next best may not be needed
-			}
-			if left <= soon || thrifty && soon > 0 {
-				n = min(n, max((left-soon+per-1)/per, 1))
-			}
-			if rented[b.offer] == 0 {
-				order = append(order, b.offer)
-				first[b.offer] = d
-			}
-			rented[b.offer] += n
-			total += n
-			g := coming.group(b.offer, b.typ)
-			g.add(n)
-			k := g.take(d.spec, min(want, n*per))
-			g.busy += d.takes() * micro.Time(k) / micro.Time(per)
-			zoneN[b.zone] += k
-			left -= k
-		}
-	}
-	for _, o := range order {
-		for n := rented[o]; n > 0; n -= maxAsk {
-			asks = append(asks, Ask{o, min(n, maxAsk), first[o].spec.Class, first[o].level})
-		}
+		rentals.serve(&demands[i])
 	}
 	stop, again := p.drain(demands, now)
 	for _, m := range stop {
@@ -170,7 +84,7 @@
 	for _, m := range again {
 		p.C.SetDrained(m, false)
 	}
-	return asks, p.idle(now)
+	return rentals.requests(), p.idle(now)
 }
 
 // atOnce is how much of an offer may be asked for at a time.
