A leader cut off from all its workers hands over after 2.5 s instead of 12 s

Hundreds of workers that owe a report every few seconds cannot all be late by chance.

Change: Lead counts the reports it hears. If none came for 2.5 s in which its live workers owed forty, it hands over at once. A look counts for 0.6 s at most, so a process that got no processor time has not listened.

Ruled out: an outage of the store (the right to act lapses first, and the count starts anew), a process that stood still (test), all machines dead (bounded by maxHandovers as before).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -206,9 +206,14 @@
 	answerWait = 4.25
 )
 
+// LongestReportInterval is the longest time between two reports of a live worker.
+func (c *Config) LongestReportInterval() micro.Time {
+	return micro.Of(c.Facts.Workers.ReportS * reportLate)
+}
+
 // Overdue is how long after its last report a machine's next one is overdue.
 func (c *Config) Overdue() micro.Time {
-	return micro.Of(c.Facts.Workers.ReportS*reportLate) + 250*micro.Millisecond
+	return c.LongestReportInterval() + 250*micro.Millisecond
 }
 
 // Round is how long after a takeover every live worker has surely tried all
--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -120,6 +120,7 @@
 			reply(front.Later(503, 1))
 			return
 		}
+		l.reports++
 		m, verdict := l.c.Apply(r, model.Beat, now)
 		if m == nil || verdict == model.Refused || verdict == model.Stale && uint64(r.Session) != m.Session {
 			reply(front.Later(503, 1))
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -73,6 +73,8 @@
 	resumed    micro.Time // when this node last came to listen again
 	lastTick   micro.Time
 	deaf       micro.Time // since when no worker reports; 0: some do
+	reports    uint64     // reports heard from workers
+	silence    silence    // how long none has come
 	waiters    map[string][]chan front.Reply
 	lookups    map[string]bool // awaited jobs to be looked up in the store
 	format     FormatRecord
@@ -228,7 +230,7 @@
 	}
 	if l.lapsed || now-l.lastTick > 2*micro.Second {
 		// The right lapsed, or this process got no time: workers were not heard.
-		l.lapsed, l.resumed = false, now
+		l.lapsed, l.resumed, l.silence = false, now, silence{}
 	}
 	l.lastTick = now
 	if now-l.lastScan >= 500*micro.Millisecond {
