--- a/internal/ci/known_red_test.go
+++ b/internal/ci/known_red_test.go
@@ -3,7 +3,6 @@
 
 import (
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -22,17 +21,18 @@
 			t.Fatal(err)
 		}
 	}
-	for _, name := range []string{"run", "known-red"} {
-		text, err := os.ReadFile(filepath.Join("..", "..", ".ci", name))
+	for _, name := range []string{".ci/run", ".ci/lint", ".ci/known-red", "tools/go.mod", "tools/go.sum", "staticcheck.conf", "revive.toml"} {
+		text, err := os.ReadFile(filepath.Join("..", "..", name))
 		if err != nil {
 			t.Fatal(err)
 		}
-		write(".ci/"+name, string(text))
+		write(name, string(text))
 	}
 	write("go.mod", "module tiny\n\ngo 1.24\n")
-	write("cmd/x/x.go", "package x\n")
-	write("wire/x.go", "package x\n")
-	write("internal/x/x_test.go", `package x
+	write("cmd/x/x.go", "// Package x is empty.\npackage x\n")
+	write("wire/x.go", "// Package x is empty.\npackage x\n")
+	write("internal/x/x_test.go", `// Package x has tests that fail.
+package x
 
 import (
 	"os"
@@ -79,18 +79,16 @@
 		} else if err := os.WriteFile(list, []byte(c.list), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		run := exec.Command("bash", filepath.Join(dir, ".ci", "run"))
-		run.Env = append(os.Environ(), "GOFLAGS=", "GOWORK=off", c.env)
-		out, err := run.CombinedOutput()
+		out, err := runScript(dir, "run", c.env)
 		if (err == nil) != c.ok {
 			t.Errorf("%s: %v\n%s", c.name, err, out)
 		}
 		for _, s := range c.says {
-			if !strings.Contains(string(out), s) {
+			if !strings.Contains(out, s) {
 				t.Errorf("%s: nothing said of %q:\n%s", c.name, s, out)
 			}
 		}
-		if c.list == "" && strings.Contains(string(out), "known red") {
+		if c.list == "" && strings.Contains(out, "known red") {
 			t.Errorf("%s:\n%s", c.name, out)
 		}
 	}
--- a/internal/controller/meet_cancel_test.go
+++ b/internal/controller/meet_cancel_test.go
@@ -186,6 +186,8 @@
 // leader alone, and a second later it was out for all. Some users were told in
 // between, before another could lead. Where the refusal is shorter than the
 // leader's lease, the same term goes on after the outage; else another leads.
+//
+//revive:disable-next-line:cognitive-complexity a story told in one piece, still to be split
 func TestCancelledAsTheStoreRefusesTheLeader(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -337,6 +339,8 @@
 // sent it didn't know yet when another node read the end from the store and told
 // the user, by a poll or by a repeat of the submission. Then the store was down for
 // all, while the old leader, which the store had refused alone, was reported to.
+//
+//revive:disable-next-line:cognitive-complexity a story told in one piece, still to be split
 func TestCancellationThatAnotherNodeReadBeforeAnOutage(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -489,6 +493,8 @@
 // A leader lost the state service and the other controllers, while workers and
 // users still reached it. Jobs were cancelled through the next one: the old leader
 // must not go on answering workers, or say that the jobs run.
+//
+//revive:disable-next-line:cognitive-complexity a story told in one piece, still to be split
 func TestCancelledThroughTheNextLeaderWhileTheOldOneIsReached(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -703,6 +709,8 @@
 // be asked, and a cancellation fell into that spell: what the new leader only knows
 // from the records counts until it is proven gone, whether its job is cancelled or
 // not.
+//
+//revive:disable-next-line:cognitive-complexity a story told in one piece, still to be split
 func TestTeamAtItsLimitWhenSomeOfItsMachinesCannotBeAsked(t *testing.T) {
 	const before, within, after = "before", "within", "after"
 	for _, c := range []struct {
@@ -791,6 +799,8 @@
 
 // Jobs were cancelled in the seconds in which one controller's work changed hands:
 // at ten moments from a second before to six after.
+//
+//revive:disable-next-line:cognitive-complexity a story told in one piece, still to be split
 func TestCancelledWhileTheLeaderChanges(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/internal/controller/meet_fleet_test.go
+++ b/internal/controller/meet_fleet_test.go
@@ -54,6 +54,8 @@
 // New machines are up within two seconds and get work at once while writes lag,
 // answers of rentals are lost, and the leader ends. The next one adopts them: none
 // is rented twice or returned, and no task starts without its record.
+//
+//revive:disable-next-line:cognitive-complexity,function-length a story told in one piece, still to be split
 func TestQuickMachinesAreAdoptedWhenTheLeaderEnds(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/internal/model/record.go
+++ b/internal/model/record.go
@@ -10,7 +10,8 @@
 
 // PlaceRecord is a taken place in a chunk's record.
 type PlaceRecord struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // records are written often: no field names
+	//lint:ignore U1000 the codec reads its tag: a list without field names, since records are written often
+	_msgpack struct{} `msgpack:",as_array"`
 
 	Index   int
 	Attempt wire.Count
--- a/internal/model/story_test.go
+++ b/internal/model/story_test.go
@@ -202,7 +202,7 @@
 func TestAttemptFromAnOldReportIsNeverStartedAgain(t *testing.T) {
 	s := newSite(t)
 	m1 := s.worker("m1", "a")
-	j := s.job("j-1", wire.Array, 1, 1)
+	s.job("j-1", wire.Array, 1, 1)
 	s.place(1)
 	s.persist()
 	s.beat(m1)
@@ -235,7 +235,7 @@
 	if len(m1.Started) != 1 || len(m2.Started) != 1 {
 		t.Fatalf("started %v and %v", m1.Started, m2.Started)
 	}
-	if j = s.c.Jobs["j-1"]; j.RunningN != 1 || j.HeldN != 1 {
+	if j := s.c.Jobs["j-1"]; j.RunningN != 1 || j.HeldN != 1 {
 		t.Fatalf("running %d, places %d", j.RunningN, j.HeldN)
 	}
 }
