--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,164 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/wire"
+)
+
+// patient is longer than any answer of these tests takes.
+const patient = micro.Minute
+
+// serve answers as the node "n-1" until the test ends, and gives a client of it.
+func serve(t *testing.T, handler Handler) (client *Client, addr string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- Serve(ctx, listener, handler, func(w io.Writer) { _, _ = io.WriteString(w, "latency") })
+	}()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	})
+	addr = listener.Addr().String()
+	return NewClient(map[string]string{"n-1": addr}), addr
+}
+
+// echo answers with the call and its body.
+func echo(_ context.Context, call string, body []byte) (int, []byte) {
+	return http.StatusAccepted, append([]byte(call+" "), body...)
+}
+
+func TestEveryCallReachesTheHandler(t *testing.T) {
+	client, _ := serve(t, echo)
+	for _, call := range []string{Show, Withdraw, Submit, Read, Notify, Ping, Exist, Announce, Keep} {
+		status, out, err := client.Call(t.Context(), "n-1", call, []byte("body"), patient)
+		if err != nil || status != http.StatusAccepted || string(out) != call+" body" {
+			t.Errorf("%s: %d %q %v", call, status, out, err)
+		}
+	}
+	if status, _, err := client.Call(t.Context(), "n-1", "/peer/other", nil, patient); err != nil || status != http.StatusNotFound {
+		t.Errorf("unknown call: %d %v", status, err)
+	}
+}
+
+// A refusal is an answer: the caller tells it from silence.
+func TestStatusesAreHandedOnAsTheyAre(t *testing.T) {
+	for _, want := range []int{400, 404, 409, 429, 503} {
+		client, _ := serve(t, func(context.Context, string, []byte) (int, []byte) { return want, nil })
+		status, out, err := client.Call(t.Context(), "n-1", Ping, nil, patient)
+		if err != nil || status != want || len(out) != 0 {
+			t.Errorf("%d: %d %q %v", want, status, out, err)
+		}
+	}
+}
+
+func TestNodesThatDoNotAnswerAreUnreachable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	missing := listener.Addr().String()
+	_ = listener.Close()
+	client := NewClient(map[string]string{"n-2": missing})
+	for _, node := range []string{"n-1", "n-2"} {
+		if status, out, err := client.Call(t.Context(), node, Ping, nil, patient); !errors.Is(err, ErrUnreachable) || status != 0 || out != nil {
+			t.Errorf("%s: %d %q %v", node, status, out, err)
+		}
+	}
+	if got := client.Names(); !slices.Equal(got, []string{"n-2"}) {
+		t.Errorf("nodes %v", got)
+	}
+}
+
+// A call that is given up ends at the node that was asked as well.
+func TestCallEndsWhenItsTimeIsOver(t *testing.T) {
+	ended := make(chan error, 1)
+	client, _ := serve(t, func(ctx context.Context, _ string, _ []byte) (int, []byte) {
+		select { // it answers in the end, long after the caller gave up
+		case <-ctx.Done():
+		case <-time.After(10 * time.Second):
+		}
+		ended <- ctx.Err()
+		return http.StatusOK, nil
+	})
+	if status, _, err := client.Call(t.Context(), "n-1", Show, nil, 20*micro.Millisecond); !errors.Is(err, ErrUnreachable) {
+		t.Errorf("%d %v", status, err)
+	}
+	if err := <-ended; err == nil {
+		t.Error("the node that was asked went on")
+	}
+	past, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, _, err := client.Call(past, "n-1", Show, nil, patient); !errors.Is(err, ErrUnreachable) {
+		t.Errorf("after its context: %v", err)
+	}
+}
+
+// A call whose answer is lost may have run, and is not made again.
+func TestLostAnswerIsNotAskedForAgain(t *testing.T) {
+	var calls atomic.Int32
+	client, _ := serve(t, func(context.Context, string, []byte) (int, []byte) {
+		if calls.Add(1) == 2 {
+			return http.StatusOK, nil
+		}
+		panic(http.ErrAbortHandler)
+	})
+	for i, lost := range []bool{true, false, true} {
+		_, _, err := client.Call(t.Context(), "n-1", Submit, []byte("job"), patient)
+		if errors.Is(err, ErrUnreachable) != lost || !lost && err != nil {
+			t.Errorf("lost %v: %v", lost, err)
+		}
+		if got := int(calls.Load()); got != i+1 {
+			t.Fatalf("%d calls, not %d", got, i+1)
+		}
+	}
+}
+
+func TestBodiesAreBounded(t *testing.T) {
+	var calls atomic.Int32
+	client, _ := serve(t, func(context.Context, string, []byte) (int, []byte) {
+		calls.Add(1)
+		return http.StatusOK, make([]byte, 2*wire.MaxBody)
+	})
+	status, out, err := client.Call(t.Context(), "n-1", Submit, make([]byte, wire.MaxBody), patient)
+	if err != nil || status != http.StatusOK || len(out) != wire.MaxBody+1 {
+		t.Errorf("largest body: %d, %d bytes, %v", status, len(out), err)
+	}
+	status, _, err = client.Call(t.Context(), "n-1", Submit, make([]byte, wire.MaxBody+1), patient)
+	if err != nil || status != http.StatusBadRequest || calls.Load() != 1 {
+		t.Errorf("larger body: %d %v, %d calls", status, err, calls.Load())
+	}
+}
+
+func TestMetricsAreReadWithAnyClientAndCallsOnlyPosted(t *testing.T) {
+	_, addr := serve(t, echo)
+	for path, want := range map[string]int{Metrics: http.StatusOK, Submit: http.StatusMethodNotAllowed} {
+		response, err := http.Get("http://" + addr + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil || response.StatusCode != want || (want == http.StatusOK) != bytes.Equal(body, []byte("latency")) {
+			t.Errorf("%s: %d %q %v", path, response.StatusCode, body, err)
+		}
+	}
+}
