Idle work without any objective takes no dear room, rented or not

Change: a job of the last rank, of a class without objectives and without an heir's deadline, is rented room up to scale.dear.ratio only, and does not sit on dearer machines; until none of its tasks found a place for three minutes. Other work and sites with a fleet of their own are as before.

--- a/internal/scale/price.go
+++ b/internal/scale/price.go
@@ -161,9 +161,30 @@
 	if s.GPUs > 0 || t.GPUs == 0 || !p.thrifty() {
 		return true
 	}
-	return !p.dear(s, t, spot, p.ratio(nil, now))
+	return !p.dear(s, t, spot, p.sittingRatio(j, now))
 }
 
+// sittingRatio is the most that the room of a machine may cost, over the cheapest
+// ordinary room, for a job to sit there without need.
+func (p *Planner) sittingRatio(j *model.Job, now micro.Time) float64 {
+	if p.cheapOnly(j, now) {
+		return p.Props.DearRatio
+	}
+	return p.ratio(nil, now)
+}
+
+// cheapOnly reports whether a job takes no dear room: it is of the last rank and
+// nothing says when it should start or end, so only its cost counts. Arrays of
+// thousands of such tasks had hundreds of ordinary GPU machines rented, and kept
+// those that other work had needed from being returned. A job none of whose tasks
+// found a place for dearWait takes what there is.
+func (p *Planner) cheapOnly(j *model.Job, now micro.Time) bool {
+	return j != nil && j.Level >= lastRank && !p.Goals.Any(j) && now-j.WaitsFrom <= dearWait
+}
+
+// lastRank is the rank of idle work.
+var lastRank = wire.Low.Level()
+
 // dear reports whether a machine's room costs more than so many times the
 // cheapest ordinary room, for tasks like this.
 func (p *Planner) dear(s *wire.Job, t *model.Type, spot bool, ratio float64) bool {
@@ -175,6 +196,9 @@
 // ordinary room. Work that has waited long and would soon be late may cost more:
 // then the cheap room has run out.
 func (p *Planner) ratio(j *model.Job, now micro.Time) float64 {
+	if p.cheapOnly(j, now) {
+		return p.Props.DearRatio
+	}
 	r := p.Props.PriceRatio * 1.4
 	if j != nil && now-j.Since > longWait {
 		if late := p.Goals.LatestStart(j, now); late-now < p.readyIn(&j.Spec)+longWait {
--- a/internal/sched/goals.go
+++ b/internal/sched/goals.go
@@ -43,6 +43,12 @@
 	return q
 }
 
+// Any reports whether any objective says when a job should start or end.
+func (g *Goals) Any(j *model.Job) bool {
+	class := j.Spec.Class
+	return len(g.wait[class]) > 0 || len(g.finished[class]) > 0 || len(g.deadline[class]) > 0 || j.Heir != nil
+}
+
 // Guarantee is within how long work within a guarantee should start, 0 if nothing
 // is said.
 func (g *Goals) Guarantee() micro.Time { return g.guarantee }
