Leader: answer for jobs over before its term; unknown ids take no turn of the loop

Cause: a takeover left out jobs that were over and held no place, so each poll for one went to the store, at every node anew: two reads and a call to the leader. And each poll for an id that the leader does not know, a user's or handed on by another node, waited for a turn of the loop that answers the workers' reports.

Changed: the takeover, which reads the ends anyway, puts them among the final states that may be remembered, and the leader answers other nodes from those too. An id that is not in the model is passed over without asking the loop, once the takeover is over; that never denies a job, the store is asked next.

Tests: TestLeaderAnswersForJobsThatWereOverBeforeItsTerm (without the first change: 503 to other nodes, 4 reads of the store; without the second: 503) and TestPollsForUnknownIDsTakeNoTurnOfTheLeader (without the third: 500 questions wait).

--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -10,8 +10,12 @@
 // maxDirects bounds the direct orders under way: each takes a socket.
 const maxDirects = 96
 
-// show answers a poll from memory.
+// show answers a poll from memory. Of an id that is not in the model the loop,
+// which has workers to answer, is not asked; that alone is no reason to deny a job.
 func (l *Lead) show(id string) (wire.JobStatus, bool) {
+	if _, known := l.known.Load(id); !known && l.serving.Load() {
+		return wire.JobStatus{}, false
+	}
 	r, ok := l.ask(l.asks, 400*micro.Millisecond, func(reply func(front.Reply)) {
 		if j := l.c.Jobs[id]; j != nil && !l.unsure(j) {
 			s := j.Status()
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -34,7 +34,8 @@
 	once   sync.Once
 
 	pendingTasks atomic.Int64
-	known        sync.Map // ids of jobs in the model
+	known        sync.Map    // ids of jobs in the model
+	serving      atomic.Bool // the takeover is over: known holds all jobs that it read
 
 	// Owned by the loop.
 	c          *model.Cluster
@@ -160,6 +161,7 @@
 	if !ok {
 		return
 	}
+	l.serving.Store(true)
 	l.log.Info("took over", "jobs", len(l.c.Jobs), "machines", len(l.c.Machines), "took_ms", int64((l.n.Now()-from)/micro.Millisecond))
 	go l.watch(ctx, rev)
 	go l.listLoop(ctx)
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -102,7 +102,10 @@
 		}
 		switch call {
 		case peer.Show:
-			s, ok := l.show(string(body))
+			s, ok := n.finals.get(string(body))
+			if !ok {
+				s, ok = l.show(string(body))
+			}
 			if !ok {
 				return 503, nil // the asker reads the store
 			}
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -110,7 +110,9 @@
 	for id, job := range k.specs {
 		end, over := k.ends[id]
 		if over && len(k.chunks[id]) == 0 && len(k.compact[id]) == 0 {
-			continue // over, and none of its tasks holds a place: the store answers for it
+			// Over, and none of its tasks holds a place. Polls need not read the store.
+			l.n.finals.put(finalStatus(id, end, job.Tasks))
+			continue
 		}
 		if over {
 			job.Needs, job.NeedsIn = nil, 0
@@ -137,6 +139,15 @@
 	}
 }
 
+// finalStatus is what polls are told of a job whose end is in the store.
+func finalStatus(id string, end model.EndRecord, tasks int) wire.JobStatus {
+	s := wire.JobStatus{ID: id, State: end.State}
+	if s.State == wire.JobDone {
+		s.Done = tasks
+	}
+	return s
+}
+
 // take adds a job to the model.
 func (l *Lead) take(job wire.Job, now, wall micro.Time) *model.Job {
 	l.known.Store(job.ID, true)
