Polls: a budget of store requests, shared look-ups, unknown ids asked for in groups

Cause: a poll for an id that the leader does not know cost two reads of the store, of the class of the leader's writes, and on failure calls to all other nodes, which read it again. A storm of such polls used up the nodes' shares of state.rps.

Ids that may be unknown are gathered, for 250 ms at most while the budget is short, and one transaction without changes says which were accepted; a job that was is read. The excess gets 503 with Retry-After and is not handed on. Equal polls share a look-up only if it has not begun to read (not singleflight, which shares calls under way): else a job accepted, or over, meanwhile would be denied or called pending. Room for a read is left beside the groups, and jobs read within the last minute yield to others. Malformed ids get 404 also from other nodes' calls. Repeated submissions keep their class. The store's stand-in for tests of storms applies the real client's budget.

--- a/internal/controller/accept.go
+++ b/internal/controller/accept.go
@@ -64,8 +64,8 @@
 func (n *Node) known(id string, relay bool, other front.Reply) front.Reply {
 	var r front.Reply
 	if relay {
-		r = n.Show(id)
-	} else if got, err := n.read(id); err == nil {
+		r = n.showSubmitted(id)
+	} else if got, err := n.read(id, store.Routine); err == nil {
 		r = got
 	} else {
 		r = front.Later(503, 1)
@@ -120,22 +120,9 @@
 
 // exist asks the store, or a peer that reaches it, which jobs were accepted.
 func (n *Node) exist(ids []string, relay bool) (map[string]bool, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
-	defer cancel()
-	keys := make([]string, len(ids))
-	for i, id := range ids {
-		keys[i] = specKey(id)
-	}
-	there, err := n.Store.Existing(ctx, store.Routine, keys)
-	if err == nil {
-		out := map[string]bool{}
-		for i, id := range ids {
-			out[id] = there[keys[i]]
-		}
-		return out, nil
-	}
-	if !relay {
-		return nil, err
+	there, err := n.existing(ids, store.Routine)
+	if err == nil || !relay {
+		return there, err
 	}
 	for _, p := range n.leaderFirst() {
 		status, body, perr := n.ask(p, peer.Exist, wire.MustMarshal(ids), askWait)
@@ -153,11 +140,13 @@
 
 // saw remembers an accepted job.
 func (n *Node) saw(id string) {
+	if _, again := n.seen.LoadOrStore(id, true); again {
+		return
+	}
 	if n.seenN.Add(1) > maxSeen {
 		n.seen.Clear()
 		n.seenN.Store(0)
 	}
-	n.seen.Store(id, true)
 }
 
 // maxSeen bounds the accepted jobs that are remembered.
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -383,7 +383,7 @@
 	if _, err := b.store.Commit(context.Background(), store.Routine, wire.Txn{Then: then}); err != nil {
 		t.Fatal(err)
 	}
-	r, err := n.read("j-1")
+	r, err := n.read("j-1", store.Routine)
 	if s, ok := r.Body.(wire.JobStatus); err != nil || !ok || s.Done != 2*1563 {
 		t.Fatalf("%+v, %v", r, err)
 	}
--- a/internal/controller/kept.go
+++ b/internal/controller/kept.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"notchmux.dev/notchmux/internal/model"
+	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -79,9 +80,9 @@
 }
 
 // readJob reads a job's own keys from the store.
-func (n *Node) readJob(id string, k *kept) error {
+func (n *Node) readJob(class store.Class, id string, k *kept) error {
 	prefix := "job/" + id + "/"
-	return n.readAll(prefix, func(rest string, value []byte) error {
+	return n.readAll(class, prefix, func(rest string, value []byte) error {
 		k.job(wire.Item{Key: prefix + rest, Value: value})
 		return nil
 	})
--- a/internal/controller/lookup.go
+++ b/internal/controller/lookup.go
@@ -3,6 +3,7 @@
 import (
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/model"
+	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -30,7 +31,7 @@
 		k := newKept()
 		read := map[string]bool{}
 		for _, id := range ids {
-			read[id] = l.n.readJob(id, &k) == nil
+			read[id] = l.n.readJob(store.Routine, id, &k) == nil
 		}
 		l.post(func() {
 			l.looking = false
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -54,6 +54,9 @@
 	handover atomic.Pointer[handover]
 	seen     sync.Map // ids of jobs known to have been accepted
 	seenN    atomic.Int64
+
+	pollBudget pollBudget
+	lookUps    lookUps
 }
 
 // New makes a node that speaks to the real services.
@@ -73,7 +76,6 @@
 		Now:     micro.Now,
 		Wall:    micro.Wall,
 	}
-	n.Store.(Sharer).SetShare(cfg.EqualShare()) // until it is known who leads
 	n.Init()
 	return n
 }
@@ -81,6 +83,8 @@
 // Init completes a node whose parts were given.
 func (n *Node) Init() {
 	n.finals.m = map[string]wire.JobStatus{}
+	n.lookUps = lookUps{reading: map[string]bool{}, waiting: map[string]*lookUp{}, answered: map[string]micro.Time{}, gathered: map[string]*lookUp{}}
+	n.share(n.Cfg.EqualShare()) // until it is known who leads
 	n.health.log = n.Log.Info
 	n.keeper.Node, n.keeper.Span, n.keeper.Log = n.Cfg.Node, n.Cfg.KeepSpan(), n.Log.Info
 	n.election = &election.Election{
@@ -147,19 +151,23 @@
 	return l
 }
 
-func (n *Node) startLead(ctx context.Context, t *election.Term) {
+// share sets which part of the store's limits this node may use.
+func (n *Node) share(reads, writes float64) {
 	if s, ok := n.Store.(Sharer); ok {
-		s.SetShare(n.Cfg.LeaderShare())
+		s.SetShare(reads, writes)
 	}
+	n.pollBudget.set(n.Cfg.Facts.State.RPS, reads)
+}
+
+func (n *Node) startLead(ctx context.Context, t *election.Term) {
+	n.share(n.Cfg.LeaderShare())
 	l := newLead(n, t)
 	n.lead.Store(l)
 	go l.run(ctx)
 }
 
 func (n *Node) stopLead(t *election.Term) {
-	if s, ok := n.Store.(Sharer); ok {
-		s.SetShare(n.Cfg.FollowerShare())
-	}
+	n.share(n.Cfg.FollowerShare())
 	if l := n.lead.Load(); l != nil && l.term == t {
 		n.lead.Store(nil)
 		l.stop()
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -6,6 +6,7 @@
 	"notchmux.dev/notchmux/internal/front"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/peer"
+	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -89,8 +90,16 @@
 			}
 		}
 		return 200, wire.MustMarshal(got)
+	case peer.Accepted:
+		return n.answerAccepted(body)
 	case peer.Read:
-		got, err := n.read(string(body))
+		if !wire.ValidJobID(string(body)) {
+			return 404, nil
+		}
+		if !n.pollBudget.admit(readRequests, 0) {
+			return 503, nil
+		}
+		got, err := n.read(string(body), store.Poll)
 		if err != nil {
 			return 503, nil
 		}
--- a/internal/controller/read.go
+++ b/internal/controller/read.go
@@ -30,17 +30,18 @@
 // how it ended, the records of its tasks how far it is. The end is read last, and
 // a slow answer without one is none: while the store was slow, a user was told
 // that a job was done, and then, by a read begun before, that it was pending.
-func (n *Node) read(id string) (front.Reply, error) {
+// Polls have taken what it usually costs from their budget before.
+func (n *Node) read(id string, class store.Class) (front.Reply, error) {
 	s := wire.JobStatus{ID: id, State: wire.JobPending}
 	var t model.Tally
-	err := n.readAll("run/"+id+"/", func(rest string, value []byte) error { return t.Add(rest, compactMark, value) })
+	err := n.readAll(class, "run/"+id+"/", func(rest string, value []byte) error { return t.Add(rest, compactMark, value) })
 	if err != nil {
 		return front.Reply{}, err
 	}
 	s.Done, s.Running = t.Count()
 	k := newKept()
 	asked := n.Now()
-	if err = n.readJob(id, &k); err != nil {
+	if err = n.readJob(class, id, &k); err != nil {
 		return front.Reply{}, err
 	}
 	spec, accepted := k.specs[id]
@@ -53,7 +54,7 @@
 	} else if !k.whole(&spec) {
 		return front.Reply{}, store.ErrUncertain
 	} else if len(spec.Needs) > 0 && s.Done+s.Running == 0 {
-		lacks, fallen, err := n.fallen(spec.Needs)
+		lacks, fallen, err := n.fallen(spec.Needs, class)
 		if err != nil {
 			return front.Reply{}, err
 		}
@@ -82,7 +83,7 @@
 // fallen reports whether a job that is needed, directly or through others, is
 // stored as aborted: then so is what needs it, though its own end may still have
 // to be written by a leader. Else it names those whose end is not stored.
-func (n *Node) fallen(needs []string) (lacks []string, fallen bool, err error) {
+func (n *Node) fallen(needs []string, class store.Class) (lacks []string, fallen bool, err error) {
 	asked := map[string]bool{}
 	for list := needs; len(list) > 0; {
 		id := list[0]
@@ -99,8 +100,11 @@
 			}
 			continue
 		}
+		if class == store.Poll {
+			n.pollBudget.charge()
+		}
 		k := newKept()
-		if err := n.readJob(id, &k); err != nil {
+		if err := n.readJob(store.Routine, id, &k); err != nil {
 			return nil, false, err
 		}
 		if e, over := k.ends[id]; over {
@@ -126,11 +130,11 @@
 const maxFallen = 24
 
 // readAll reads all keys with a prefix: one page, but for the largest jobs.
-func (n *Node) readAll(prefix string, each func(rest string, value []byte) error) error {
+func (n *Node) readAll(class store.Class, prefix string, each func(rest string, value []byte) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
 	defer cancel()
 	for after, more := "", true; more; {
-		page, err := n.Store.Range(ctx, store.Routine, prefix, after, 1000)
+		page, err := n.Store.Range(ctx, class, prefix, after, 1000)
 		if err != nil {
 			return err
 		}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -81,7 +81,7 @@
 		return front.Reply{Status: 201, Body: wire.JobStatus{ID: job.ID, State: wire.JobPending}}
 	case errors.Is(err, store.ErrConflict):
 		// Known already: a repeat, or a write whose answer was lost.
-		return n.Show(job.ID)
+		return n.showSubmitted(job.ID)
 	case errors.Is(err, store.ErrBad):
 		n.Log.Error("description not taken by the store", "job", job.ID, "bytes", wire.JSONSize(job))
 		return front.Later(503, 2)
@@ -132,40 +132,49 @@
 	go func() { _, _, _ = n.ask(leader, peer.Notify, wire.MustMarshal(job), relayWait) }()
 }
 
-// Show answers a poll: the leader from its memory, else the store's truth.
+// Show answers a poll: the leader from its memory, else the store's truth, within
+// the budget that polls have.
 func (n *Node) Show(id string) front.Reply {
+	if !wire.ValidJobID(id) {
+		return front.Fail(404, "no such job")
+	}
+	r, ok := n.remembered(id)
+	if !ok {
+		r = n.lookUpJob(id)
+	}
+	if r.Status == 200 {
+		n.saw(id)
+	}
+	return r
+}
+
+// showSubmitted answers a repeated submission, which goes before polls.
+func (n *Node) showSubmitted(id string) front.Reply {
+	if r, ok := n.remembered(id); ok {
+		return r
+	}
+	return n.readAnywhere(id, store.Routine)
+}
+
+// remembered answers for a job from this node's or the leader's memory.
+func (n *Node) remembered(id string) (front.Reply, bool) {
 	if s, ok := n.finals.get(id); ok {
-		return front.Reply{Status: 200, Body: s}
+		return front.Reply{Status: 200, Body: s}, true
 	}
 	if l := n.leading(); l != nil {
 		if s, ok := l.show(id); ok {
 			n.finals.put(s)
-			return front.Reply{Status: 200, Body: s}
+			return front.Reply{Status: 200, Body: s}, true
 		}
 	} else if leader := n.election.Leader(); leader != "" && leader != n.Cfg.Node {
 		if status, out, err := n.ask(leader, peer.Show, []byte(id), askWait); err == nil && status == 200 {
 			if r, ok := decodeReply(status, out); ok {
 				n.finals.put(r.Body.(wire.JobStatus))
-				return r
+				return r, true
 			}
 		}
 	}
-	cut := n.Cut()
-	if cut { // the store is not worth waiting for before others were asked
-		if r, ok := n.readElsewhere(id); ok {
-			return r
-		}
-	}
-	r, err := n.read(id)
-	if err != nil {
-		if !cut {
-			if r, ok := n.readElsewhere(id); ok {
-				return r
-			}
-		}
-		return front.Later(503, 1)
-	}
-	return r
+	return front.Reply{}, false
 }
 
 // Withdraw cancels a job; only the leader can.
@@ -194,7 +203,7 @@
 	r := l.withdraw(id)
 	if r.Status == 404 {
 		// Not in memory yet, perhaps: the store decides.
-		got, err := n.read(id)
+		got, err := n.read(id, store.Routine)
 		if err != nil {
 			return front.Later(503, 1)
 		}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -26,6 +26,7 @@
 	"notchmux.dev/notchmux/internal/metrics"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/peer"
+	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -50,15 +51,16 @@
 	base    config.Config
 	queue   int // jobs named so far
 	types   []wire.MachineType
-	quick   bool                      // machines are up within two seconds
-	writes  float64                   // changes a second that the store takes; 0: any number
-	starts  func(h *host, k fake.Key) // told of every start that takes effect
-	copies  micro.Time                // how late copies of reports come at the most; 0: none come
-	share   float64                   // of the reports that are copied
-	away    map[string]bool           // zones that are cut off from the others
-	way     micro.Time                // how long what workers send or are sent is on its way; 0: no time
-	active  int                       // troubles that are not over
-	taping  bool                      // reports are kept, so that copies can come late
+	quick   bool                           // machines are up within two seconds
+	writes  float64                        // changes a second that the store takes; 0: any number
+	starts  func(h *host, k fake.Key)      // told of every start that takes effect
+	wrap    func(l *fake.Link) store.Store // what the nodes have of the store; nil: the link itself
+	copies  micro.Time                     // how late copies of reports come at the most; 0: none come
+	share   float64                        // of the reports that are copied
+	away    map[string]bool                // zones that are cut off from the others
+	way     micro.Time                     // how long what workers send or are sent is on its way; 0: no time
+	active  int                            // troubles that are not over
+	taping  bool                           // reports are kept, so that copies can come late
 	log     func(node string) *slog.Logger
 	logs    *logs
 }
@@ -254,6 +256,9 @@
 	n := &Node{Cfg: &cfg, Store: link, Cloud: &sky{w.cloud, p, link}, Agent: &wires{p, link}, Peers: &peerLines{p, link}, Log: w.log(p.name), Metrics: metrics.New(),
 		Now:  func() micro.Time { return p.offset + micro.Time(float64(w.now()-began)*p.drift) + micro.Second },
 		Wall: micro.Wall}
+	if w.wrap != nil {
+		n.Store = w.wrap(link)
+	}
 	n.Init()
 	n.election.OnLead = func(t *election.Term) { n.startLead(ctx, t) }
 	n.election.OnLose = n.stopLead
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -40,8 +40,9 @@
 const (
 	Leadership Class = iota
 	Urgent           // cancellations, starts
-	Routine          // other writes, reads for users
+	Routine          // other writes, reads for submissions
 	Lazy             // what can wait: completions, records of what is over
+	Poll             // look-ups for polls that the leader does not answer: users ask again
 )
 
 // Reserve is the part of the burst that a class must leave untouched.
@@ -53,6 +54,8 @@
 		return 0.05
 	case Lazy:
 		return 0.5
+	case Poll:
+		return 0.6
 	}
 	return 0.2
 }
