Polls: the storm test counts reports without an answer, and starts of tasks

Cause: the test of a storm counted requests to the store only; a report that is not answered, or a task started anew because its worker was not heard, went unseen.

Changed: the test site counts reports that got neither orders nor a leader's name. In calm there must be none during the storm; in calm, outage, refusal and election the two tasks that run must have started twice in all.

--- a/internal/controller/polls_test.go
+++ b/internal/controller/polls_test.go
@@ -228,7 +228,7 @@
 				before, _ := m.counts(store.Poll)
 				others := []store.Class{store.Leadership, store.Urgent, store.Routine, store.Lazy}
 				_, heldBefore := m.counts(others...)
-				from := w.now()
+				from, vain := w.now(), w.vain.Load()
 				s := w.storms(400)
 				w.sleep(2 * micro.Second)
 				trouble(w, l)
@@ -252,6 +252,12 @@
 				w.sleep(3 * micro.Second)
 				after, _ := m.counts(store.Poll)
 				_, held := m.counts(others...)
+				if got := w.vain.Load() - vain; name == "calm" && got > 0 {
+					t.Errorf("%d reports were not answered", got)
+				}
+				if got := running.starts(); got != 2 {
+					t.Errorf("%d starts of two tasks: workers were not heard, or not answered", got)
+				}
 				if held > heldBefore {
 					t.Errorf("%d requests other than polls were held back", held-heldBefore)
 				}
--- a/internal/controller/world_hosts_test.go
+++ b/internal/controller/world_hosts_test.go
@@ -258,6 +258,7 @@
 			}
 		}
 	}
+	w.vain.Add(1)
 	h.at, h.next = (h.at+1)%len(w.procs), now+micro.Second
 }
 
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -13,6 +13,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,6 +56,7 @@
 	writes  float64                        // changes a second that the store takes; 0: any number
 	starts  func(h *host, k fake.Key)      // told of every start that takes effect
 	wrap    func(l *fake.Link) store.Store // what the nodes have of the store; nil: the link itself
+	vain    atomic.Int64                   // reports that got neither orders nor a leader's name
 	copies  micro.Time                     // how late copies of reports come at the most; 0: none come
 	share   float64                        // of the reports that are copied
 	away    map[string]bool                // zones that are cut off from the others
