--- /dev/null
+++ b/internal/store/budget_test.go
@@ -0,0 +1,122 @@
+package store
+
+import (
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"notchmux.dev/notchmux/wire"
+)
+
+// still makes a limiter that is full and never fills again: no clock has a say.
+func still(burst int) *rate.Limiter { return rate.NewLimiter(0, burst) }
+
+func TestEachClassLeavesItsReserve(t *testing.T) {
+	const burst = 100
+	for _, c := range []struct {
+		class Class
+		want  int
+	}{{Urgent, 95}, {Routine, 80}, {Lazy, 50}} {
+		lim, got := still(burst), 0
+		for Admit(lim, c.class, 1) {
+			got++
+		}
+		if got != c.want {
+			t.Errorf("class %d got %d of %d", c.class, got, burst)
+		}
+		if !Admit(lim, Leadership, 1) {
+			t.Errorf("leadership held back after class %d", c.class)
+		}
+		if c.class != Urgent && !Admit(lim, Urgent, 1) {
+			t.Errorf("class %d left nothing for what is urgent", c.class)
+		}
+	}
+}
+
+func TestLeadershipBorrowsAndOthersWait(t *testing.T) {
+	lim := still(2)
+	for range 10 {
+		if !Admit(lim, Leadership, 1) {
+			t.Fatal("leadership held back")
+		}
+	}
+	if Admit(lim, Urgent, 1) {
+		t.Error("admitted while the budget is borrowed")
+	}
+	if !Admit(lim, Lazy, 0) {
+		t.Error("what takes nothing is always admitted")
+	}
+}
+
+// refusing makes a client of a service that answers 429 and counts the requests.
+func refusing(t *testing.T, requests *atomic.Int32) *Client {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		_ = fasthttp.Serve(listener, func(ctx *fasthttp.RequestCtx) {
+			requests.Add(1)
+			ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
+		})
+	}()
+	return NewClient(listener.Addr().String(), 300, 300)
+}
+
+func TestCallsOverTheBudgetAreNotSent(t *testing.T) {
+	var requests atomic.Int32
+	client := refusing(t, &requests)
+	client.writes, client.reads = still(10), still(10)
+	txn := wire.Txn{Then: make([]wire.Change, 9)}
+	if room := client.WriteRoom(Routine); room != 8 {
+		t.Errorf("room for %d changes", room)
+	}
+	if _, err := client.Commit(t.Context(), Routine, txn); !errors.Is(err, ErrBudget) {
+		t.Errorf("commit: %v", err)
+	}
+	client.reads = still(0)
+	if _, err := client.Get(t.Context(), Routine, "k"); !errors.Is(err, ErrBudget) {
+		t.Errorf("read: %v", err)
+	}
+	if requests.Load() != 0 {
+		t.Errorf("%d requests were sent", requests.Load())
+	}
+}
+
+// The service may lower its rate of changes at a time that nobody tells: the first
+// change that is refused for it says so.
+func TestRateIsLoweredByTheFirstRefusedChange(t *testing.T) {
+	var requests atomic.Int32
+	client := refusing(t, &requests)
+	client.SetShare(1, 0.5)
+	commit := func() {
+		t.Helper()
+		if _, err := client.Commit(t.Context(), Urgent, wire.Txn{Then: []wire.Change{{Delete: "k"}}}); !errors.Is(err, ErrBusy) {
+			t.Fatal(err)
+		}
+	}
+	limit := func(want float64) {
+		t.Helper()
+		if got := float64(client.writes.Limit()); got != want {
+			t.Errorf("%v changes a second, not %v", got, want)
+		}
+	}
+	commit()
+	limit(150) // nobody announced a lower rate
+	client.Lower(100)
+	if _, err := client.Get(t.Context(), Urgent, "k"); !errors.Is(err, ErrBusy) {
+		t.Fatal(err)
+	}
+	limit(150) // a read says nothing of changes
+	commit()
+	limit(50)
+	client.Lower(200)
+	commit()
+	limit(50) // never up
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,201 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"notchmux.dev/notchmux/internal/fake"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/store"
+	"notchmux.dev/notchmux/wire"
+)
+
+// plenty is a rate that no test uses up.
+const plenty = 1e6
+
+// serve answers on loopback until the test ends.
+func serve(t *testing.T, handler fasthttp.RequestHandler) (addr string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
+// answer makes a handler that always gives the same answer.
+func answer(status int, body []byte) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		ctx.SetStatusCode(status)
+		ctx.SetBody(body)
+	}
+}
+
+func put(key string, guards ...wire.Guard) wire.Txn {
+	return wire.Txn{If: guards, Then: []wire.Change{{Put: key, Value: "v"}}}
+}
+
+func TestEachStatusHasItsError(t *testing.T) {
+	empty := wire.MustMarshal(map[string]any{})
+	for _, c := range []struct {
+		name   string
+		status int
+		body   []byte
+		want   error
+		silent bool // the service counts as not having answered
+	}{
+		{"done", 200, wire.MustMarshal(wire.TxnResult{Revision: 7}), nil, false},
+		{"malformed", 400, empty, store.ErrBad, false},
+		{"no lease", 400, wire.MustMarshal(wire.TxnResult{Error: "no such lease"}), store.ErrNoLease, false},
+		{"no key", 404, empty, store.ErrNotFound, false},
+		{"guard", 409, empty, store.ErrConflict, false},
+		{"compacted", 410, empty, store.ErrCompacted, false},
+		{"over its limits", 429, empty, store.ErrBusy, false},
+		{"unexpected", 500, empty, store.ErrStatus, false},
+		{"refused", 503, empty, store.ErrRefused, true},
+		{"done, and no body", 200, nil, store.ErrStatus, false},
+		{"done, and half a body", 200, wire.MustMarshal(wire.TxnResult{Revision: 7})[:5], store.ErrStatus, false},
+		{"done, and another body", 200, wire.MustMarshal("text"), store.ErrStatus, false},
+		{"guard, and no body", 409, nil, store.ErrConflict, false},
+		{"refused, and no body", 503, nil, store.ErrRefused, true},
+	} {
+		client := store.NewClient(serve(t, answer(c.status, c.body)), plenty, plenty)
+		_, err := client.Commit(t.Context(), store.Routine, put("k"))
+		if !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, not %v", c.name, err, c.want)
+		}
+		if (client.Answered() == 0) != c.silent {
+			t.Errorf("%s: answered at %d", c.name, client.Answered())
+		}
+	}
+}
+
+// A commit whose answer is lost may have run: it is neither repeated nor taken for
+// refused, on a connection that is new or has served before.
+func TestLostAnswerIsUncertainAndNothingIsSentTwice(t *testing.T) {
+	state := fake.NewStore()
+	var requests atomic.Int32
+	client := store.NewClient(serve(t, func(ctx *fasthttp.RequestCtx) {
+		state.Handle(ctx)
+		if n := requests.Add(1); n != 2 {
+			_ = ctx.Conn().Close()
+		}
+	}), plenty, plenty)
+	for i, key := range []string{"new", "answered", "served before"} {
+		_, err := client.Commit(t.Context(), store.Routine, put(key, wire.Guard{Key: key}))
+		if lost := key != "answered"; lost != errors.Is(err, store.ErrUncertain) || !lost && err != nil {
+			t.Errorf("%s: %v", key, err)
+		}
+		if got := int(requests.Load()); got != i+1 {
+			t.Fatalf("%s: the service had %d requests", key, got)
+		}
+		if _, err := state.Get(t.Context(), store.Routine, key); err != nil {
+			t.Errorf("%s: not carried out: %v", key, err)
+		}
+	}
+	_ = client.Renew(t.Context(), 1)
+	_, _ = client.Get(t.Context(), store.Routine, "new")
+	if got := requests.Load(); got != 5 {
+		t.Errorf("a renewal and a read that nobody answered came as %d requests", got-3)
+	}
+}
+
+func TestCallsGiveUpAtTheDeadlineOfTheirContext(t *testing.T) {
+	state := fake.NewStore()
+	client := store.NewClient(serve(t, state.Handle), plenty, plenty)
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(-time.Hour))
+	defer cancel()
+	if err := client.Renew(ctx, 1); !errors.Is(err, store.ErrUncertain) {
+		t.Errorf("after its deadline a call gave %v", err)
+	}
+	if err := client.Renew(t.Context(), 1); !errors.Is(err, store.ErrNoLease) {
+		t.Errorf("without a deadline a call gave %v", err)
+	}
+}
+
+func TestLeaseThatExpiredIsNoLeaseForAnyCall(t *testing.T) {
+	const ttl = 3 * micro.Second
+	var now atomic.Int64
+	state := fake.NewStore()
+	state.Now = func() micro.Time { return micro.Time(now.Load()) }
+	client := store.NewClient(serve(t, state.Handle), plenty, plenty)
+	ctx := t.Context()
+	lease, err := client.Grant(ctx, ttl)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leased := wire.Txn{Then: []wire.Change{{Put: "leased", Value: "v", Lease: wire.Count(lease)}}}
+	if _, err := client.Commit(ctx, store.Routine, leased); err != nil {
+		t.Fatal(err)
+	}
+	now.Add(int64(ttl))
+	if err := client.Renew(ctx, lease); err != nil {
+		t.Fatalf("not renewed within its time: %v", err)
+	}
+	now.Add(int64(ttl))
+	if _, err := client.Get(ctx, store.Routine, "leased"); err != nil {
+		t.Fatalf("its key: %v", err)
+	}
+	now.Add(1)
+	if _, err := client.Get(ctx, store.Routine, "leased"); !errors.Is(err, store.ErrNotFound) {
+		t.Errorf("its key: %v", err)
+	}
+	if err := client.Renew(ctx, lease); !errors.Is(err, store.ErrNoLease) {
+		t.Errorf("renewal: %v", err)
+	}
+	if _, err := client.Commit(ctx, store.Routine, leased); !errors.Is(err, store.ErrNoLease) {
+		t.Errorf("commit: %v", err)
+	}
+	missing := fake.NewStore()
+	gone := store.NewClient(serve(t, func(ctx *fasthttp.RequestCtx) { missing.Handle(ctx); ctx.SetStatusCode(404) }), plenty, plenty)
+	if err := gone.Revoke(ctx, lease); err != nil {
+		t.Errorf("a lease that is gone counts as revoked: %v", err)
+	}
+}
+
+func TestExistingSaysWhichKeysThereAre(t *testing.T) {
+	state := fake.NewStore()
+	client := store.NewClient(serve(t, state.Handle), plenty, plenty)
+	for _, key := range []string{"a", "c"} {
+		if _, err := client.Commit(t.Context(), store.Routine, put(key)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := client.Existing(t.Context(), store.Routine, []string{"a", "b", "c"})
+	if err != nil || !got["a"] || got["b"] || !got["c"] {
+		t.Errorf("%v %v", got, err)
+	}
+	state.Outage(true)
+	if got, err := client.Existing(t.Context(), store.Routine, []string{"b"}); !errors.Is(err, store.ErrRefused) || got != nil {
+		t.Errorf("in an outage: %v %v", got, err)
+	}
+}
+
+func TestNamesAreEscapedInQueries(t *testing.T) {
+	var prefix, since string
+	client := store.NewClient(serve(t, func(ctx *fasthttp.RequestCtx) {
+		prefix, since = string(ctx.QueryArgs().Peek("prefix")), string(ctx.QueryArgs().Peek("since"))
+		ctx.SetBody(wire.MustMarshal(wire.Page{}))
+	}), plenty, plenty)
+	if _, err := client.Range(t.Context(), store.Routine, "a&b=/", "a&since=c", 1); err != nil {
+		t.Fatal(err)
+	}
+	if prefix != "a&b=/" || since != "a&since=c" {
+		t.Errorf("prefix %q, after %q", prefix, since)
+	}
+	if _, err := client.Watch(t.Context(), "a&b=/", 7, 0); err != nil {
+		t.Fatal(err)
+	}
+	if prefix != "a&b=/" || since != "7" {
+		t.Errorf("prefix %q, after %q", prefix, since)
+	}
+}
