wire: split DecodeJob and skip by steps

DecodeJob now names each field with the way it is read, optional ones included; skip leaves codes with a size, and what they hold, to functions of their own.

--- a/wire/codec.go
+++ b/wire/codec.go
@@ -75,85 +75,85 @@
 	return nil
 }
 
+// skip gives what follows the first value of b. The value may nest so deep.
 func skip(b []byte, depth int) ([]byte, error) {
 	if len(b) == 0 || depth == 0 {
 		return nil, ErrMalformed
 	}
-	c := b[0]
-	b = b[1:]
-	size := func(n int) (int, error) {
-		if len(b) < n {
-			return 0, ErrMalformed
-		}
-		v := 0
-		for _, x := range b[:n] {
-			v = v<<8 | int(x)
-		}
-		b = b[n:]
-		return v, nil
+	code, rest := b[0], b[1:]
+	switch {
+	case code <= 0x7f || code >= 0xe0 || code == 0xc0 || code == 0xc2 || code == 0xc3:
+		return rest, nil // a small number, nil, false or true
+	case code <= 0x8f:
+		return skipItems(rest, 2*int(code&0x0f), depth-1)
+	case code <= 0x9f:
+		return skipItems(rest, int(code&0x0f), depth-1)
+	case code <= 0xbf:
+		return skipBytes(rest, int(code&0x1f))
+	}
+	switch code {
+	case 0xcc, 0xd0:
+		return skipBytes(rest, 1)
+	case 0xcd, 0xd1:
+		return skipBytes(rest, 2)
+	case 0xca, 0xce, 0xd2:
+		return skipBytes(rest, 4)
+	case 0xcb, 0xcf, 0xd3:
+		return skipBytes(rest, 8)
 	}
-	take := func(n int) ([]byte, error) {
-		if n < 0 || len(b) < n {
-			return nil, ErrMalformed
-		}
-		return b[n:], nil
+	return skipSized(code, rest, depth)
+}
+
+// skipSized skips a text, list or map whose size follows its code.
+func skipSized(code byte, b []byte, depth int) ([]byte, error) {
+	var width int
+	switch code {
+	case 0xd9, 0xda, 0xdb: // texts
+		width = 1 << (code - 0xd9)
+	case 0xdc, 0xdd: // lists
+		width = 2 << (code - 0xdc)
+	case 0xde, 0xdf: // maps
+		width = 2 << (code - 0xde)
+	default:
+		return nil, ErrMalformed // binary and extension types are not ours
+	}
+	if len(b) < width {
+		return nil, ErrMalformed
 	}
-	items := func(n int) ([]byte, error) {
-		if n > len(b) {
-			return nil, ErrMalformed
-		}
-		rest := b
-		var err error
-		for range n {
-			if rest, err = skip(rest, depth-1); err != nil {
-				return nil, err
-			}
-		}
-		return rest, nil
+	size := 0
+	for _, x := range b[:width] {
+		size = size<<8 | int(x)
 	}
+	rest := b[width:]
 	switch {
-	case c <= 0x7f || c >= 0xe0 || c == 0xc0 || c == 0xc2 || c == 0xc3:
-		return b, nil
-	case c <= 0x8f:
-		return items(2 * int(c&0x0f))
-	case c <= 0x9f:
-		return items(int(c & 0x0f))
-	case c <= 0xbf:
-		return take(int(c & 0x1f))
-	}
-	switch c {
-	case 0xca:
-		return take(4)
-	case 0xcb:
-		return take(8)
-	case 0xcc, 0xd0:
-		return take(1)
-	case 0xcd, 0xd1:
-		return take(2)
-	case 0xce, 0xd2:
-		return take(4)
-	case 0xcf, 0xd3:
-		return take(8)
-	case 0xd9, 0xda, 0xdb:
-		n, err := size(1 << (c - 0xd9))
-		if err != nil {
-			return nil, err
-		}
-		return take(n)
-	case 0xdc, 0xdd:
-		n, err := size(2 << (c - 0xdc))
-		if err != nil {
-			return nil, err
-		}
-		return items(n)
-	case 0xde, 0xdf:
-		n, err := size(2 << (c - 0xde))
-		if err != nil {
+	case code <= 0xdb:
+		return skipBytes(rest, size)
+	case code <= 0xdd:
+		return skipItems(rest, size, depth-1)
+	}
+	return skipItems(rest, 2*size, depth-1)
+}
+
+func skipBytes(b []byte, n int) ([]byte, error) {
+	if n < 0 || len(b) < n {
+		return nil, ErrMalformed
+	}
+	return b[n:], nil
+}
+
+// skipItems skips so many values. Each takes a byte at least: a count beyond that
+// is refused before any is looked at.
+func skipItems(b []byte, n, depth int) ([]byte, error) {
+	if n > len(b) {
+		return nil, ErrMalformed
+	}
+	var err error
+	for range n {
+		if b, err = skip(b, depth); err != nil {
 			return nil, err
 		}
-		return items(2 * n)
 	}
-	return nil, ErrMalformed // binary and extension types are not ours
+	return b, nil
 }
 
 // JSONSize is the size of a value in its JSON form, which size limits count.
--- a/wire/job.go
+++ b/wire/job.go
@@ -111,14 +111,14 @@
 	if len(body) > MaxBody {
 		return nil, fmt.Errorf("%w: over %d bytes", ErrMalformed, MaxBody)
 	}
-	var m map[string]any
-	if err := Unmarshal(body, &m); err != nil {
+	var values map[string]any
+	if err := Unmarshal(body, &values); err != nil {
 		return nil, err
 	}
-	if m == nil {
+	if values == nil {
 		return nil, ErrMalformed
 	}
-	f := &fields{m: m}
+	f := &fields{values: values}
 	job := &Job{
 		ID: f.text("nameId"), Class: f.text("jobclass"), Team: f.text("outfit"),
 		Kind: Kind(f.text("shape")), Priority: Priority(f.text("rank")),
@@ -126,58 +126,18 @@
 		Image: f.text("bundle"), ImageGB: f.amount("pullGb"),
 		OneZone: f.flag("oneZone"), Spread: f.flag("scatter"), Spot: f.flag("loaners"),
 		EstimateS: f.amount("guessS"), CheckpointS: f.amount("bookmarkS"), SaveS: f.amount("stashS"),
+		Tasks: f.tasks("pieces"), Types: f.optionalTexts("rigs"), Zone: f.optionalText("yard"),
+		DeadlineS: f.optionalAmount("dueS"), Needs: f.optionalJobs("awaits"),
 	}
-	tasks, ok := asCount(m["pieces"])
-	if !ok || tasks < 1 || tasks > MaxTasks {
-		f.fail("pieces")
-	}
-	job.Tasks = int(tasks)
-	if v := m["rigs"]; v != nil {
-		list, ok := v.([]any)
-		if !ok {
-			f.fail("rigs")
-		}
-		job.Types = make([]string, 0, len(list))
-		for _, x := range list {
-			s, ok := x.(string)
-			if !ok {
-				f.fail("rigs")
-			}
-			job.Types = append(job.Types, s)
-		}
-	}
-	if v := m["yard"]; v != nil {
-		s, ok := v.(string)
-		if !ok {
-			f.fail("yard")
-		}
-		job.Zone = &s
-	}
-	if v := m["dueS"]; v != nil {
-		x, ok := asAmount(v)
-		if !ok {
-			f.fail("dueS")
-		}
-		job.DeadlineS = &x
-	}
-	if v := m["awaits"]; v != nil {
-		list, ok := v.([]any)
-		if !ok {
-			f.fail("awaits")
-		}
-		seen := make(map[string]bool, len(list))
-		for _, x := range list {
-			id, ok := x.(string)
-			if !ok || !ValidJobID(id) {
-				f.fail("awaits")
-				break
-			}
-			if !seen[id] {
-				seen[id] = true
-				job.Needs = append(job.Needs, id)
-			}
-		}
+	f.checkNames(job)
+	if f.bad != "" {
+		return nil, fmt.Errorf("%w: field %q is missing or invalid", ErrMalformed, f.bad)
 	}
+	return job, nil
+}
+
+// checkNames fails the job's id, kind and priority if they are none.
+func (f *fields) checkNames(job *Job) {
 	if !ValidJobID(job.ID) {
 		f.fail("nameId")
 	}
@@ -191,16 +151,12 @@
 	default:
 		f.fail("rank")
 	}
-	if f.bad != "" {
-		return nil, fmt.Errorf("%w: field %q is missing or invalid", ErrMalformed, f.bad)
-	}
-	return job, nil
 }
 
 // fields reads typed fields and remembers the first that is missing or wrong.
 type fields struct {
-	m   map[string]any
-	bad string
+	values map[string]any
+	bad    string // the first of them; "": none
 }
 
 func (f *fields) fail(name string) {
@@ -210,7 +166,7 @@
 }
 
 func (f *fields) text(name string) string {
-	s, ok := f.m[name].(string)
+	s, ok := f.values[name].(string)
 	if !ok {
 		f.fail(name)
 	}
@@ -218,7 +174,7 @@
 }
 
 func (f *fields) amount(name string) float64 {
-	x, ok := asAmount(f.m[name])
+	x, ok := asAmount(f.values[name])
 	if !ok {
 		f.fail(name)
 	}
@@ -226,9 +182,81 @@
 }
 
 func (f *fields) flag(name string) bool {
-	b, ok := f.m[name].(bool)
+	b, ok := f.values[name].(bool)
 	if !ok {
 		f.fail(name)
 	}
 	return b
 }
+
+func (f *fields) tasks(name string) int {
+	n, ok := asCount(f.values[name])
+	if !ok || n < 1 || n > MaxTasks {
+		f.fail(name)
+	}
+	return int(n)
+}
+
+func (f *fields) optionalText(name string) *string {
+	if f.values[name] == nil {
+		return nil
+	}
+	s := f.text(name)
+	return &s
+}
+
+func (f *fields) optionalAmount(name string) *float64 {
+	if f.values[name] == nil {
+		return nil
+	}
+	x := f.amount(name)
+	return &x
+}
+
+// optionalList gives nil where the field is missing, or no list and so wrong.
+func (f *fields) optionalList(name string) []any {
+	value := f.values[name]
+	if value == nil {
+		return nil
+	}
+	list, ok := value.([]any)
+	if !ok {
+		f.fail(name)
+	}
+	return list
+}
+
+func (f *fields) optionalTexts(name string) []string {
+	if f.values[name] == nil {
+		return nil
+	}
+	list := f.optionalList(name)
+	texts := make([]string, 0, len(list))
+	for _, x := range list {
+		s, ok := x.(string)
+		if !ok {
+			f.fail(name)
+		}
+		texts = append(texts, s)
+	}
+	return texts
+}
+
+// optionalJobs reads a list of jobs' ids, each of which counts once.
+func (f *fields) optionalJobs(name string) []string {
+	var ids []string
+	list := f.optionalList(name)
+	seen := make(map[string]bool, len(list))
+	for _, x := range list {
+		id, ok := x.(string)
+		if !ok || !ValidJobID(id) {
+			f.fail(name)
+			break
+		}
+		if !seen[id] {
+			seen[id] = true
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
