--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -269,37 +269,64 @@
 	return p.check()
 }
 
+// check finds the first key that is missing or out of range.
 func (p *Platform) check() error {
-	bad := func(key, why string) error { return fmt.Errorf("key %q: %s", key, why) }
 	if p.Node == "" {
-		return bad("node", "is missing")
+		return badKey("node", "is missing")
 	}
+	for _, step := range []func() error{
+		p.checkAddresses, p.checkPeers, p.checkZones, p.checkAmounts, p.checkTeams, p.checkObjectives,
+	} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func badKey(key, why string) error { return fmt.Errorf("key %q: %s", key, why) }
+
+const notAnAddress = "is not an address of the form host:port"
+
+func (p *Platform) checkAddresses() error {
 	for _, a := range []struct{ key, addr string }{
 		{"public_addr", p.PublicAddr}, {"peer_listen", p.PeerListen},
 		{"external.cloud", p.External.Cloud}, {"external.state", p.External.State},
 	} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
-			return bad(a.key, "is not an address of the form host:port")
+			return badKey(a.key, notAnAddress)
 		}
 	}
+	return nil
+}
+
+func (p *Platform) checkPeers() error {
 	names := map[string]bool{p.Node: true}
-	for _, k := range p.Peers {
-		if k.Node == "" || names[k.Node] {
-			return bad("known.node", "is missing or given twice")
+	for _, peer := range p.Peers {
+		if peer.Node == "" || names[peer.Node] {
+			return badKey("known.node", "is missing or given twice")
 		}
-		names[k.Node] = true
-		if _, _, err := net.SplitHostPort(k.Addr); err != nil {
-			return bad("known.addr", "is not an address of the form host:port")
+		names[peer.Node] = true
+		if _, _, err := net.SplitHostPort(peer.Addr); err != nil {
+			return badKey("known.addr", notAnAddress)
 		}
 	}
+	return nil
+}
+
+func (p *Platform) checkZones() error {
 	if len(p.Facts.Zones) == 0 {
-		return bad("facts.zones", "is missing")
+		return badKey("facts.zones", "is missing")
 	}
+	return nil
+}
+
+func (p *Platform) checkAmounts() error {
 	f := &p.Facts
-	for _, n := range []struct {
-		key  string
-		v    float64
-		zero bool
+	for _, amount := range []struct {
+		key   string
+		value float64
+		zero  bool // may be zero
 	}{
 		{"facts.workers.report_s", f.Workers.ReportS, false},
 		{"facts.workers.lease_s", f.Workers.LeaseS, false},
@@ -320,25 +347,34 @@
 		{"facts.quota.max_sockets", float64(f.Quota.MaxSockets), false},
 		{"facts.clock_off_ms", f.ClockOffMs, true},
 	} {
-		if math.IsNaN(n.v) || math.IsInf(n.v, 0) || n.v < 0 || n.v == 0 && !n.zero {
-			return bad(n.key, "is missing or out of range")
+		v := amount.value
+		if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 || v == 0 && !amount.zero {
+			return badKey(amount.key, "is missing or out of range")
 		}
 	}
+	return nil
+}
+
+func (p *Platform) checkTeams() error {
 	seen := map[string]bool{}
-	for _, t := range f.Teams {
-		if t.Name == "" || seen[t.Name] {
-			return bad("facts.teams.name", "is missing or given twice")
+	for _, team := range p.Facts.Teams {
+		if team.Name == "" || seen[team.Name] {
+			return badKey("facts.teams.name", "is missing or given twice")
 		}
-		seen[t.Name] = true
-		for _, v := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
+		seen[team.Name] = true
+		for _, v := range []float64{team.CPUs, team.CPUsMax, team.GPUs, team.GPUsMax} {
 			if math.IsNaN(v) || v < 0 {
-				return bad("facts.teams", "amounts of "+t.Name+" are out of range")
+				return badKey("facts.teams", "amounts of "+team.Name+" are out of range")
 			}
 		}
 	}
-	for _, o := range f.Objectives {
+	return nil
+}
+
+func (p *Platform) checkObjectives() error {
+	for _, o := range p.Facts.Objectives {
 		if math.IsNaN(o.WithinS) || o.WithinS < 0 || o.Times < 0 {
-			return bad("facts.objectives", "within_s or times is out of range")
+			return badKey("facts.objectives", "within_s or times is out of range")
 		}
 	}
 	return nil
