Jobs that fail everywhere: few starts, no machine avoided, no room rented

Cause: two jobs with a mistake had failed on each machine before any of them had failed on three, so that hundreds at once had the whole fleet avoided (sound machines for 8137 s in the test, good work began 113 s late instead of 3.5 s). An array of thousands took all the room there was each time it was tried (1200 starts at first, thousands after), on two machines without any pause (1061 starts in five minutes), and rooms for all its tasks were rented in each pause.

Changed: where more than one machine in 16 looks faulty, machines are avoided for a minute only for jobs that do well elsewhere; failures count for ten minutes. A job holds at most 512 places until a task has completed or run for 5 s (and twice as long as one that failed), a job that fails everywhere four; 64 failures count where there are no three machines. Room is rented for no more. A job whose other tasks run well is no longer paused for three faulty machines.

--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -98,6 +98,9 @@
 	after map[string][]*Job // jobs by each of those that they await
 	list  []*Machine
 	pools map[poolKey]*Pool
+
+	accused    map[*Machine]bool // machines that jobs failed on
+	doubtUntil micro.Time        // until when so many look faulty that the jobs are the likelier cause
 }
 
 // New makes an empty picture.
@@ -107,7 +110,7 @@
 		Types: map[string]*Type{}, Classes: map[string]*Class{}, Gone: map[string]bool{}, Kept: map[string]micro.Time{}, Away: map[string]micro.Time{},
 		Pending: map[*Job]bool{}, Live: map[*Job]bool{}, ErrJobs: 2,
 		Ends: map[string]End{}, PerChunk: ChunkTasks, after: map[string][]*Job{},
-		pools: map[poolKey]*Pool{},
+		pools: map[poolKey]*Pool{}, accused: map[*Machine]bool{},
 	}
 }
 
--- a/internal/scale/demand.go
+++ b/internal/scale/demand.go
@@ -30,10 +30,13 @@
 	}
 	sort.Slice(jobs, func(a, b int) bool { return jobs[a].Spec.ID < jobs[b].Spec.ID })
 	for _, j := range jobs {
-		if j.NotBefore > now+10*micro.Second {
+		if j.NotBefore > now+10*micro.Second && j.Paused(now) {
+			continue
+		}
+		n := j.Demand(now)
+		if n == 0 {
 			continue
 		}
-		n := j.Waiting()
 		if t := j.Team; t != nil {
 			q := quota[t]
 			if t.CPUsMax > 0 && j.Spec.CPUs > 0 {
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -51,7 +51,7 @@
 	var old []*model.Job
 	for _, it := range queue {
 		j := it.j
-		if j.State != model.Active || j.NotBefore > now || j.GangStop {
+		if j.State != model.Active || j.Paused(now) || j.GangStop {
 			continue
 		}
 		if p.starved(j, now) {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -50,7 +50,9 @@
 // there is.
 func (p *Placer) tasks(j *model.Job, late bool, now micro.Time) (placed int, none bool) {
 	for {
-		next := j.Next(now, placeBatch) // not all of a huge job at once
+		open := j.Openings(now)
+		j.HeldBack = open == 0 && p.findsRoom(j, now)
+		next := j.Next(now, min(placeBatch, open)) // not all of a huge job at once
 		if len(next) == 0 {
 			return placed, false
 		}
@@ -78,6 +80,11 @@
 	}
 }
 
+// findsRoom reports whether there is room for one more of the job's tasks.
+func (p *Placer) findsRoom(j *model.Job, now micro.Time) bool {
+	return allows(j, 1) && p.pick(j, nil, nil, "", true, false, now) != nil
+}
+
 // allows reports whether the team's limits leave room for n more of a job's
 // tasks, and are not being saved up for another of its jobs.
 func allows(j *model.Job, n int) bool {
