Machines that never come, and machines on their way back, cost no one's work

Cause: the next leader did not know which machines an earlier one had asked the cloud to take back; one whose return was carried out late reported to it, got tasks, and went with them. A machine that no list ever showed was kept, and charged, for good. Machines that failed to boot were replaced by others of the same offer without end, and the work waited as long.

A machine never listed and never heard of goes back after scale.boot.patience and two lags of the list. Of an offer with two late machines or more, and fewer up, nothing is rented for two minutes while another serves.

TestRecordsOfTheFleetFitTheSmallerLimit also measures a record with machines to be returned.

--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -23,6 +23,19 @@
 	Machines []string    `msgpack:"m" json:"m"`
 	Answered bool        `msgpack:"a" json:"a"`
 	At       int64       `msgpack:"at" json:"at"` // wall clock
+	// Machines whose return is being asked for, no longer among the others. The
+	// request may be carried out at any later time, so no leader may use them.
+	Returning []string `msgpack:"b,omitempty" json:"b,omitempty"`
+}
+
+// without is a list with a name left out; the list itself, which a write may be
+// reading, stays as it is.
+func without(names []string, name string) []string {
+	i := slices.Index(names, name)
+	if i < 0 {
+		return names
+	}
+	return append(names[:i:i], names[i+1:]...)
 }
 
 // HireState is the state of a rental.
@@ -45,6 +58,9 @@
 	sent  bool // the cloud may know of it
 	level int  // the rank of the work that asked for it
 	cell  *cell
+
+	version uint64 // of the record, counted up with each machine to be returned
+	saved   uint64 // the latest of them that is known to be in the store
 }
 
 // become is the one place where a rental's state changes.
@@ -75,12 +91,16 @@
 		if h.state == HireOver {
 			return nil, 0
 		}
-		return h.rec, 0
+		return h.rec, h.version
 	}
-	c.saved = func(uint64) {
+	c.saved = func(version uint64) {
 		if h.state == HireWriting {
 			l.become(h, HireAsking)
 		}
+		if version > h.saved {
+			h.saved = version
+			l.sendReturns()
+		}
 	}
 	h.cell = c
 	return c
@@ -105,6 +125,10 @@
 	for _, name := range rec.Machines {
 		l.hired(h, name, now-age, now)
 	}
+	for _, name := range rec.Returning {
+		l.hired(h, name, now-age, now)
+		l.giveBack(l.c.Machine(name, now), "an earlier leader asked for its return")
+	}
 }
 
 // hired adds a machine that a rental brought.
@@ -220,21 +244,41 @@
 	}
 }
 
-// giveBack marks a machine to be returned.
+// giveBack marks a machine to be returned. Where its rental has a record, that is
+// written before the request goes out: a request that is carried out late once took
+// a machine away with the work that the next leader had started on it.
 func (l *Lead) giveBack(m *model.Machine, why string) {
-	if l.c.Become(m, model.Returning, why) {
-		l.returns[m] = true
+	if !l.c.Become(m, model.Returning, why) {
+		return
 	}
+	l.returns[m] = 0
+	h := l.hires[m.Hire]
+	if h == nil || !l.c.Compact || !slices.Contains(h.rec.Machines, m.Name) {
+		return // without a record, or marked by an earlier leader; version 1 would drop the mark
+	}
+	h.rec.Machines = without(h.rec.Machines, m.Name)
+	h.rec.Returning = append(slices.Clone(h.rec.Returning), m.Name)
+	h.version++
+	l.returns[m] = h.version
+	h.cell.touch(l.n.Now(), soon)
+}
+
+// recorded reports whether the store knows that a machine is to be returned.
+func (l *Lead) recorded(m *model.Machine) bool {
+	h := l.hires[m.Hire]
+	return h == nil || l.returns[m] <= h.saved
 }
 
 // sendReturns returns the marked machines, many in one call.
 func (l *Lead) sendReturns() {
-	if len(l.returns) == 0 {
-		return
-	}
 	var ms []*model.Machine
 	for m := range l.returns {
-		ms = append(ms, m)
+		if l.recorded(m) {
+			ms = append(ms, m)
+		}
+	}
+	if len(ms) == 0 {
+		return
 	}
 	sort.Slice(ms, func(a, b int) bool { return ms[a].Name < ms[b].Name })
 	ms = ms[:min(len(ms), cloud.MaxReturn)]
@@ -267,7 +311,7 @@
 func (l *Lead) returnAgain(ms []*model.Machine) {
 	for _, m := range ms {
 		if m.State == model.Returning {
-			l.returns[m] = true
+			l.returns[m] = 0 // its mark is in the store
 		}
 	}
 }
@@ -275,13 +319,9 @@
 func (l *Lead) depart(m *model.Machine) {
 	l.c.Depart(m, l.n.Now())
 	if h := l.hires[m.Hire]; h != nil {
-		for i, name := range h.rec.Machines {
-			if name == m.Name {
-				h.rec.Machines = append(h.rec.Machines[:i:i], h.rec.Machines[i+1:]...)
-				break
-			}
-		}
-		if len(h.rec.Machines) == 0 {
+		h.rec.Machines = without(h.rec.Machines, m.Name)
+		h.rec.Returning = without(h.rec.Returning, m.Name)
+		if len(h.rec.Machines)+len(h.rec.Returning) == 0 {
 			l.become(h, HireOver)
 		}
 	}
@@ -322,6 +362,9 @@
 // than what they tell, which is seldom news.
 const listEvery = 6 * micro.Second
 
+// freshList is how old a list may be by which machines are returned.
+const freshList = 20 * micro.Second
+
 // before reports whether a machine was created before another: names are given
 // in the order of creation.
 func before(a, b string) bool {
@@ -442,13 +485,16 @@
 			}
 			waited := now - max(l.c.Began, l.resumed)
 			switch {
+			case m.Listed == 0 && now-l.listAt < freshList && len(m.Places) == 0 &&
+				waited > cfg.SilentAfter && age > micro.Time(float64(boot)*cfg.BootPatience)+2*lag:
+				l.giveBack(m, "never listed, never heard")
 			case unlisted && waited > cfg.SilentAfter:
 				l.giveBack(m, "no longer listed, never heard")
 			case m.ListState == wire.MachineRunning && waited > max(15*micro.Second, cfg.Round()) && age > 3*boot && now-m.Listed < micro.Minute && dead(z, m.Zone):
 				l.giveBack(m, "listed as running, never heard")
 			case len(m.Places) > 0 && waited > cfg.SilentAfter+4*micro.Second && dead(z, m.Zone) && (z.missing*fewMissing <= z.all || waited > cfg.Round()):
 				l.giveBack(m, "silent since the takeover")
-			case m.ListState == wire.MachineBooting && now-m.Listed < 20*micro.Second && len(m.Places) == 0 &&
+			case m.ListState == wire.MachineBooting && now-m.Listed < freshList && len(m.Places) == 0 &&
 				waited > cfg.SilentAfter && age > micro.Time(float64(boot)*cfg.BootPatience):
 				l.giveBack(m, "did not come up")
 			}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -60,11 +60,11 @@
 	lastImages micro.Time
 	hires      map[string]*hire
 	hireN      int
-	asking     []*hire    // rentals whose turn is to come
-	renting    int        // rentals under way
-	first      string     // the first machine that the service ever rented
-	listAt     micro.Time // when the list that was read last was asked for
-	returns    map[*model.Machine]bool
+	asking     []*hire                   // rentals whose turn is to come
+	renting    int                       // rentals under way
+	first      string                    // the first machine that the service ever rented
+	listAt     micro.Time                // when the list that was read last was asked for
+	returns    map[*model.Machine]uint64 // machines to be returned, with the version of their rental's record that must be stored before
 	ledger     *keep.Ledger
 	barred     atomic.Pointer[map[string]bool] // zones whose keepers are not answered; nil: all
 	doubted    map[string]micro.Time           // when a zone was last missing too much to be taken for dead machines
@@ -87,7 +87,7 @@
 	l := &Lead{
 		n: n, term: t, log: n.Log.With("term", t.Stamp), events: make(chan func(), 4096), asks: make(chan func(), 1024), done: make(chan struct{}),
 		token: t.Stamp << tokenBits, kicked: map[*model.Machine]bool{}, hires: map[string]*hire{},
-		returns: map[*model.Machine]bool{}, waiters: map[string][]chan front.Reply{},
+		returns: map[*model.Machine]uint64{}, waiters: map[string][]chan front.Reply{},
 		lookups: map[string]bool{}, doubted: map[string]micro.Time{},
 		leaving: map[*model.Job]bool{}, unproven: map[*model.Job]bool{},
 	}
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -163,7 +163,9 @@
 	}
 	l.c.RestoreImages(im, 0)
 	images, _ := l.w.images.build()
-	for _, v := range []any{rec, images, FormatRecord{Version, 64}} {
+	returning := rec
+	returning.Machines, returning.Returning = rec.Machines[:10], rec.Machines[10:]
+	for _, v := range []any{rec, returning, images, FormatRecord{Version, 64}} {
 		if size := wire.JSONSize(v); size > next.ValueBytes-valueMargin {
 			t.Errorf("%T takes %d bytes", v, size)
 		}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -132,7 +133,7 @@
 		{Name: "small", CPUs: 4, MemoryGB: 16, Price: 1, SpotPrice: 0.3, BootS: 5, FetchGBPerS: 1, Zones: []string{"a", "b"}},
 		{Name: "large", CPUs: 8, GPUs: 2, MemoryGB: 64, Price: 3, SpotPrice: 1, BootS: 8, FetchGBPerS: 1, Zones: []string{"a", "b"}},
 	}
-	w.cloud = &skies{w: w, Cloud: fake.NewCloud(16, w.types...)}
+	w.cloud = &skies{w: w, Cloud: fake.NewCloud(16, w.types...), asked: map[string]micro.Time{}, from: map[string]micro.Time{}, until: map[string]micro.Time{}}
 	w.check = newChecker(w.now, cancelS*micro.Second)
 	w.base = config.Config{Properties: config.Defaults()}
 	f := &w.base.Facts
@@ -505,6 +506,30 @@
 	never float64  // share of machines that never come up
 	lost  float64  // share of rentals whose answer is lost
 	back  []string // machines that were returned
+	// whose boot fails; nil: none beside the share above
+	fails func(r wire.Rental) bool
+	// machines that are not listed; nil: none
+	hides func(name string) bool
+	// how late a return is carried out, and not answered; 0: at once
+	late  micro.Time
+	asked map[string]micro.Time // machines whose return was asked for, and when first
+	from  map[string]micro.Time // when each machine was rented
+	until map[string]micro.Time // when it was returned
+}
+
+// charged is for how long all machines together were rented.
+func (s *skies) charged() micro.Time {
+	s.w.mu.Lock()
+	defer s.w.mu.Unlock()
+	var sum micro.Time
+	for name, from := range s.from {
+		end, back := s.until[name]
+		if !back {
+			end = s.w.now()
+		}
+		sum += end - from
+	}
+	return sum
 }
 
 // sky is the cloud as one process reaches it.
@@ -560,8 +585,30 @@
 	if err := s.away(ctx); err != nil {
 		return err
 	}
+	s.w.mu.Lock()
+	late := s.late
+	for _, name := range names {
+		if s.asked[name] == 0 {
+			s.asked[name] = s.w.now()
+		}
+	}
+	s.w.mu.Unlock()
+	if late > 0 {
+		time.AfterFunc(late.Std(), func() { _ = s.carryOut(context.Background(), names) })
+		<-ctx.Done()
+		return cloud.ErrUncertain
+	}
+	return s.carryOut(ctx, names)
+}
+
+func (s *sky) carryOut(ctx context.Context, names []string) error {
 	s.w.mu.Lock()
 	s.back = append(s.back, names...)
+	for _, name := range names {
+		if s.until[name] == 0 {
+			s.until[name] = s.w.now()
+		}
+	}
 	s.w.mu.Unlock()
 	for _, name := range names {
 		if h := s.w.host(name); h != nil {
@@ -576,7 +623,12 @@
 	if err := s.away(ctx); err != nil {
 		return nil, err
 	}
-	return s.Cloud.List(ctx, after)
+	l, err := s.Cloud.List(ctx, after)
+	if err != nil || s.hides == nil {
+		return l, err
+	}
+	l.Machines = slices.DeleteFunc(l.Machines, func(m wire.ListedMachine) bool { return s.hides(m.Name) })
+	return l, nil
 }
 
 func (w *world) host(name string) *host {
@@ -617,7 +669,8 @@
 	fw.First = wire.TaskFetching
 	h := &host{world: w, w: fw, since: map[fake.Key]micro.Time{}, at: w.rand.IntN(len(w.procs))}
 	w.workers[name] = h
-	if w.rand.Float64() < w.cloud.never {
+	w.cloud.from[name] = w.now()
+	if w.rand.Float64() < w.cloud.never || w.cloud.fails != nil && w.cloud.fails(r) {
 		return
 	}
 	d := 3*time.Second + time.Duration(w.rand.Int64N(int64(4*time.Second)))
--- a/internal/scale/price.go
+++ b/internal/scale/price.go
@@ -208,8 +208,17 @@
 	return r
 }
 
-// choose finds the offer that costs least per task.
+// choose finds the offer that costs least per task, first among those whose
+// machines come up.
 func (p *Planner) choose(d *demand, left int, zoneN map[string]int, thrift bool, now micro.Time) *bin {
+	if b := p.cheapestOffer(d, left, zoneN, thrift, p.lateUntil, now); b != nil || len(p.lateUntil) == 0 {
+		return b
+	}
+	return p.cheapestOffer(d, left, zoneN, thrift, nil, now)
+}
+
+// cheapestOffer finds the offer that costs least per task, but for those left out.
+func (p *Planner) cheapestOffer(d *demand, left int, zoneN map[string]int, thrift bool, leftOut map[Offer]micro.Time, now micro.Time) *bin {
 	var best *bin
 	bestCost := 0.0
 	limit := math.Inf(1)
@@ -220,7 +229,7 @@
 		for _, z := range t.Zones {
 			for _, spot := range []bool{false, true} {
 				o := Offer{t.Name, z, spot}
-				if p.Refused[o] > now || !sched.Allowed(d.spec, t, z, spot) {
+				if p.Refused[o] > now || leftOut[o] > now || !sched.Allowed(d.spec, t, z, spot) {
 					continue
 				}
 				if d.job != nil && !sched.ZoneOK(d.job, z, zoneN) {
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -36,6 +36,8 @@
 	own  bool       // operators keep machines of their own, by the last plan
 	calm micro.Time // since when nothing has waited for room; 0: something does
 
+	lateUntil map[Offer]micro.Time // until when offers are left out whose machines did not come up
+
 	queues map[*model.Class]*queue // how much waits, and waited
 }
 
@@ -72,6 +74,10 @@
 func (p *Planner) Plan(now micro.Time) (asks []Ask, idle []*model.Machine) {
 	p.own = p.hasOwn()
 	p.watch(now)
+	if p.lateUntil == nil {
+		p.lateUntil = map[Offer]micro.Time{}
+	}
+	p.watchBoots(now)
 	demands := p.demands(now)
 	rentals := p.newRentalPlan(now)
 	for i := range demands {
--- a/internal/scale/stock.go
+++ b/internal/scale/stock.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"maps"
 	"math"
 	"sort"
 
@@ -230,6 +231,44 @@
 	return false
 }
 
+// late reports whether a machine takes longer to come up than it may to count as
+// room to come.
+func late(m *model.Machine, now micro.Time) bool {
+	return now-m.Rented > micro.Time(float64(micro.Of(m.Type.BootS))*expectFactor)+2*micro.Second
+}
+
+// lateFor is for how long an offer is left out whose machines did not come up: once
+// they are returned nothing else tells.
+const lateFor = 2 * micro.Minute
+
+// lateMachines is how many machines of an offer must be late for that: one alone
+// may take several times as long as its type.
+const lateMachines = 2
+
+// watchBoots notes the offers most of whose machines did not come up in time. While
+// there are other offers these are not asked for: replaced by their like, a class's
+// machines failed to boot one wave after the other, and its work waited for as long
+// as its cheapest offer did not work.
+func (p *Planner) watchBoots(now micro.Time) {
+	missing, up := map[Offer]int{}, map[Offer]int{}
+	for _, m := range p.C.List() {
+		o := Offer{m.TypeName, m.Zone, m.Spot}
+		switch {
+		case m.Type == nil:
+		case m.State == model.Up:
+			up[o]++
+		case m.State == model.Unheard && len(m.Places) == 0 && late(m, now):
+			missing[o]++
+		}
+	}
+	for o, n := range missing {
+		if n >= lateMachines && n > up[o] {
+			p.lateUntil[o] = now + lateFor
+		}
+	}
+	maps.DeleteFunc(p.lateUntil, func(_ Offer, until micro.Time) bool { return until <= now })
+}
+
 // coming lists the room of machines that are expected to come up.
 func (p *Planner) coming(now micro.Time) *stock {
 	out := &stock{by: map[Offer]*group{}}
@@ -237,7 +276,7 @@
 		if m.State != model.Unheard || m.Type == nil || m.ListState == wire.MachineFailed || len(m.Places) > 0 {
 			continue
 		}
-		if now-m.Rented > micro.Time(float64(micro.Of(m.Type.BootS))*expectFactor)+2*micro.Second {
+		if late(m, now) {
 			continue
 		}
 		out.group(Offer{m.TypeName, m.Zone, m.Spot}, m.Type).add(1)
