A swarm of single tasks of a starved class gets through on gathered machines

Cause: ageing gathers a machine for a starved class, but the machine was free for all as soon as one task was placed, and the class did not count as starved for another minute and a half. While higher ranks had more work than room, 2 of a guest team's 60 single tasks began within four minutes, and hardly more after.

Changed: a machine gathered for an array goes on to the next of its class and team that has no place yet, within the minute for which it is gathered, and not while one machine in sixteen is held already.

--- a/internal/sched/age.go
+++ b/internal/sched/age.go
@@ -167,6 +167,37 @@
 // gathered reports whether machines are reserved for the job.
 func (p *Placer) gathered(j *model.Job) bool { return p.reservedFor(j) > 0 }
 
+// handOn keeps a machine that was gathered for a job for the next of its class and
+// team that none was placed of, as long as it would have been kept for the first: a
+// swarm of single tasks got no more than one of them through at a time, once in a
+// minute and a half. None is handed on while one machine to gatherShare is held
+// already.
+func (p *Placer) handOn(m *model.Machine, from *model.Job, since, now micro.Time) {
+	held := 0
+	for x := range p.reserved {
+		if x.Gathered && x.Reserve != nil {
+			held++
+		}
+	}
+	if held >= max(len(p.C.Machines)/gatherShare, 1) {
+		return
+	}
+	var next *model.Job
+	for j := range p.C.Pending {
+		if j.Class != from.Class || j.Team != from.Team || j.Spec.Kind == wire.Gang || j.Started || j.HeldN > 0 || j.Paused(now) || p.reservedFor(j) > 0 ||
+			!Allowed(&j.Spec, m.Type, m.Zone, m.Spot) {
+			continue
+		}
+		if next == nil || j.Since < next.Since || j.Since == next.Since && j.Spec.ID < next.Spec.ID {
+			next = j
+		}
+	}
+	if next != nil {
+		p.hold(m, next, true, now)
+		m.ReserveAt = since
+	}
+}
+
 // large reports whether a job is among the largest of its class.
 func (p *Placer) large(j *model.Job) bool {
 	if p.sizes == nil {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -103,7 +103,11 @@
 
 func (p *Placer) put(j *model.Job, i int, m *model.Machine, attempt uint32, now micro.Time) {
 	scaled := Scaled(j.Spec.CPUs, m.Type.K, m.Type.CPUs)
+	gathered, since := m.Reserve == j && m.Gathered, m.ReserveAt
 	pl := p.C.NewPlace(j, i, m, attempt, scaled, now)
+	if gathered {
+		p.handOn(m, j, since, now)
+	}
 	pl.Last = m.Avoid > now
 	j.Class.Placed = now
 	if j.Team != nil {
