Election: a node that no worker reached lets others campaign first

Of three nodes two were cut off from all workers. Each handed the lead over when it heard none, but was as likely to win the next election as the third node, which workers reached: the two could lead in turn until both had handed over twice, and one stayed. No work went on for as long as the cut lasted.

A node that hands over for hearing no worker now gives other candidates a head start of a second in the elections that follow soon (Election.Yield). It still leads if nobody else campaigns, so a site whose machines are all dead, or whose other nodes are, behaves as before but for that second.

--- a/internal/controller/polls_test.go
+++ b/internal/controller/polls_test.go
@@ -277,17 +277,6 @@
 	}
 }
 
-// others lists the nodes beside one.
-func (w *world) others(than *proc) []*proc {
-	var out []*proc
-	for _, p := range w.procs {
-		if p != than {
-			out = append(out, p)
-		}
-	}
-	return out
-}
-
 // A node that the store refuses alone has its peers say which ids are unknown, and
 // read the jobs that the leader does not answer for.
 func TestRefusedNodeAnswersPollsThroughItsPeers(t *testing.T) {
--- a/internal/controller/reachability.go
+++ b/internal/controller/reachability.go
@@ -36,6 +36,9 @@
 		return
 	}
 	l.n.handover.Store(&handover{now, was.times + 1})
+	// Two nodes that no worker reached once won elections in turn, until both had
+	// handed over as often as they do, and one stayed: the third never led.
+	l.n.election.Yield(l.n.handoverSpan())
 	l.resign("no worker reaches this node")
 }
 
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -86,6 +86,7 @@
 
 	mu     sync.Mutex
 	paused micro.Time // no campaign before
+	yields micro.Time // until then other candidates go first
 	state  State
 	leader string
 	term   *Term
@@ -105,6 +106,18 @@
 	e.mu.Unlock()
 }
 
+// headStart is how long a node that yields waits before it campaigns: enough for
+// a candidate that does not to create the key, also in a slow store.
+const headStart = micro.Second
+
+// Yield lets any other candidate go first for a while. Unlike Pause it keeps this
+// node from nothing: if no other one campaigns, it leads after a head start.
+func (e *Election) Yield(d micro.Time) {
+	e.mu.Lock()
+	e.yields = e.Now() + d
+	e.mu.Unlock()
+}
+
 // Term is this node's term, nil if it does not lead.
 func (e *Election) Term() *Term {
 	e.mu.Lock()
@@ -193,7 +206,8 @@
 // campaign tries to create the leader's key.
 func (e *Election) campaign(ctx context.Context) bool {
 	e.mu.Lock()
-	wait := e.paused - e.Now()
+	now := e.Now()
+	wait, yields := e.paused-now, now < e.yields
 	e.mu.Unlock()
 	if wait > 0 {
 		e.become(Follower, "", nil)
@@ -201,7 +215,11 @@
 		return false
 	}
 	e.become(Candidate, "", nil)
-	e.pause(ctx, micro.Time(rand.Int64N(int64(30*micro.Millisecond))))
+	first := micro.Time(rand.Int64N(int64(30 * micro.Millisecond)))
+	if yields {
+		first += headStart
+	}
+	e.pause(ctx, first)
 	sent := e.Now()
 	lease, err := e.Store.Grant(ctx, e.TTL)
 	if err != nil {
