--- a/internal/controller/isolation_test.go
+++ b/internal/controller/isolation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/wire"
@@ -95,3 +96,92 @@
 		}
 	})
 }
+
+// Fault: the leader, and in a site of five another node too, is silent for over a
+// minute, frozen, cut off from everything, or gone. Users and work go on through
+// the others; when it is back it tells nothing of its old term.
+func TestWorkGoesOnWhileTheLeaderIsSilent(t *testing.T) {
+	const silentFor = 100 * micro.Second
+	for name, silence := range map[string]func(w *world, p *proc){
+		"frozen":  func(w *world, p *proc) { w.trouble(silentFor, func() { p.freeze(silentFor) }, func() {}) },
+		"cut off": func(w *world, p *proc) { w.cutOff(p, silentFor, "state", "peers", "workers", "users", "cloud") },
+		"gone":    func(w *world, p *proc) { w.trouble(silentFor, func() { w.restart(p, silentFor) }, func() {}) },
+	} {
+		for _, c := range []struct{ nodes, silent int }{{3, 1}, {5, 2}} {
+			t.Run(fmt.Sprintf("%s, %d of %d", name, c.silent, c.nodes), func(t *testing.T) {
+				seeds(t, 3, c.nodes, func(w *world) {
+					// Fewer machines than it takes for the old leader to hand over for
+					// hearing none: only its right is to keep it from answering.
+					j := w.fills("a", 1)
+					leader, followers := w.led()
+					silent := append([]*proc{leader}, followers[:c.silent-1]...)
+					rest := w.others(silent...)
+					ends := w.wants(order{kind: wire.Array, tasks: 1, cpus: 1, run: 25 * micro.Second, team: "other"}).submit()
+					called := w.wants(order{kind: wire.Service, tasks: 1, cpus: 1}).submit()
+					w.until("the leader knows both", 30*micro.Second, func() bool { return leader.remembers(called.id) != "" && ends.running() == 1 })
+					from := w.now()
+					for _, p := range silent {
+						silence(w, p)
+					}
+					w.until("another leads", 10*micro.Second, func() bool { l := w.leader(); return l != nil && l != leader })
+					w.until("cancelled", 60*micro.Second, func() bool { return stateOf(called.withdraw(rest[0])) == wire.JobAborted })
+					w.until("done", 60*micro.Second, func() bool { return stateOf(ends.poll(rest[0])) == wire.JobDone })
+					w.goesOn(rest)
+					if w.now() > from+silentFor {
+						w.t.Fatalf("what goes on took %v s, longer than the silence", (w.now() - from).Seconds())
+					}
+					// Whatever it still has in mind, it tells nothing from before.
+					w.slowFor(silent, 300*micro.Millisecond, from+silentFor+5*micro.Second-w.now())
+					w.sleep(from + silentFor - 500*micro.Millisecond - w.now())
+					for w.now() < from+silentFor+3*micro.Second {
+						for _, p := range silent {
+							go ends.poll(p)
+							go called.poll(p)
+						}
+						w.sleep(20 * micro.Millisecond)
+					}
+					w.until("calm", 10*micro.Second, w.calm)
+					w.goesOn(w.procs)
+					if j.running() != 1 || j.starts() != 1 {
+						w.t.Errorf("%d of its tasks run, %d starts", j.running(), j.starts())
+					}
+				})
+			})
+		}
+	}
+}
+
+// Fault: the store refuses the leader alone, for longer than a worker's lease, while
+// peers, workers and users reach it. Another node leads, tasks run on, and users are
+// served through every node, the refused one included.
+func TestStoreRefusesTheLeaderAloneBeyondALease(t *testing.T) {
+	const refusedFor = 70 * micro.Second
+	for _, nodes := range []int{3, 5} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			seeds(t, 4, nodes, func(w *world) {
+				j := w.fills("a", 3)
+				refused, followers := w.led()
+				from := w.now()
+				w.refuse(refused, refusedFor)
+				w.until("another leads", 8*micro.Second, func() bool { l := w.leader(); return l != nil && l != refused })
+				called := w.submitThrough([]*proc{refused}, 10*micro.Second, order{kind: wire.Service, tasks: 1, cpus: 1})
+				w.until("cancelled", 60*micro.Second, func() bool { return stateOf(called.withdraw(followers[0])) == wire.JobAborted })
+				w.goesOn(append([]*proc{refused}, followers[:1]...))
+				w.sleep(from + refusedFor - 5*micro.Second - w.now())
+				w.answeredBy(called, refused, 2*micro.Second)
+				if l := w.leader(); l == nil || l == refused {
+					w.t.Error("another node should lead all the while")
+				}
+				if j.running() != 3 || j.starts() != 3 {
+					w.t.Errorf("%d of its tasks run, %d starts", j.running(), j.starts())
+				}
+				w.until("calm", 10*micro.Second, w.calm)
+				w.goesOn(w.procs)
+				time.Sleep(time.Second)
+				if j.running() != 3 || j.starts() != 3 {
+					w.t.Errorf("afterwards %d of its tasks run, %d starts", j.running(), j.starts())
+				}
+			})
+		})
+	}
+}
