Scale: rent in a zone that is cut off only for work bound to it

A zone was cut off for longer than its keepers renew leases. The tasks that were killed there were to run elsewhere, but the machines for them were rented in the same zone, the cheapest, again and again, and reported to nobody: nothing was placed again until the cut ended.

Where all controllers of a zone are out of touch, and none of its machines was heard since, the planner now chooses offers in other zones first, and only work that no other offer suits counts on room coming up there. A leader that took over during the cut has never been in touch with the zone's nodes, and took it for one in reach: Ledger.Away counts such a zone as well, 8 s into the term. Neither frees a place; what keepers may have renewed is bounded as before.

--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -182,3 +182,25 @@
 		t.Fatalf("the days were too quiet: %d renewals, places free in %d looks", renewals, freed)
 	}
 }
+
+// A leader that took over while a zone was cut off has never been in touch with its
+// nodes, and took the zone for one in reach.
+func TestZoneThatWasNeverInTouchIsAwayOnceThereWasTimeForIt(t *testing.T) {
+	const began = micro.Minute
+	l := NewLedger(7, began, 45*micro.Second, map[string]string{"n-1": "a", "n-2": "a", "n-3": "b", "n-4": "c"}, "c")
+	if l.Away("a", began+introduction) {
+		t.Error("its nodes had no time to ask yet")
+	}
+	now := began + introduction + micro.Second
+	if !l.Away("a", now) {
+		t.Error("no node of the zone has asked since the term began")
+	}
+	if l.Away("b", now) || l.Away("c", now) {
+		t.Error("a zone of one node, or the leader's own, is never away")
+	}
+	e := l.Answer(Request{Node: "n-1"}, now)
+	l.Answer(Request{Node: "n-1", Echo: e}, now+Every)
+	if l.Away("a", now+Every) {
+		t.Error("one of its nodes is in touch")
+	}
+}
--- a/internal/keep/ledger.go
+++ b/internal/keep/ledger.go
@@ -8,9 +8,10 @@
 
 // Ledger is what a leader knows of the other nodes as keepers, in one term.
 type Ledger struct {
-	term uint64
-	span micro.Time
-	self string // the leader's own zone, "" if it can have no keepers
+	term  uint64
+	began micro.Time
+	span  micro.Time
+	self  string // the leader's own zone, "" if it can have no keepers
 
 	mu    sync.Mutex
 	zones map[string][]string // the zones that can have keepers, with their nodes
@@ -28,7 +29,7 @@
 // leader's own zone. A zone of one node has no keeper: a node cut off by itself
 // and a zone cut off look alike to it.
 func NewLedger(term uint64, began, span micro.Time, nodes map[string]string, self string) *Ledger {
-	l := &Ledger{term: term, span: span, zones: map[string][]string{}, nodes: map[string]*contact{}}
+	l := &Ledger{term: term, began: began, span: span, zones: map[string][]string{}, nodes: map[string]*contact{}}
 	if span == 0 {
 		return l
 	}
@@ -92,12 +93,17 @@
 	return until
 }
 
-// Away reports whether a zone's nodes, two or more, are all out of touch that were
-// in touch in this term.
+// introduction is how long after a term began each node in reach has asked its
+// leader: it asks every second, and twice until it is in touch.
+const introduction = 8 * micro.Second
+
+// Away reports whether a zone's nodes, two or more, are all out of touch. One that
+// has not been in touch in this term counts once there was time for it: a leader
+// that took over while the zone was cut off once rented machines there.
 func (l *Ledger) Away(zone string, now micro.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	away := false
+	away := now-l.began > introduction
 	for _, n := range l.zones[zone] {
 		c := l.nodes[n]
 		if c.inTouch(now) {
@@ -105,7 +111,7 @@
 		}
 		away = away || c.sure > 0
 	}
-	return away && zone != l.self
+	return away && len(l.zones[zone]) > 0 && zone != l.self
 }
 
 // Limit is until when a keeper of a zone may yet renew a lease, if none is
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -169,6 +169,22 @@
 	return !away || m.Heard > since
 }
 
+// ZoneReachable reports whether a machine that is rented in the zone is likely to be
+// heard: its controllers are in touch, or one of its machines was heard since they
+// are not.
+func (c *Cluster) ZoneReachable(zone string) bool {
+	since, away := c.Away[zone]
+	if !away {
+		return true
+	}
+	for _, m := range c.List() {
+		if m.Zone == zone && m.Heard > since {
+			return true
+		}
+	}
+	return false
+}
+
 // lastSign is the latest time from which the worker's lease may count: the last
 // answer to any of its reports, a late copy included, or the takeover, before
 // which another leader may have answered it; or the last time at which a keeper
--- a/internal/scale/price.go
+++ b/internal/scale/price.go
@@ -209,7 +209,7 @@
 }
 
 // choose finds the offer that costs least per task, first among those whose
-// machines come up.
+// machines come up; in a zone that is cut off only if there is no other.
 func (p *Planner) choose(d *demand, left int, zoneN map[string]int, thrift bool, now micro.Time) *bin {
 	if b := p.cheapestOffer(d, left, zoneN, thrift, p.lateUntil, now); b != nil || len(p.lateUntil) == 0 {
 		return b
@@ -248,7 +248,9 @@
 					continue
 				}
 				cost := price / float64(min(k, left)) * (1 + t.BootS/300)
-				if best == nil || cost < bestCost {
+				sooner := best != nil && p.cut[best.zone] && !p.cut[z]
+				later := best != nil && !p.cut[best.zone] && p.cut[z]
+				if best == nil || sooner || cost < bestCost && !later {
 					b.offer = o
 					best, bestCost = b, cost
 				}
--- a/internal/scale/rental.go
+++ b/internal/scale/rental.go
@@ -63,7 +63,7 @@
 // serve rents room for a demand, the cheapest offer first.
 func (plan *rentalPlan) serve(d *demand) {
 	short := &shortage{demand: d, zoneN: map[string]int{}}
-	short.left = d.n - plan.coming.take(d, d.n, short.zoneN)
+	short.left = d.n - plan.takeComing(short)
 	if short.left > 0 && d.level > 0 && plan.thrifty {
 		// A machine would take this long to start the work: room that comes free
 		// by then makes it a waste.
@@ -80,7 +80,7 @@
 // rentNext rents of the best offer; false if nothing more is to be rented for the
 // demand.
 func (plan *rentalPlan) rentNext(short *shortage) bool {
-	best := plan.choose(short)
+	best := plan.planner.offer(short.demand, short.left, short.zoneN, plan.now)
 	if best == nil {
 		return false
 	}
@@ -108,13 +108,20 @@
 	return true
 }
 
-func (plan *rentalPlan) choose(short *shortage) *bin {
-	p := plan.planner
-	best := p.choose(short.demand, short.left, short.zoneN, true, plan.now)
-	if best == nil && short.level == 0 {
-		best = p.choose(short.demand, short.left, short.zoneN, false, plan.now) // at any price
+// takeComing puts a demand's tasks on machines that are expected to come up and says
+// how many fit. Room beyond a cut is left to what can go nowhere else.
+func (plan *rentalPlan) takeComing(short *shortage) int {
+	cut := plan.planner.cut
+	took := plan.coming.take(short.demand, short.n, short.zoneN, cut, false)
+	left := short.n - took
+	if left == 0 || len(cut) == 0 {
+		return took
+	}
+	best := plan.planner.offer(short.demand, left, short.zoneN, plan.now)
+	if best == nil || cut[best.zone] {
+		took += plan.coming.take(short.demand, left, short.zoneN, cut, true)
 	}
-	return best
+	return took
 }
 
 // allowDear reports whether an offer may be rented although it is dear: not for
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -33,8 +33,9 @@
 	Dry     map[Offer]int        // refusals in a row
 	Asked   map[string]Ask       // rentals without an answer yet, by request
 
-	own  bool       // operators keep machines of their own, by the last plan
-	calm micro.Time // since when nothing has waited for room; 0: something does
+	cut  map[string]bool // zones that are out of reach, by the last plan
+	own  bool            // operators keep machines of their own, by the last plan
+	calm micro.Time      // since when nothing has waited for room; 0: something does
 
 	lateUntil map[Offer]micro.Time // until when offers are left out whose machines did not come up
 
@@ -73,6 +74,7 @@
 // Plan says what to rent and which machines to return for being idle.
 func (p *Planner) Plan(now micro.Time) (asks []Ask, idle []*model.Machine) {
 	p.own = p.hasOwn()
+	p.cut = p.cutOff()
 	p.watch(now)
 	if p.lateUntil == nil {
 		p.lateUntil = map[Offer]micro.Time{}
@@ -93,6 +95,28 @@
 	return rentals.requests(), p.idle(now)
 }
 
+// offer is what to rent for a demand: work of the first rank at any price.
+func (p *Planner) offer(d *demand, left int, zoneN map[string]int, now micro.Time) *bin {
+	b := p.choose(d, left, zoneN, true, now)
+	if b == nil && d.level == 0 {
+		b = p.choose(d, left, zoneN, false, now)
+	}
+	return b
+}
+
+// cutOff lists the zones that are out of reach. What is rented there reports to
+// nobody until the cut ends: tasks that were killed in such a zone once waited while
+// machines were rented there again and again.
+func (p *Planner) cutOff() map[string]bool {
+	out := map[string]bool{}
+	for zone := range p.C.Away {
+		if !p.C.ZoneReachable(zone) {
+			out[zone] = true
+		}
+	}
+	return out
+}
+
 // atOnce is how much of an offer may be asked for at a time.
 func (p *Planner) atOnce(o Offer) int {
 	if p.Dry[o] > 0 {
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -193,3 +193,50 @@
 		t.Fatal("the work still waits")
 	}
 }
+
+// A zone was cut off for so long that its tasks were to run elsewhere. The machines
+// for them were rented in the same zone, the cheapest, where they reached nobody.
+func TestRentsInAZoneThatIsCutOffOnlyWhatCanGoNowhereElse(t *testing.T) {
+	zoneOf := func(heard micro.Time, bound bool) string {
+		p := planner()
+		p.C.Away["a"] = now - micro.Minute
+		m := p.C.Machine("i-1", now)
+		p.C.Describe(m, "small", "a", false)
+		m.State, m.Heard = model.Silent, heard
+		j := p.submit("j-1", 4, 1, false)
+		if zone := "a"; bound {
+			j.Spec.Zone = &zone
+		}
+		asks, _ := p.Plan(now)
+		if len(asks) != 1 || asks[0].Count != 1 {
+			t.Fatalf("%+v", asks)
+		}
+		return asks[0].Zone
+	}
+	if z := zoneOf(now-2*micro.Minute, false); z != "b" {
+		t.Errorf("rented in zone %s, which is cut off", z)
+	}
+	if z := zoneOf(now-2*micro.Minute, true); z != "a" {
+		t.Errorf("bound to zone a, rented in %s", z)
+	}
+	if z := zoneOf(now-micro.Second, false); z != "a" {
+		t.Errorf("its machines are heard, only its controllers are not: rented in %s", z)
+	}
+}
+
+// Machines that come up in a zone that is cut off are left to the work bound to it:
+// others once took them into account first, and more were rented there each second.
+func TestRoomComingUpInAZoneThatIsCutOffIsLeftToWhatIsBoundToIt(t *testing.T) {
+	p := planner()
+	p.C.Away["a"] = now - micro.Minute
+	p.submit("j-1", 4, 1, false)
+	zone := "a"
+	p.submit("j-2", 4, 1, false).Spec.Zone = &zone
+	for i, z := range []string{"a", "b"} {
+		m := p.C.Machine([]string{"i-1", "i-2"}[i], now)
+		p.C.Describe(m, "small", z, false)
+	}
+	if asks, _ := p.Plan(now); len(asks) != 0 {
+		t.Errorf("rented though room for both is coming up: %+v", asks)
+	}
+}
--- a/internal/scale/stock.go
+++ b/internal/scale/stock.go
@@ -110,15 +110,16 @@
 	return (len(j.Tasks)+1)/2 - j.ZoneHeld[zone] - j.ZoneHeld[""] - zoneN[zone]
 }
 
-// take puts up to n of a demand's tasks into the stock and says how many fit.
-func (s *stock) take(d *demand, n int, zoneN map[string]int) int {
+// take puts up to n of a demand's tasks into the stock of the zones that are cut off,
+// or of the others, and says how many fit.
+func (s *stock) take(d *demand, n int, zoneN map[string]int, cut map[string]bool, beyond bool) int {
 	takes := d.takes()
 	took := 0
 	for _, g := range s.groups {
 		if took == n {
 			break
 		}
-		if g.empty == 0 && len(g.parts) == 0 || !sched.Allowed(d.spec, g.typ, g.Zone, g.Spot) {
+		if cut[g.Zone] != beyond || g.empty == 0 && len(g.parts) == 0 || !sched.Allowed(d.spec, g.typ, g.Zone, g.Spot) {
 			continue
 		}
 		k := g.take(d.spec, min(n-took, zoneRoom(d, g.Zone, zoneN)))
