--- a/internal/controller/boot_test.go
+++ b/internal/controller/boot_test.go
@@ -45,12 +45,7 @@
 						w.sleep(micro.Second)
 						return true
 					}
-					for _, h := range w.hosts() {
-						if _, ok := w.askedBack(h.w.Name); ok {
-							return true
-						}
-					}
-					return false
+					return w.anyAskedBack()
 				})
 				if end == "handed over" {
 					l.handOver()
@@ -72,6 +67,16 @@
 	}
 }
 
+// anyAskedBack reports whether the return of any machine was asked for.
+func (w *world) anyAskedBack() bool {
+	for _, h := range w.hosts() {
+		if _, ok := w.askedBack(h.w.Name); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // askedBack is when the return of a machine was first asked for.
 func (w *world) askedBack(name string) (micro.Time, bool) {
 	w.mu.Lock()
--- a/internal/controller/polls_test.go
+++ b/internal/controller/polls_test.go
@@ -385,7 +385,7 @@
 		w.quick = true
 		w.base.Facts.State.RPS = stormRPS
 	}, func(w *world) {
-		l, _ := w.led()
+		w.led()
 		var jobs []*job
 		for range 6 {
 			jobs = append(jobs, w.wants(order{kind: wire.Array, tasks: 1, run: micro.Second}).submit())
@@ -401,7 +401,7 @@
 		for _, p := range w.procs {
 			w.begin(p)
 		}
-		l, _ = w.led()
+		l, _ := w.led()
 		s := w.storms(3000)
 		defer close(s.stop)
 		w.sleep(5 * micro.Second)
