Test of machines on their way back waits for the forms by the store

Cause: it read the leader's model from outside of its loop, which the race detector reports. Changed: it looks for the raised format in the store.

--- a/internal/controller/boot_test.go
+++ b/internal/controller/boot_test.go
@@ -6,6 +6,7 @@
 
 	"notchmux.dev/notchmux/internal/fake"
 	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -22,7 +23,11 @@
 				w.base.IdleReturn = 5 * micro.Second
 			}, func(w *world) {
 				l, _ := w.led()
-				w.until("the forms of this version in use", micro.Minute, func() bool { return l.current().leading().c.Compact })
+				w.until("the forms of this version in use", micro.Minute, func() bool {
+					_, err := w.store.Get(w.ctx, store.Routine, formatKey)
+					return err == nil
+				})
+				w.sleep(micro.Second) // and its leader told
 				w.starts = func(h *host, k fake.Key) {
 					if at, ok := w.askedBack(h.w.Name); ok {
 						t.Errorf("%v: %s starts on %s, whose return was asked for at %v", w.now(), k.Task, h.w.Name, at)
