--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -358,7 +358,7 @@
 // that was gone looked like their own.
 func TestOwnMachinesAreThoseCreatedBeforeTheFirstRental(t *testing.T) {
 	l := &Lead{}
-	if !l.own(&model.Machine{Name: "i-000007"}) || l.own(&model.Machine{Name: "i-000007", Hire: "r-1-1"}) {
+	if !l.own(&model.Machine{Name: "i-000007"}) || l.own(&model.Machine{Name: "i-000007", RentalID: "r-1-1"}) {
 		t.Error("before any rental is answered, what was not rented is their own")
 	}
 	l.first = "i-000024"
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -38,55 +38,55 @@
 	serving      atomic.Bool // the takeover is over: known holds all jobs that it read
 
 	// Owned by the loop.
-	c          *model.Cluster
-	placer     *sched.Placer
-	planner    *scale.Planner
-	speeds     *sched.Speeds
-	goals      *sched.Goals
-	w          *writer
-	token      uint64
-	tokenAt    micro.Time
-	raisedAt   micro.Time
-	changed    bool
-	kicked     map[*model.Machine]bool
-	lastPass   micro.Time
-	passGap    micro.Time // least time between passes, by what the last one took
-	watched    int        // next machine to look over for overrunning tasks
-	directs    int        // direct orders under way
-	lastScan   micro.Time
-	lastPlan   micro.Time
-	lastSpeed  micro.Time
-	lastStats  micro.Time
-	lastImages micro.Time
-	hires      map[string]*hire
-	hireN      int
-	asking     []*hire                   // rentals whose turn is to come
-	renting    int                       // rentals under way
-	first      string                    // the first machine that the service ever rented
-	listAt     micro.Time                // when the list that was read last was asked for
-	returns    map[*model.Machine]uint64 // machines to be returned, with the version of their rental's record that must be stored before
-	ledger     *keep.Ledger
-	barred     atomic.Pointer[map[string]bool] // zones whose keepers are not answered; nil: all
-	doubted    map[string]micro.Time           // when a zone was last missing too much to be taken for dead machines
-	leaving    map[*model.Job]bool             // withdrawn jobs whose users are not told yet
-	unproven   map[*model.Job]bool             // those whose users were told, with places not proven free
-	lapsed     bool
-	resumed    micro.Time // when this node last came to listen again
-	lastTick   micro.Time
-	deaf       micro.Time // since when no worker reports; 0: some do
-	reports    uint64     // reports heard from workers
-	silence    silence    // how long none has come
-	waiters    map[string][]chan front.Reply
-	lookups    map[string]bool // awaited jobs to be looked up in the store
-	format     FormatRecord
-	loaded     bool // the takeover has read everything
-	looking    bool // a look-up is under way
+	c           *model.Cluster
+	placer      *sched.Placer
+	planner     *scale.Planner
+	speeds      *sched.Speeds
+	goals       *sched.Goals
+	w           *writer
+	token       uint64
+	tokenAt     micro.Time
+	raisedAt    micro.Time
+	changed     bool
+	kicked      map[*model.Machine]bool
+	lastPass    micro.Time
+	passGap     micro.Time // least time between passes, by what the last one took
+	watched     int        // next machine to look over for overrunning tasks
+	directs     int        // direct orders under way
+	lastScan    micro.Time
+	lastPlan    micro.Time
+	lastSpeed   micro.Time
+	lastStats   micro.Time
+	lastImages  micro.Time
+	rentals     map[string]*rental
+	rentalCount int
+	asking      []*rental                 // rentals whose turn is to come
+	renting     int                       // rentals under way
+	first       string                    // the first machine that the service ever rented
+	listAt      micro.Time                // when the list that was read last was asked for
+	returns     map[*model.Machine]uint64 // machines to be returned, with the version of their rental's record that must be stored before
+	ledger      *keep.Ledger
+	barred      atomic.Pointer[map[string]bool] // zones whose keepers are not answered; nil: all
+	doubted     map[string]micro.Time           // when a zone was last missing too much to be taken for dead machines
+	leaving     map[*model.Job]bool             // withdrawn jobs whose users are not told yet
+	unproven    map[*model.Job]bool             // those whose users were told, with places not proven free
+	lapsed      bool
+	resumed     micro.Time // when this node last came to listen again
+	lastTick    micro.Time
+	deaf        micro.Time // since when no worker reports; 0: some do
+	reports     uint64     // reports heard from workers
+	silence     silence    // how long none has come
+	waiters     map[string][]chan front.Reply
+	lookups     map[string]bool // awaited jobs to be looked up in the store
+	format      FormatRecord
+	loaded      bool // the takeover has read everything
+	looking     bool // a look-up is under way
 }
 
 func newLead(n *Node, t *election.Term) *Lead {
 	l := &Lead{
 		n: n, term: t, log: n.Log.With("term", t.Stamp), events: make(chan func(), 4096), asks: make(chan func(), 1024), done: make(chan struct{}),
-		token: t.Stamp << tokenBits, kicked: map[*model.Machine]bool{}, hires: map[string]*hire{},
+		token: t.Stamp << tokenBits, kicked: map[*model.Machine]bool{}, rentals: map[string]*rental{},
 		returns: map[*model.Machine]uint64{}, waiters: map[string][]chan front.Reply{},
 		lookups: map[string]bool{}, doubted: map[string]micro.Time{},
 		leaving: map[*model.Job]bool{}, unproven: map[*model.Job]bool{},
@@ -327,7 +327,7 @@
 	}
 	l.log.Info("leading", "live", len(l.c.Live), "awaiting", l.c.AwaitingN, "pending", len(l.c.Pending), "tasks", l.pendingTasks.Load(), "usable", up, "known", len(l.c.Machines),
 		"writes_first", len(l.w.queues[first]), "writes_soon", len(l.w.queues[soon]), "writes_lazy", len(l.w.queues[lazy]), "writes_idle", len(l.w.queues[idle]), "written", l.w.told(),
-		"pass_gap_ms", int64(l.passGap/micro.Millisecond), "events", len(l.events), "asks", len(l.asks), "directs", l.directs, "kicked", len(l.kicked), "hires_waiting", len(l.asking), "fleet", fleet.String())
+		"pass_gap_ms", int64(l.passGap/micro.Millisecond), "events", len(l.events), "asks", len(l.asks), "directs", l.directs, "kicked", len(l.kicked), "rentals_waiting", len(l.asking), "fleet", fleet.String())
 }
 
 func (l *Lead) resign(why string) {
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -149,7 +149,7 @@
 	n, _ := b.open("n-0", announced)
 	l := newLead(n, n.leading().term)
 	l.c.UseCompact(64)
-	rec := hireRecord{Rental: wire.Rental{Request: "r-1234567-1234", Type: "a-machine-type", Zone: "a-long-zones-name", Spot: true, Count: 50}, Answered: true, At: int64(micro.Wall())}
+	rec := rentalRecord{Rental: wire.Rental{Request: "r-1234567-1234", Type: "a-machine-type", Zone: "a-long-zones-name", Spot: true, Count: 50}, Answered: true, At: int64(micro.Wall())}
 	for i := range 300 {
 		m := l.c.Machine(fmt.Sprintf("i-%06d", i), 0)
 		m.Type = &model.Type{MachineType: wire.MachineType{CacheGB: 100}}
--- a/internal/controller/fleet.go
+++ b/internal/controller/rentals.go
@@ -15,9 +15,12 @@
 	"notchmux.dev/notchmux/wire"
 )
 
-// hireRecord is a rental as the store keeps it: written before the request is
+// rentalPrefix begins the keys of the rentals' records. It is a fixed format.
+const rentalPrefix = "hire/"
+
+// rentalRecord is a rental as the store keeps it: written before the request is
 // sent, so that a lost answer is asked for again under the same name.
-type hireRecord struct {
+type rentalRecord struct {
 	Rental   wire.Rental `msgpack:"r" json:"r"`
 	Machines []string    `msgpack:"m" json:"m"`
 	Answered bool        `msgpack:"a" json:"a"`
@@ -37,22 +40,22 @@
 	return append(names[:i:i], names[i+1:]...)
 }
 
-// HireState is the state of a rental.
-type HireState uint8
+// RentalState is the state of a rental.
+type RentalState uint8
 
 // The states of a rental.
 const (
-	HireWriting HireState = iota // its record is being written
-	HireAsking                   // the request waits for its turn, or is out
-	HireHeld                     // machines were rented
-	HireOver                     // refused, or all its machines are gone
+	RentalWriting   RentalState = iota // its record is being written
+	RentalRequested                    // the request waits for its turn, or is out
+	RentalHeld                         // machines were rented
+	RentalOver                         // refused, or all its machines are gone
 )
 
-func (s HireState) String() string { return [...]string{"writing", "asking", "held", "over"}[s] }
+func (s RentalState) String() string { return [...]string{"writing", "asking", "held", "over"}[s] }
 
-type hire struct {
-	state HireState
-	rec   hireRecord
+type rental struct {
+	state RentalState
+	rec   rentalRecord
 	asked micro.Time
 	sent  bool // the cloud may know of it
 	level int  // the rank of the work that asked for it
@@ -63,38 +66,38 @@
 }
 
 // become is the one place where a rental's state changes.
-func (l *Lead) become(h *hire, to HireState) {
-	if to <= h.state && !(h.state == HireWriting && to == HireWriting) {
+func (l *Lead) become(h *rental, to RentalState) {
+	if to <= h.state && !(h.state == RentalWriting && to == RentalWriting) {
 		return
 	}
 	h.state = to
 	switch to {
-	case HireAsking:
+	case RentalRequested:
 		h.asked = l.n.Now()
 		at := sort.Search(len(l.asking), func(i int) bool { return l.asking[i].level > h.level })
 		l.asking = slices.Insert(l.asking, at, h)
 		l.pump(h.asked)
-	case HireHeld:
+	case RentalHeld:
 		delete(l.planner.Asked, h.rec.Rental.Request)
 		h.cell.touch(l.n.Now(), lazy)
-	case HireOver:
+	case RentalOver:
 		delete(l.planner.Asked, h.rec.Rental.Request)
-		delete(l.hires, h.rec.Rental.Request)
+		delete(l.rentals, h.rec.Rental.Request)
 		h.cell.touch(l.n.Now(), lazy)
 	}
 }
 
-func (l *Lead) hireCell(h *hire) *cell {
-	c := l.w.cell("hire/" + h.rec.Rental.Request)
+func (l *Lead) rentalRecordCell(h *rental) *cell {
+	c := l.w.cell(rentalPrefix + h.rec.Rental.Request)
 	c.build = func() (any, uint64) {
-		if h.state == HireOver {
+		if h.state == RentalOver {
 			return nil, 0
 		}
 		return h.rec, h.version
 	}
 	c.saved = func(version uint64) {
-		if h.state == HireWriting {
-			l.become(h, HireAsking)
+		if h.state == RentalWriting {
+			l.become(h, RentalRequested)
 		}
 		if version > h.saved {
 			h.saved = version
@@ -105,38 +108,38 @@
 	return c
 }
 
-func (l *Lead) restoreHire(it wire.Item, now, wall micro.Time) {
-	var rec hireRecord
+func (l *Lead) restoreRental(it wire.Item, now, wall micro.Time) {
+	var rec rentalRecord
 	if wire.Unmarshal(it.Value, &rec) != nil {
 		return
 	}
-	h := &hire{rec: rec}
-	l.hires[rec.Rental.Request] = h
-	l.hireCell(h).stamp = uint64(it.Version)
+	h := &rental{rec: rec}
+	l.rentals[rec.Rental.Request] = h
+	l.rentalRecordCell(h).stamp = uint64(it.Version)
 	if !rec.Answered {
 		h.sent = true // perhaps: only the same name again can tell
 		l.planner.Asked[rec.Rental.Request] = scale.Ask{Offer: scale.Offer{Type: rec.Rental.Type, Zone: rec.Rental.Zone, Spot: rec.Rental.Spot}, Count: rec.Rental.Count}
-		l.become(h, HireAsking)
+		l.become(h, RentalRequested)
 		return
 	}
-	h.state = HireHeld
+	h.state = RentalHeld
 	age := max(wall-micro.Time(rec.At), 0)
 	for _, name := range rec.Machines {
-		l.hired(h, name, now-age, now)
+		l.addRented(h, name, now-age, now)
 	}
 	for _, name := range rec.Returning {
-		l.hired(h, name, now-age, now)
+		l.addRented(h, name, now-age, now)
 		l.giveBack(l.c.Machine(name, now), "an earlier leader asked for its return")
 	}
 }
 
-// hired adds a machine that a rental brought.
-func (l *Lead) hired(h *hire, name string, at, now micro.Time) {
+// addRented adds a machine that a rental brought.
+func (l *Lead) addRented(h *rental, name string, at, now micro.Time) {
 	if l.c.Gone[name] {
 		return
 	}
 	m := l.c.Machine(name, now)
-	m.Hire = h.rec.Rental.Request
+	m.RentalID = h.rec.Rental.Request
 	m.Rented = at
 	l.c.Describe(m, h.rec.Rental.Type, h.rec.Rental.Zone, h.rec.Rental.Spot)
 }
@@ -145,16 +148,16 @@
 func (l *Lead) plan(now micro.Time) {
 	asks, idle := l.planner.Plan(now)
 	for _, a := range asks { // each at most what one call rents
-		l.hireN++
-		h := &hire{level: a.Level, rec: hireRecord{At: int64(l.n.Wall()), Rental: wire.Rental{
-			Request: fmt.Sprintf("r-%d-%d", l.term.Stamp, l.hireN), Type: a.Type, Zone: a.Zone, Spot: a.Spot, Count: a.Count}}}
-		l.hires[h.rec.Rental.Request] = h
+		l.rentalCount++
+		h := &rental{level: a.Level, rec: rentalRecord{At: int64(l.n.Wall()), Rental: wire.Rental{
+			Request: fmt.Sprintf("r-%d-%d", l.term.Stamp, l.rentalCount), Type: a.Type, Zone: a.Zone, Spot: a.Spot, Count: a.Count}}}
+		l.rentals[h.rec.Rental.Request] = h
 		l.planner.Asked[h.rec.Rental.Request] = a
 		haste := soon
 		if a.Level == 0 {
 			haste = first
 		}
-		l.hireCell(h).touch(now, haste)
+		l.rentalRecordCell(h).touch(now, haste)
 		l.log.Info("rent", "request", h.rec.Rental.Request, "type", a.Type, "zone", a.Zone, "spot", a.Spot, "count", a.Count, "for", a.For)
 	}
 	for _, m := range idle {
@@ -174,7 +177,7 @@
 		l.asking = l.asking[1:]
 		r := h.rec.Rental
 		if !h.sent && l.planner.Refused[scale.Offer{Type: r.Type, Zone: r.Zone, Spot: r.Spot}] > now {
-			l.become(h, HireOver)
+			l.become(h, RentalOver)
 			continue
 		}
 		h.sent = true
@@ -184,7 +187,7 @@
 }
 
 // rent sends a rental until it is answered for good.
-func (l *Lead) rent(h *hire, r wire.Rental) {
+func (l *Lead) rent(h *rental, r wire.Rental) {
 	refusals := 0
 	for {
 		if !l.valid() {
@@ -213,7 +216,7 @@
 	}
 }
 
-func (l *Lead) rented(h *hire, names []string) {
+func (l *Lead) rented(h *rental, names []string) {
 	now := l.n.Now()
 	r := h.rec.Rental
 	l.log.Info("rented", "request", r.Request, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(names))
@@ -230,16 +233,16 @@
 	}
 	h.rec.Machines, h.rec.Answered = names, true
 	if len(names) == 0 {
-		l.become(h, HireOver)
+		l.become(h, RentalOver)
 		return
 	}
-	l.become(h, HireHeld)
+	l.become(h, RentalHeld)
 	for _, name := range names {
 		if l.first == "" || before(name, l.first) {
 			l.first = name
 			l.w.first.touch(now, soon)
 		}
-		l.hired(h, name, h.asked, now)
+		l.addRented(h, name, h.asked, now)
 	}
 }
 
@@ -251,7 +254,7 @@
 		return
 	}
 	l.returns[m] = 0
-	h := l.hires[m.Hire]
+	h := l.rentals[m.RentalID]
 	if h == nil || !l.c.Compact || !slices.Contains(h.rec.Machines, m.Name) {
 		return // without a record, or marked by an earlier leader; version 1 would drop the mark
 	}
@@ -264,7 +267,7 @@
 
 // recorded reports whether the store knows that a machine is to be returned.
 func (l *Lead) recorded(m *model.Machine) bool {
-	h := l.hires[m.Hire]
+	h := l.rentals[m.RentalID]
 	return h == nil || l.returns[m] <= h.saved
 }
 
@@ -317,94 +320,11 @@
 
 func (l *Lead) depart(m *model.Machine) {
 	l.c.Depart(m, l.n.Now())
-	if h := l.hires[m.Hire]; h != nil {
+	if h := l.rentals[m.RentalID]; h != nil {
 		h.rec.Machines = without(h.rec.Machines, m.Name)
 		h.rec.Returning = without(h.rec.Returning, m.Name)
 		if len(h.rec.Machines)+len(h.rec.Returning) == 0 {
-			l.become(h, HireOver)
-		}
-	}
-}
-
-// listLoop reads the cloud's list.
-func (l *Lead) listLoop(ctx context.Context) {
-	for {
-		if l.valid() {
-			asked := l.n.Now()
-			var rows []wire.ListedMachine
-			after, ok := "", true
-			for {
-				cctx, cancel := context.WithTimeout(ctx, 6*time.Second)
-				page, err := l.n.Cloud.List(cctx, after)
-				cancel()
-				if err != nil {
-					ok = false
-					break
-				}
-				rows = append(rows, page.Machines...)
-				if !page.More || len(page.Machines) == 0 {
-					break
-				}
-				after = page.Machines[len(page.Machines)-1].Name
-			}
-			if ok {
-				l.post(func() { l.listed(rows, asked) })
-			}
-		}
-		if !l.sleep(listEvery) {
-			return
-		}
-	}
-}
-
-// listEvery is how often the list is read: pages of it cost the leader more
-// than what they tell, which is seldom news.
-const listEvery = 6 * micro.Second
-
-// freshList is how old a list may be by which machines are returned.
-const freshList = 20 * micro.Second
-
-// before reports whether a machine was created before another: names are given
-// in the order of creation.
-func before(a, b string) bool {
-	if len(a) != len(b) {
-		return len(a) < len(b)
-	}
-	return a < b
-}
-
-// own reports whether a machine is the operators' own: created before the first
-// one that the service ever rented. Ages do not tell: an own GPU machine once
-// looked a few milliseconds too young and was returned for being idle, and a
-// returned machine that a lagging list still showed once looked like an own one.
-func (l *Lead) own(m *model.Machine) bool {
-	if l.first == "" {
-		return m.Hire == ""
-	}
-	return before(m.Name, l.first)
-}
-
-func (l *Lead) listed(rows []wire.ListedMachine, asked micro.Time) {
-	now := l.n.Now()
-	l.listAt = asked
-	for i := range rows {
-		r := &rows[i]
-		if l.c.Gone[r.Name] {
-			continue // the list lags
-		}
-		m := l.c.Machine(r.Name, now)
-		if m.Type == nil {
-			l.c.Describe(m, r.Type, r.Zone, r.Spot)
-		}
-		if m.Addr == "" {
-			m.Addr = r.Addr
-		}
-		age := micro.Of(r.AgeS)
-		m.Rented = min(m.Rented, now-age)
-		m.Base = l.own(m)
-		m.Listed, m.ListState = asked, r.State
-		if r.State == wire.MachineFailed {
-			l.giveBack(m, "failed")
+			l.become(h, RentalOver)
 		}
 	}
 }
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -74,7 +74,7 @@
 		return 0, false
 	}
 	l.adopt(&k, now, wall)
-	if !read("hire/", func(it wire.Item) { l.restoreHire(it, now, wall) }) {
+	if !read(rentalPrefix, func(it wire.Item) { l.restoreRental(it, now, wall) }) {
 		return 0, false
 	}
 	var im model.ImageRecord
--- a/internal/controller/versions_test.go
+++ b/internal/controller/versions_test.go
@@ -48,7 +48,7 @@
 		v1Spec:   wire.Job{ID: "j-000412", Class: "train", Team: "team", Kind: wire.Gang, Priority: wire.High, Tasks: 200, CPUs: 0.25, MemoryGB: 1, Image: "img-07", ImageGB: 1.5, Types: []string{"small"}, Zone: &zone, OneZone: true, Spot: true, EstimateS: 240, CheckpointS: 30, SaveS: 4, DeadlineS: &due, SubmittedAt: 1700000000000000},
 		v1Chunk:  model.ChunkRecord{Places: []model.PlaceRecord{{Index: 130, Attempt: 2, Machine: "i-000231", Session: 3, Zone: "east"}, {Index: 131, Attempt: 1, Machine: "i-000232", Session: 1, Zone: "west"}}, Done: [][2]int{{128, 129}, {140, 199}}, Tries: [][2]int{{135, 4}}},
 		v1End:    model.EndRecord{State: wire.JobAborted},
-		v1Hire:   hireRecord{Rental: wire.Rental{Request: "r-7-1", Type: "small", Zone: "east", Spot: true, Count: 2}, Machines: []string{"i-000231", "i-000232"}, Answered: true, At: 1700000000000000},
+		v1Hire:   rentalRecord{Rental: wire.Rental{Request: "r-7-1", Type: "small", Zone: "east", Spot: true, Count: 2}, Machines: []string{"i-000231", "i-000232"}, Answered: true, At: 1700000000000000},
 		v1First:  firstRecord{"i-000231"},
 		v1Leader: election.Record{Node: "n-0", Nonce: "ABC", Lease: 7},
 		v1Images: model.ImageRecord{Names: []string{"img-07"}, GB: []float64{1.5}, Machines: map[string][]int{"i-000231": {0}}},
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -86,7 +86,7 @@
 	HeldFrom   micro.Time // since when it is reserved, for one job or another, and none of them used it
 	HeldTo     micro.Time // when a reservation of it last ended unused
 	Gathered   bool       // reserved for a job that has waited long
-	Hire       string
+	RentalID   string
 
 	images map[string]image // images fetched
 	told   uint64           // the token of the last answer, 0: not known
