--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -32,14 +32,18 @@
 	List(ctx context.Context, after string) (*wire.MachineList, error)
 }
 
+// answerWait is how long the cloud may take over an answer.
+const answerWait = 5 * time.Second
+
 // MaxReturn is how many machines one call returns.
 const MaxReturn = 100
 
 // Client speaks to the real cloud.
 type Client struct {
-	base string
-	http *fasthttp.Client
-	lim  *rate.Limiter
+	base    string
+	http    *fasthttp.Client
+	timeout time.Duration
+	limiter *rate.Limiter
 }
 
 // NewClient makes a client that stays within the given rate.
@@ -51,9 +55,10 @@
 			NoDefaultUserAgentHeader: true, MaxResponseBodySize: 16 << 20,
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		},
+		timeout: answerWait,
 		// Bursts of a second's worth, and a margin for the other nodes, which
 		// read the catalog once.
-		lim: rate.NewLimiter(rate.Limit(rps*0.9), max(1, int(rps))),
+		limiter: rate.NewLimiter(rate.Limit(rps*0.9), max(1, int(rps))),
 	}
 }
 
@@ -62,7 +67,7 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
-	if err := c.lim.Wait(ctx); err != nil {
+	if err := c.limiter.Wait(ctx); err != nil {
 		return ErrBusy
 	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -73,7 +78,7 @@
 	if in != nil {
 		req.SetBodyRaw(wire.MustMarshal(in))
 	}
-	if err := c.http.DoDeadline(req, resp, time.Now().Add(5*time.Second)); err != nil {
+	if err := c.http.DoDeadline(req, resp, time.Now().Add(c.timeout)); err != nil {
 		return fmt.Errorf("%w: %v", ErrUncertain, err)
 	}
 	switch resp.StatusCode() {
