election: the tests set their troubles before a node's first step

In one of 30 runs a node had campaigned before the test paused it: the test was wrong, not the node. What a story sets now goes before the node begins, in the test of a store that refuses as well. A hundred runs with the race detector pass; both were seen failing again without the pause, and without the check of an error.

--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// begin runs a node until the story ends.
-func (s *site) begin(name string, slow int64) *node {
+// begin runs a node until the story ends. What is set goes before its first step.
+func (s *site) begin(name string, slow int64, set ...func(*node)) *node {
 	n := &node{link: fake.NewLink(s.store, rand.New(rand.NewPCG(1, 2)))}
 	n.Election = &Election{
 		Node: name, Nonce: "now", Store: n.link, TTL: ttl, Renew: renew,
@@ -63,6 +63,9 @@
 		OnLead: func(t *Term) { n.gains = append(n.gains, t) },
 		OnLose: func(t *Term) { n.loses = append(n.loses, t) },
 	}
+	for _, f := range set {
+		f(n)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.t.Cleanup(cancel)
 	go func() { _ = n.Run(ctx) }()
@@ -258,8 +261,7 @@
 	for _, reach := range []fake.Reach{fake.Refused, fake.Silent} {
 		t.Run(strconv.Itoa(int(reach)), func(t *testing.T) {
 			inFakeTime(t, func(s *site) {
-				n := s.begin("n-0", 0)
-				n.link.Set(reach)
+				n := s.begin("n-0", 0, func(n *node) { n.link.Set(reach) })
 				s.pass(ttl)
 				if len(n.gains) != 0 || s.held() {
 					t.Fatal("leads without the store")
@@ -276,8 +278,7 @@
 
 func TestPausedNodeDoesNotCampaign(t *testing.T) {
 	inFakeTime(t, func(s *site) {
-		n := s.begin("n-0", 0)
-		n.Pause(ttl)
+		n := s.begin("n-0", 0, func(n *node) { n.Pause(ttl) })
 		s.pass(ttl - micro.Millisecond)
 		if len(n.gains) != 0 || s.held() {
 			t.Fatal("campaigned")
