--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -64,7 +64,6 @@
 
 // peerCall answers another node.
 func (n *Node) peerCall(ctx context.Context, call string, body []byte) (int, []byte) {
-	var r front.Reply
 	switch call {
 	case peer.Ping:
 		return 200, nil
@@ -73,69 +72,97 @@
 	case peer.Keep:
 		return n.answerKeeper(body)
 	case peer.Submit:
-		r = n.submit(body, false)
+		return encodeReply(n.submit(body, false))
 	case peer.Exist:
-		var ids []string
-		if wire.Unmarshal(body, &ids) != nil {
-			return 400, nil
-		}
-		there, err := n.exist(ids, false)
-		if err != nil {
-			return 503, nil
-		}
-		got := []string{}
-		for id := range there {
-			if there[id] {
-				got = append(got, id)
-			}
-		}
-		return 200, wire.MustMarshal(got)
+		return n.answerExist(body)
 	case peer.Accepted:
 		return n.answerAccepted(body)
 	case peer.Read:
-		if !wire.ValidJobID(string(body)) {
-			return 404, nil
-		}
-		if !n.pollBudget.admit(readRequests, 0) {
-			return 503, nil
-		}
-		got, err := n.read(string(body), store.Poll)
-		if err != nil {
-			return 503, nil
-		}
-		r = got
+		return n.answerRead(string(body))
 	case peer.Show, peer.Withdraw, peer.Notify:
-		l := n.leading()
-		if l == nil {
-			return 421, nil
+		if l := n.leading(); l != nil {
+			return n.leaderCall(l, call, body)
 		}
-		switch call {
-		case peer.Show:
-			s, ok := n.finals.get(string(body))
-			if !ok {
-				s, ok = l.show(string(body))
-			}
-			if !ok {
-				return 503, nil // the asker reads the store
-			}
-			r = front.Reply{Status: 200, Body: s}
-		case peer.Withdraw:
-			if !wire.ValidJobID(string(body)) {
-				return 400, nil
-			}
-			r = n.withdrawHere(l, string(body))
-		case peer.Notify:
-			var job wire.Job
-			if wire.Unmarshal(body, &job) != nil || !wire.ValidJobID(job.ID) || job.Tasks < 1 {
-				return 400, nil
-			}
-			l.post(func() { l.addJob(job) })
-			return 200, nil
+		return 421, nil
+	}
+	return 404, nil
+}
+
+// leaderCall answers a call that only the leader can.
+func (n *Node) leaderCall(l *Lead, call string, body []byte) (int, []byte) {
+	switch call {
+	case peer.Show:
+		return n.answerShow(l, string(body))
+	case peer.Withdraw:
+		if !wire.ValidJobID(string(body)) {
+			return 400, nil
 		}
+		return encodeReply(n.withdrawHere(l, string(body)))
+	default:
+		return answerNotify(l, body), nil
 	}
+}
+
+func encodeReply(r front.Reply) (int, []byte) {
 	out, err := wire.Marshal(r.Body)
 	if err != nil {
 		return 500, nil
 	}
 	return r.Status, out
 }
+
+// answerExist says which of some jobs were accepted.
+func (n *Node) answerExist(body []byte) (int, []byte) {
+	var ids []string
+	if wire.Unmarshal(body, &ids) != nil {
+		return 400, nil
+	}
+	there, err := n.exist(ids, false)
+	if err != nil {
+		return 503, nil
+	}
+	got := []string{}
+	for id := range there {
+		if there[id] {
+			got = append(got, id)
+		}
+	}
+	return 200, wire.MustMarshal(got)
+}
+
+// answerRead reads a job from the store for a node that cannot.
+func (n *Node) answerRead(id string) (int, []byte) {
+	if !wire.ValidJobID(id) {
+		return 404, nil
+	}
+	if !n.pollBudget.admit(readRequests, 0) {
+		return 503, nil
+	}
+	got, err := n.read(id, store.Poll)
+	if err != nil {
+		return 503, nil
+	}
+	return encodeReply(got)
+}
+
+// answerShow answers from the leader's memory.
+func (n *Node) answerShow(l *Lead, id string) (int, []byte) {
+	s, ok := n.finals.get(id)
+	if !ok {
+		s, ok = l.show(id)
+	}
+	if !ok {
+		return 503, nil // the asker reads the store
+	}
+	return encodeReply(front.Reply{Status: 200, Body: s})
+}
+
+// answerNotify takes in a job that another node accepted.
+func answerNotify(l *Lead, body []byte) int {
+	var job wire.Job
+	if wire.Unmarshal(body, &job) != nil || !wire.ValidJobID(job.ID) || job.Tasks < 1 {
+		return 400
+	}
+	l.post(func() { l.addJob(job) })
+	return 200
+}
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -12,76 +12,111 @@
 	"notchmux.dev/notchmux/wire"
 )
 
-// load reads everything from the store into the fresh model.
-func (l *Lead) load(ctx context.Context) (uint64, bool) {
-	for l.n.catalog.Load() == nil {
-		if !l.sleep(50 * micro.Millisecond) {
-			return 0, false
-		}
-	}
-	l.c.SetCatalog(l.n.catalog.Load())
-	var rev uint64
-	read := func(prefix string, each func(wire.Item)) bool {
-		after := ""
-		for {
-			page, err := l.n.Store.Range(ctx, store.Leadership, prefix, after, 1000)
-			if err != nil {
-				l.log.Info("takeover read failed", "prefix", prefix, "err", err)
-				if !l.sleep(100 * micro.Millisecond) {
-					return false
-				}
-				continue
-			}
-			if prefix == "job/" && (rev == 0 || uint64(page.Revision) < rev) {
-				rev = uint64(page.Revision)
-			}
-			for _, it := range page.Items {
-				each(it)
-				after = it.Key
-			}
-			if !page.More || len(page.Items) == 0 {
-				return true
-			}
-		}
+// load reads everything from the store into the fresh model. It returns the revision
+// from which changes are to be watched.
+func (l *Lead) load(ctx context.Context) (revision uint64, ok bool) {
+	if !l.awaitCatalog() {
+		return 0, false
 	}
 	now, wall := l.n.Now(), l.n.Wall()
-	var images wire.Item
 	// The forms in use come first: they say how to read the rest.
-	ok := read("fleet/", func(it wire.Item) {
-		switch it.Key {
-		case speedKey:
-			var r sched.Record
-			if wire.Unmarshal(it.Value, &r) == nil {
-				l.speeds.Restore(r)
-				l.w.speed.stamp = uint64(it.Version)
-			}
-		case imageKey:
+	var images wire.Item
+	_, ok = l.readAll(ctx, "fleet/", func(it wire.Item) {
+		if it.Key == imageKey {
 			images = it
-		case firstKey:
-			var r firstRecord
-			if wire.Unmarshal(it.Value, &r) == nil {
-				l.first = r.Machine
-				l.w.first.stamp = uint64(it.Version)
-			}
-		case formatKey:
-			if l.readFormat(it) {
-				l.raised()
-			}
+			return
 		}
+		l.restoreFleet(it)
 	})
+	if !ok {
+		return 0, false
+	}
 	k := newKept()
-	if !ok || !read("job/", k.job) || !read("run/", k.run) {
+	if revision, ok = l.readAll(ctx, "job/", k.job); !ok {
+		return 0, false
+	}
+	if _, ok = l.readAll(ctx, "run/", k.run); !ok {
 		return 0, false
 	}
 	l.adopt(&k, now, wall)
-	if !read(rentalPrefix, func(it wire.Item) { l.restoreRental(it, now, wall) }) {
+	if _, ok = l.readAll(ctx, rentalPrefix, func(it wire.Item) { l.restoreRental(it, now, wall) }); !ok {
 		return 0, false
 	}
-	var im model.ImageRecord
-	if images.Key != "" && wire.Unmarshal(images.Value, &im) == nil {
-		l.c.RestoreImages(im, now)
+	l.restoreImages(images, now)
+	l.restored(now)
+	return revision, true
+}
+
+// awaitCatalog waits for the machine types; false if the term ended.
+func (l *Lead) awaitCatalog() bool {
+	for l.n.catalog.Load() == nil {
+		if !l.sleep(50 * micro.Millisecond) {
+			return false
+		}
+	}
+	l.c.SetCatalog(l.n.catalog.Load())
+	return true
+}
+
+// readAll reads all keys with a prefix, page by page, until it has them all or the
+// term ended. The revision is the lowest of the pages'.
+func (l *Lead) readAll(ctx context.Context, prefix string, each func(wire.Item)) (revision uint64, ok bool) {
+	after := ""
+	for {
+		page, err := l.n.Store.Range(ctx, store.Leadership, prefix, after, 1000)
+		if err != nil {
+			l.log.Info("takeover read failed", "prefix", prefix, "err", err)
+			if !l.sleep(100 * micro.Millisecond) {
+				return 0, false
+			}
+			continue
+		}
+		if revision == 0 || uint64(page.Revision) < revision {
+			revision = uint64(page.Revision)
+		}
+		for _, it := range page.Items {
+			each(it)
+			after = it.Key
+		}
+		if !page.More || len(page.Items) == 0 {
+			return revision, true
+		}
+	}
+}
+
+// restoreFleet reads one of the records of the fleet as a whole.
+func (l *Lead) restoreFleet(it wire.Item) {
+	switch it.Key {
+	case speedKey:
+		var r sched.Record
+		if wire.Unmarshal(it.Value, &r) == nil {
+			l.speeds.Restore(r)
+			l.w.speed.stamp = uint64(it.Version)
+		}
+	case firstKey:
+		var r firstRecord
+		if wire.Unmarshal(it.Value, &r) == nil {
+			l.first = r.Machine
+			l.w.first.stamp = uint64(it.Version)
+		}
+	case formatKey:
+		if l.readFormat(it) {
+			l.raised()
+		}
+	}
+}
+
+// restoreImages reads which machines had which images; it comes after the machines.
+func (l *Lead) restoreImages(it wire.Item, now micro.Time) {
+	var record model.ImageRecord
+	if it.Key != "" && wire.Unmarshal(it.Value, &record) == nil {
+		l.c.RestoreImages(record, now)
 	}
-	l.w.images.stamp = uint64(images.Version)
+	l.w.images.stamp = uint64(it.Version)
+}
+
+// restored completes the model once everything was read.
+func (l *Lead) restored(now micro.Time) {
 	l.speeds.Apply(l.c)
 	for _, m := range l.c.Machines {
 		if m.Type == nil && m.TypeName != "" {
@@ -95,7 +130,6 @@
 		}
 	}
 	l.loaded = true
-	return rev, true
 }
 
 // adopt puts what was read into the model.
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -43,36 +43,10 @@
 		return r
 	}
 	job.SubmittedAt = int64(n.Wall())
-	body = bytes.Clone(body) // a peer may be asked for longer than the request lasts
-	stored := make(chan error, 1)
-	go func() { stored <- n.keep(job) }()
-	relayed := make(chan front.Reply, 1)
-	tried := false
-	if relay {
-		after := time.Duration(0)
-		if !n.Cut() {
-			after = hedgeAfter.Std()
-		}
-		hedge := time.NewTimer(after)
-		defer hedge.Stop()
-		select {
-		case err = <-stored:
-			stored <- err
-		case <-hedge.C:
-			// The store may be out of this node's reach alone. Whichever way is
-			// first creates the key; the other finds it.
-			tried = true
-			go func() {
-				r, ok := n.relay(peer.Submit, body)
-				if ok {
-					relayed <- r
-				}
-			}()
-		}
-	}
+	attempt := n.storeSubmission(job, bytes.Clone(body), relay) // a peer may be asked for longer than the request lasts
 	select {
-	case err = <-stored:
-	case r := <-relayed:
+	case err = <-attempt.stored:
+	case r := <-attempt.relayed:
 		return r
 	}
 	switch {
@@ -87,17 +61,8 @@
 		return front.Later(503, 2)
 	}
 	n.Log.Debug("submission not stored", "job", job.ID, "err", err)
-	if tried {
-		select {
-		case r := <-relayed:
-			return r
-		case <-time.After(askWait.Std()):
-		}
-	} else if relay {
-		// The store may refuse this node alone: another may reach it.
-		if r, ok := n.relay(peer.Submit, body); ok {
-			return r
-		}
+	if r, ok := n.storedElsewhere(attempt, relay); ok {
+		return r
 	}
 	if errors.Is(err, store.ErrBudget) || errors.Is(err, store.ErrBusy) {
 		return front.Later(429, 1)
@@ -105,6 +70,60 @@
 	return front.Later(503, 1)
 }
 
+// storeAttempt is an attempt to store the description of a job.
+type storeAttempt struct {
+	body    []byte
+	stored  chan error       // what came of this node's own write
+	relayed chan front.Reply // the answer of a peer that was asked as well
+	asked   bool             // a peer was asked
+}
+
+// storeSubmission begins to store a description. If that takes long, it asks a peer
+// as well: the store may be out of this node's reach alone. Whichever way is first
+// creates the key; the other finds it.
+func (n *Node) storeSubmission(job *wire.Job, body []byte, relay bool) *storeAttempt {
+	attempt := &storeAttempt{body: body, stored: make(chan error, 1), relayed: make(chan front.Reply, 1)}
+	go func() { attempt.stored <- n.keep(job) }()
+	if !relay {
+		return attempt
+	}
+	after := time.Duration(0)
+	if !n.Cut() {
+		after = hedgeAfter.Std()
+	}
+	hedge := time.NewTimer(after)
+	defer hedge.Stop()
+	select {
+	case err := <-attempt.stored:
+		attempt.stored <- err
+	case <-hedge.C:
+		attempt.asked = true
+		go func() {
+			if r, ok := n.relay(peer.Submit, body); ok {
+				attempt.relayed <- r
+			}
+		}()
+	}
+	return attempt
+}
+
+// storedElsewhere is a peer's answer to a submission that this node could not store:
+// the store may refuse this node alone.
+func (n *Node) storedElsewhere(attempt *storeAttempt, relay bool) (front.Reply, bool) {
+	if !attempt.asked {
+		if !relay {
+			return front.Reply{}, false
+		}
+		return n.relay(peer.Submit, attempt.body)
+	}
+	select {
+	case r := <-attempt.relayed:
+		return r, true
+	case <-time.After(askWait.Std()):
+		return front.Reply{}, false
+	}
+}
+
 // hedgeAfter is how long the store may take over a submission before a peer is
 // asked as well.
 const hedgeAfter = 100 * micro.Millisecond
