--- a/internal/model/report.go
+++ b/internal/model/report.go
@@ -35,62 +35,87 @@
 		// answer is a better one.
 		return m, Refused
 	}
+	if verdict := c.order(m, r, via, now); verdict != Taken {
+		return m, verdict
+	}
+	if m.Type == nil || m.TypeName != r.Type {
+		c.Describe(m, r.Type, r.Zone, r.Spot)
+	}
+	m.Addr = r.Addr
+	if session := uint64(r.Session); session > m.Session {
+		c.beginSession(m, session, now)
+	}
+	m.Session, m.Seq = uint64(r.Session), uint64(r.Seq)
+	c.heard(m, uint64(r.Token), via, now)
+	if r.NoticeS != nil && m.NoticeAt == 0 {
+		m.NoticeAt = now + micro.Of(max(*r.NoticeS, 0))
+		c.shelve(m)
+		c.noticed(m, now)
+	}
+	c.freeAbsent(m, c.readTasks(m, r, now), via, now)
+	return m, Taken
+}
+
+// order decides by a message's session and number whether it is newer than what is
+// known of the machine.
+func (c *Cluster) order(m *Machine, r *wire.Report, via Via, now micro.Time) Verdict {
 	session, seq := uint64(r.Session), uint64(r.Seq)
 	if session <= m.LostSess {
 		// Held up on the way: this session's lease surely ran out already.
-		return m, Refused
+		return Refused
 	}
-	if session < m.Session || session == m.Session && seq <= m.Seq {
-		if via == Beat && session == m.Session {
-			// Overtaken by the answer to a direct order, or a late copy. The
-			// worker may still take our answer, and that would renew its lease;
-			// but it is no sign of life: copies may come long after the worker
-			// died.
-			m.Answered = now
-		}
-		return m, Stale
+	if session > m.Session || session == m.Session && seq > m.Seq {
+		return Taken
 	}
-	if m.Type == nil || m.TypeName != r.Type {
-		c.Describe(m, r.Type, r.Zone, r.Spot)
+	if via == Beat && session == m.Session {
+		// Overtaken by the answer to a direct order, or a late copy. The
+		// worker may still take our answer, and that would renew its lease;
+		// but it is no sign of life: copies may come long after the worker
+		// died.
+		m.Answered = now
 	}
-	m.Addr = r.Addr
-	if session > m.Session {
-		if m.Session > 0 && m.State == Up && now-m.Answered < c.Lease/2 {
-			m.Misses = deafAfter // its lease ran out though it was answered
-		}
-		for _, p := range m.sorted() {
-			if p.Session < session {
-				c.free(p, now)
-			}
+	return Stale
+}
+
+// beginSession frees what a machine held in earlier sessions.
+func (c *Cluster) beginSession(m *Machine, session uint64, now micro.Time) {
+	if m.Session > 0 && m.State == Up && now-m.Answered < c.Lease/2 {
+		m.Misses = deafAfter // its lease ran out though it was answered
+	}
+	for _, p := range m.sorted() {
+		if p.Session < session {
+			c.free(p, now)
 		}
-		clear(m.exits)
-		// The lease of a session counts from its beginning, before any answer to a
-		// report: heard of in the answer to a direct order after an outage, a new
-		// session was taken for over by the last answer to the one before.
-		m.Answered = now
 	}
-	m.Session, m.Seq = session, seq
-	m.Token = max(m.Token, uint64(r.Token))
+	clear(m.exits)
+	// The lease of a session counts from its beginning, before any answer to a
+	// report: heard of in the answer to a direct order after an outage, a new
+	// session was taken for over by the last answer to the one before.
+	m.Answered = now
+}
+
+// heard notes a sign of life and the token that the worker has seen.
+func (c *Cluster) heard(m *Machine, token uint64, via Via, now micro.Time) {
+	m.Token = max(m.Token, token)
 	m.Heard, m.Mute = now, false
 	if via == Beat {
 		m.Answered = now
-		c.listens(m, uint64(r.Token))
+		c.listens(m, token)
 		if m.FirstHeard == 0 {
 			m.FirstHeard = now
 			m.IdleSince = now
 		}
 	}
-	if uint64(r.Token) >= m.Prove {
+	if token >= m.Prove {
 		// Only an echo of a token given out since then proves that the report
 		// is no late copy of a machine that is gone, silent or returned.
 		c.Become(m, Up, "reports")
 	}
-	if r.NoticeS != nil && m.NoticeAt == 0 {
-		m.NoticeAt = now + micro.Of(max(*r.NoticeS, 0))
-		c.shelve(m)
-		c.noticed(m, now)
-	}
-	present := make(map[PlaceKey]bool, len(r.Tasks))
+}
+
+// readTasks reads the tasks of a report, and tells which attempts it names.
+func (c *Cluster) readTasks(m *Machine, r *wire.Report, now micro.Time) (present map[PlaceKey]bool) {
+	present = make(map[PlaceKey]bool, len(r.Tasks))
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		key := PlaceKey{t.Task, uint64(t.Attempt)}
@@ -101,6 +126,12 @@
 			c.seen(m, key, t, now)
 		}
 	}
+	return present
+}
+
+// freeAbsent frees the places of attempts that a report does not name, where that
+// proves that they are not on the machine and cannot come to it.
+func (c *Cluster) freeAbsent(m *Machine, present map[PlaceKey]bool, via Via, now micro.Time) {
 	for key := range m.exits {
 		if !present[key] {
 			delete(m.exits, key)
@@ -124,7 +155,6 @@
 			c.free(p, now)
 		}
 	}
-	return m, Taken
 }
 
 // seen reads a task that is on the machine.
