GPU machines are kept clear for the GPU tasks of the next ten seconds

Of 30 s of the teams' guarantee the image takes 14.

Change: idle work that may use GPU machines leaves as many of them clear as GPU tasks arrive in 10 s, where a GPU job's time to start (its objective or the guarantee) less its image is no more than eight saves. The room that a GPU task leaves beside it is used as before; work that found no place for a minute takes kept machines too. Class.ArrivalRate moved from scale, which uses it as well.

--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -6,6 +6,8 @@
 package model
 
 import (
+	"sort"
+
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/wire"
 )
@@ -52,6 +54,20 @@
 	jobs     float64
 }
 
+// ArrivalRate is the tasks that arrive a second, robust against a single burst: the
+// mean of the middle two of the last four half-minutes.
+func (cl *Class) ArrivalRate(now micro.Time) float64 {
+	const window = 30 * micro.Second
+	var n [4]int
+	for _, t := range cl.Arrivals {
+		if k := (now - t) / window; t <= now && k >= 0 && k < 4 {
+			n[k]++
+		}
+	}
+	sort.Ints(n[:])
+	return float64(n[1]+n[2]) / 2 / window.Seconds()
+}
+
 // Effects are what a change of the model asks its owner to do.
 type Effects interface {
 	Touch(c *Chunk)                // the chunk must be written
--- a/internal/scale/demand.go
+++ b/internal/scale/demand.go
@@ -169,7 +169,7 @@
 			continue // a machine rented then is ready in time
 		}
 		ratio := p.ratio(nil, now)
-		expected := Rate(cl.Arrivals, now) * boot.Seconds()
+		expected := cl.ArrivalRate(now) * boot.Seconds()
 		want := 1 + int(math.Ceil(expected*p.Props.Headroom))
 		if quick >= prompt {
 			want = int(math.Ceil(expected)) // in time unless the image is to be fetched
@@ -199,17 +199,3 @@
 	}
 	return out
 }
-
-// Rate is the arrivals a second, robust against a single burst: the mean of the
-// middle two of the last four half-minutes.
-func Rate(arrivals []micro.Time, now micro.Time) float64 {
-	const window = 30 * micro.Second
-	var n [4]int
-	for _, t := range arrivals {
-		if k := (now - t) / window; t <= now && k >= 0 && k < 4 {
-			n[k]++
-		}
-	}
-	sort.Ints(n[:])
-	return float64(n[1]+n[2]) / 2 / window.Seconds()
-}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -100,13 +100,13 @@
 	for range 50 {
 		at = append(at, now-100*micro.Second)
 	}
-	if r := Rate(at, now); r != 0 {
+	if r := (&model.Class{Arrivals: at}).ArrivalRate(now); r != 0 {
 		t.Errorf("rate %v after one burst", r)
 	}
 	for i := range 12 {
 		at = append(at, now-micro.Time(i)*10*micro.Second)
 	}
-	if r := Rate(at, now); r < 0.09 || r > 0.11 {
+	if r := (&model.Class{Arrivals: at}).ArrivalRate(now); r < 0.09 || r > 0.11 {
 		t.Errorf("rate %v, want 0.1", r)
 	}
 }
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -22,6 +22,7 @@
 func (p *Placer) Pass(now micro.Time) int {
 	p.C.MarkGuarantees()
 	p.tidy(now)
+	p.countHeadroom(now)
 	p.collect(now)
 	queue := make([]item, 0, len(p.C.Pending))
 	waiting := 0
--- a/internal/sched/pick.go
+++ b/internal/sched/pick.go
@@ -73,8 +73,9 @@
 		if s == nil || s.GPUs <= 0 || !Allowed(s, m.Type, m.Zone, m.Spot) {
 			continue
 		}
-		if quick := p.Goals.Quick(cl.Name); j.Level > s.Priority.Level() && j.Spec.CheckpointS > 0 &&
-			(quick == 0 || quick > yieldFactor*micro.Of(j.Spec.SaveS)) {
+		quick := p.Goals.Quick(cl.Name)
+		yields := j.Level > s.Priority.Level() && j.Spec.CheckpointS > 0 && (quick == 0 || quick > yieldFactor*micro.Of(j.Spec.SaveS))
+		if yields && !p.isHeadroom(j, m, cl) {
 			continue
 		}
 		n := float64(int((m.Type.GPUs - m.UsedGPU) / s.GPUs))
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -29,6 +29,7 @@
 	reserved   map[*model.Machine]bool
 	gatherings map[*model.Job]gathering
 	sizes      map[string]int // the most tasks that a class's jobs have
+	headroom   []gpuHeadroom  // machines kept clear for GPU jobs, as this pass finds them
 }
 
 // room is what a plan has taken of a machine beyond what places hold.
@@ -104,6 +105,7 @@
 func (p *Placer) put(j *model.Job, i int, m *model.Machine, attempt uint32, now micro.Time) {
 	scaled := Scaled(j.Spec.CPUs, m.Type.K, m.Type.CPUs)
 	gathered, since := m.Reserve == j && m.Gathered, m.ReserveAt
+	p.noteTaken(j, m)
 	pl := p.C.NewPlace(j, i, m, attempt, scaled, now)
 	if gathered {
 		p.handOn(m, j, since, now)
