--- a/internal/controller/boot_test.go
+++ b/internal/controller/boot_test.go
@@ -18,10 +18,10 @@
 func TestMachineOnItsWayBackGetsNoTaskFromTheNextLeader(t *testing.T) {
 	for _, end := range []string{"handed over", "ended", "ended before its record was written"} {
 		t.Run(end, func(t *testing.T) {
-			play(t, 3, 3, func(w *world) {
+			play(t, 3, 3, func(w *simCluster) {
 				w.quick = true
 				w.base.IdleReturn = 5 * micro.Second
-			}, func(w *world) {
+			}, func(w *simCluster) {
 				l, _ := w.led()
 				w.until("the forms of this version in use", micro.Minute, func() bool {
 					_, err := w.store.Get(w.ctx, store.Routine, formatKey)
@@ -73,7 +73,7 @@
 }
 
 // anyAskedBack reports whether the return of any machine was asked for.
-func (w *world) anyAskedBack() bool {
+func (w *simCluster) anyAskedBack() bool {
 	for _, h := range w.hosts() {
 		if _, ok := w.askedBack(h.w.Name); ok {
 			return true
@@ -83,7 +83,7 @@
 }
 
 // askedBack is when the return of a machine was first asked for.
-func (w *world) askedBack(name string) (micro.Time, bool) {
+func (w *simCluster) askedBack(name string) (micro.Time, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	at, ok := w.cloud.asked[name]
@@ -99,12 +99,12 @@
 			name = "not listed"
 		}
 		t.Run(name, func(t *testing.T) {
-			play(t, 4, 3, func(w *world) {
+			play(t, 4, 3, func(w *simCluster) {
 				w.cloud.never = 1
 				if unlisted {
 					w.cloud.hides = func(string) bool { return true }
 				}
-			}, func(w *world) {
+			}, func(w *simCluster) {
 				w.led()
 				const trouble = 3 * micro.Minute
 				j := w.wants(order{kind: wire.Array, tasks: 4, run: 3 * micro.Second}).submit() // fits one machine
@@ -138,9 +138,9 @@
 // All machines of the cheapest type fail to boot, in both zones and kinds: work
 // that another type fits goes there.
 func TestWavesOfFailedBootsStarveNoClass(t *testing.T) {
-	play(t, 6, 3, func(w *world) {
+	play(t, 6, 3, func(w *simCluster) {
 		w.cloud.fails = func(r wire.Rental) bool { return r.Type == "small" }
-	}, func(w *world) {
+	}, func(w *simCluster) {
 		w.led()
 		for i := range 6 {
 			at := w.now()
--- a/internal/controller/meet_cancel_test.go
+++ b/internal/controller/cancellation_faults_test.go
@@ -12,17 +12,17 @@
 	"notchmux.dev/notchmux/wire"
 )
 
-// Meetings of a cancellation with other troubles. The checker fails a story by
+// Meetings of a cancellation with other troubles. The checker fails a scenario by
 // itself when a task of a job is there cancel_s after its user was told.
 
 // cancelSpan is the time that tasks have after their user was told.
 const cancelSpan = cancelS * micro.Second
 
-// forever is a run that no story sees the end of.
+// forever is a run that no scenario sees the end of.
 const forever = 10 * micro.Minute
 
 // begun submits a job and waits until all its tasks run.
-func (w *world) begun(o order) *job {
+func (w *simCluster) begun(o order) *job {
 	w.t.Helper()
 	j := w.wants(o).submit()
 	w.until(j.id+" runs", 2*micro.Minute, func() bool { return j.running() == max(o.tasks, 1) })
@@ -30,20 +30,20 @@
 }
 
 // span draws a span of time.
-func (w *world) span(least, most micro.Time) micro.Time {
+func (w *simCluster) span(least, most micro.Time) micro.Time {
 	return micro.Of(w.between(least, most).Seconds())
 }
 
 // leads reports whether the node has the right to act.
-func (p *proc) leads() bool { n := p.current(); return n != nil && n.leading() != nil }
+func (p *controllerProc) leads() bool { n := p.current(); return n != nil && n.leading() != nil }
 
 // follows waits until another node than the old leader leads, whatever that one
 // takes itself for.
-func (w *world) follows(old *proc) *proc {
+func (w *simCluster) follows(old *controllerProc) *controllerProc {
 	w.t.Helper()
-	var next *proc
+	var next *controllerProc
 	w.until("another leads", 15*micro.Second, func() bool {
-		for _, p := range w.procs {
+		for _, p := range w.controllers {
 			if p != old && p.leads() {
 				next = p
 			}
@@ -56,7 +56,7 @@
 // outlasts takes the store from all nodes for longer than the tasks of cancelled
 // jobs have, so soon after their users were told, and goes on until that time is
 // over for each of them.
-func (w *world) outlasts(soon micro.Time, jobs ...*job) {
+func (w *simCluster) outlasts(soon micro.Time, jobs ...*job) {
 	w.t.Helper()
 	from := w.now()
 	lasts := cancelSpan + w.span(8*micro.Second, 20*micro.Second)
@@ -86,7 +86,7 @@
 }
 
 // recovers sees that a job is served once all troubles are over.
-func (w *world) recovers() {
+func (w *simCluster) recovers() {
 	w.t.Helper()
 	w.until("calm", 5*micro.Minute, w.calm)
 	j := w.wants(order{kind: wire.Array, tasks: 1, run: 2 * micro.Second, rank: wire.Production}).submit()
@@ -94,11 +94,11 @@
 	w.until("served again", 90*micro.Second, func() bool { return j.is().done })
 }
 
-func each(t *testing.T, seeds uint64, name string, story func(t *testing.T, seed uint64)) {
+func each(t *testing.T, seeds uint64, name string, scenario func(t *testing.T, seed uint64)) {
 	for seed := uint64(1); seed <= seeds; seed++ {
 		t.Run(fmt.Sprintf("%s/seed %d", name, seed), func(t *testing.T) {
 			t.Parallel()
-			story(t, seed)
+			scenario(t, seed)
 		})
 	}
 }
@@ -121,7 +121,7 @@
 		o       order
 		when    string // the cancellation is first sent within the refusal, or once another leads
 		far     bool   // no worker hears the next leader
-		trouble func(w *world, h *host)
+		trouble func(w *simCluster, h *host)
 		left    string // which tasks run when the user is told
 	}{
 		{"service", 3, false, service, after, true, nil, some},
@@ -131,22 +131,22 @@
 		{"five nodes", 5, false, array, after, true, nil, some},
 		{"zone of one node, others with keepers", 3, true, inB(service), after, true, nil, some},
 		{"gang in a zone of one node", 3, true, inB(gang), within, true, nil, either},
-		{"deaf", 3, false, service, after, false, func(w *world, h *host) { h.deafen(w.span(10*micro.Second, 25*micro.Second)) }, some},
-		{"mute", 3, false, array, after, false, func(w *world, h *host) { h.silence(w.span(10*micro.Second, 60*micro.Second)) }, some},
-		{"deaf and mute", 3, false, gang, after, false, func(w *world, h *host) { h.deafen(micro.Minute); h.silence(micro.Minute) }, some},
-		{"hung, goes on within its lease", 3, false, service, after, false, func(w *world, h *host) { h.hang(w.span(8*micro.Second, 16*micro.Second)) }, some},
-		{"hung, in a zone of one node", 3, true, inB(array), after, false, func(w *world, h *host) { h.hang(w.span(8*micro.Second, 16*micro.Second)) }, some},
+		{"deaf", 3, false, service, after, false, func(w *simCluster, h *host) { h.deafen(w.span(10*micro.Second, 25*micro.Second)) }, some},
+		{"mute", 3, false, array, after, false, func(w *simCluster, h *host) { h.silence(w.span(10*micro.Second, 60*micro.Second)) }, some},
+		{"deaf and mute", 3, false, gang, after, false, func(w *simCluster, h *host) { h.deafen(micro.Minute); h.silence(micro.Minute) }, some},
+		{"hung, goes on within its lease", 3, false, service, after, false, func(w *simCluster, h *host) { h.hang(w.span(8*micro.Second, 16*micro.Second)) }, some},
+		{"hung, in a zone of one node", 3, true, inB(array), after, false, func(w *simCluster, h *host) { h.hang(w.span(8*micro.Second, 16*micro.Second)) }, some},
 		{"keepers", 4, true, service, after, false, nil, none},
 		{"keepers, five nodes", 5, true, gang, within, false, nil, none},
-		{"keepers and deaf", 4, true, array, after, false, func(w *world, h *host) { h.deafen(w.span(10*micro.Second, 25*micro.Second)) }, none},
-		{"keepers and hung", 4, true, service, within, false, func(w *world, h *host) { h.hang(w.span(8*micro.Second, 16*micro.Second)) }, none},
+		{"keepers and deaf", 4, true, array, after, false, func(w *simCluster, h *host) { h.deafen(w.span(10*micro.Second, 25*micro.Second)) }, none},
+		{"keepers and hung", 4, true, service, within, false, func(w *simCluster, h *host) { h.hang(w.span(8*micro.Second, 16*micro.Second)) }, none},
 	} {
 		each(t, 4, c.name, func(t *testing.T, seed uint64) {
-			play(t, seed, c.nodes, func(w *world) {
+			play(t, seed, c.nodes, func(w *simCluster) {
 				if !c.keepers {
 					w.base.KeepLeases = 0
 				}
-			}, func(w *world) {
+			}, func(w *simCluster) {
 				j := w.begun(c.o)
 				w.sleep(w.span(0, 5*micro.Second))
 				old := w.leader()
@@ -187,7 +187,7 @@
 // between, before another could lead. Where the refusal is shorter than the
 // leader's lease, the same term goes on after the outage; else another leads.
 //
-//revive:disable-next-line:cognitive-complexity a story told in one piece, still to be split
+//revive:disable-next-line:cognitive-complexity a scenario in one piece, still to be split
 func TestCancelledAsTheStoreRefusesTheLeader(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -197,27 +197,27 @@
 		same    bool // the same term goes on
 		slow    micro.Time
 		lost    float64
-		trouble func(w *world, h *host)
-		met     []string // what came about in one of the worlds at least
+		trouble func(w *simCluster, h *host)
+		met     []string // what came about in one of the simulations at least
 	}{
 		{"short refusal", 3, false, 2 * micro.Second, true, 0, 0, nil, []string{"told"}},
 		{"short refusal, keepers", 4, true, 2 * micro.Second, true, 0, 0, nil, []string{"told"}},
 		{"long refusal", 3, false, 100 * micro.Second, false, 0, 0, nil, []string{"told"}},
 		{"long refusal, keepers", 5, true, 100 * micro.Second, false, 0, 0, nil, []string{"told"}},
-		{"machines deaf", 3, false, 2 * micro.Second, true, 0, 0, func(w *world, h *host) { h.deafen(w.span(5*micro.Second, 75*micro.Second)) }, []string{"told", "running"}},
-		{"machines mute", 3, false, 100 * micro.Second, false, 0, 0, func(w *world, h *host) { h.silence(w.span(5*micro.Second, 75*micro.Second)) }, []string{"told"}},
-		{"machines hung", 3, false, 2 * micro.Second, true, 0, 0, func(w *world, h *host) { h.hang(w.span(5*micro.Second, 25*micro.Second)) }, []string{"told", "running"}},
-		{"machines hung, keepers", 4, true, 100 * micro.Second, false, 0, 0, func(w *world, h *host) { h.hang(w.span(5*micro.Second, 25*micro.Second)) }, []string{"not told"}},
-		{"a renewal is answered after the refusal", 3, false, 100 * micro.Second, false, 600 * micro.Millisecond, 0, func(w *world, h *host) { h.deafen(w.span(5*micro.Second, 20*micro.Second)) }, []string{"told", "running", "renewed"}},
-		{"answers lost", 3, false, 2 * micro.Second, true, 0, 0.7, func(w *world, h *host) { h.deafen(w.span(5*micro.Second, 20*micro.Second)) }, []string{"told", "running", "told by another"}},
+		{"machines deaf", 3, false, 2 * micro.Second, true, 0, 0, func(w *simCluster, h *host) { h.deafen(w.span(5*micro.Second, 75*micro.Second)) }, []string{"told", "running"}},
+		{"machines mute", 3, false, 100 * micro.Second, false, 0, 0, func(w *simCluster, h *host) { h.silence(w.span(5*micro.Second, 75*micro.Second)) }, []string{"told"}},
+		{"machines hung", 3, false, 2 * micro.Second, true, 0, 0, func(w *simCluster, h *host) { h.hang(w.span(5*micro.Second, 25*micro.Second)) }, []string{"told", "running"}},
+		{"machines hung, keepers", 4, true, 100 * micro.Second, false, 0, 0, func(w *simCluster, h *host) { h.hang(w.span(5*micro.Second, 25*micro.Second)) }, []string{"not told"}},
+		{"a renewal is answered after the refusal", 3, false, 100 * micro.Second, false, 600 * micro.Millisecond, 0, func(w *simCluster, h *host) { h.deafen(w.span(5*micro.Second, 20*micro.Second)) }, []string{"told", "running", "renewed"}},
+		{"answers lost", 3, false, 2 * micro.Second, true, 0, 0.7, func(w *simCluster, h *host) { h.deafen(w.span(5*micro.Second, 20*micro.Second)) }, []string{"told", "running", "told by another"}},
 	} {
 		met := newTally(t)
 		each(t, 6, c.name, func(t *testing.T, seed uint64) {
-			play(t, seed, c.nodes, func(w *world) {
+			play(t, seed, c.nodes, func(w *simCluster) {
 				if !c.keepers {
 					w.base.KeepLeases = 0
 				}
-			}, func(w *world) {
+			}, func(w *simCluster) {
 				met.note(played)
 				var jobs []*job
 				for i := range 6 {
@@ -298,7 +298,7 @@
 }
 
 // rightOf is when a node's right to act ends, as far as it knows now.
-func rightOf(term interface{ Valid(micro.Time) bool }, p *proc) micro.Time {
+func rightOf(term interface{ Valid(micro.Time) bool }, p *controllerProc) micro.Time {
 	now := p.current().Now()
 	var d micro.Time
 	for d < 10*micro.Second && term.Valid(now+d) {
@@ -307,7 +307,7 @@
 	return now + d
 }
 
-// tally counts what came about in the worlds of a row: what only some of them can
+// tally counts what came about in the simulations of a row: what only some of them can
 // bring about must have been there in one at least.
 type tally struct {
 	t  *testing.T
@@ -319,7 +319,7 @@
 
 func (y *tally) note(what string) { y.mu.Lock(); y.n[what]++; y.mu.Unlock() }
 
-// played is noted by every world: -run may name the worlds of other rows only.
+// played is noted by every simulation: -run may name those of other rows only.
 const played = "played"
 
 // wants fails the test at its end if something never came about.
@@ -329,7 +329,7 @@
 		defer y.mu.Unlock()
 		for _, what := range all {
 			if y.n[played] > 0 && y.n[what] == 0 {
-				y.t.Errorf("%s: in no world: %s (%v)", row, what, y.n)
+				y.t.Errorf("%s: in no simulation: %s (%v)", row, what, y.n)
 			}
 		}
 	})
@@ -340,7 +340,7 @@
 // the user, by a poll or by a repeat of the submission. Then the store was down for
 // all, while the old leader, which the store had refused alone, was reported to.
 //
-//revive:disable-next-line:cognitive-complexity a story told in one piece, still to be split
+//revive:disable-next-line:cognitive-complexity a scenario in one piece, still to be split
 func TestCancellationThatAnotherNodeReadBeforeAnOutage(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -356,7 +356,7 @@
 		{"pipeline, by a repeat", order{kind: wire.Service, tasks: 2}, false, true, true},
 	} {
 		each(t, 5, c.name, func(t *testing.T, seed uint64) {
-			play(t, seed, 3, func(w *world) { w.base.KeepLeases = 0 }, func(w *world) {
+			play(t, seed, 3, func(w *simCluster) { w.base.KeepLeases = 0 }, func(w *simCluster) {
 				o := c.o
 				if c.awaited {
 					one := w.wants(order{kind: wire.Array, tasks: 1, run: micro.Second}).submit()
@@ -379,8 +379,8 @@
 				}
 				w.sleep(w.span(500*micro.Millisecond, micro.Second))
 				w.unsure(0, 1, 5*micro.Second, next)
-				var third *proc
-				for _, p := range w.procs {
+				var third *controllerProc
+				for _, p := range w.controllers {
 					if p != old && p != next {
 						third = p
 					}
@@ -411,7 +411,7 @@
 				w.outlasts(1500*micro.Millisecond, jobs...)
 				w.recovers()
 				for _, x := range jobs {
-					for _, p := range w.procs {
+					for _, p := range w.controllers {
 						if s := stateOf(x.poll(p)); s != wire.JobAborted && s != "" {
 							t.Errorf("%s is %s by %s", x.id, s, p.name)
 						}
@@ -442,7 +442,7 @@
 		{"the leader changes, cut ends for a while", order{kind: wire.Array, tasks: 3, zone: "b", run: forever}, true, false, true},
 	} {
 		each(t, 5, c.name, func(t *testing.T, seed uint64) {
-			play(t, seed, 5, nil, func(w *world) {
+			play(t, seed, 5, nil, func(w *simCluster) {
 				w.until("a leader in zone a", 2*micro.Minute, func() bool {
 					l := w.leader()
 					if l != nil && l.zone == "b" {
@@ -494,26 +494,26 @@
 // users still reached it. Jobs were cancelled through the next one: the old leader
 // must not go on answering workers, or say that the jobs run.
 //
-//revive:disable-next-line:cognitive-complexity a story told in one piece, still to be split
+//revive:disable-next-line:cognitive-complexity a scenario in one piece, still to be split
 func TestCancelledThroughTheNextLeaderWhileTheOldOneIsReached(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		keepers bool
 		far     bool // no worker hears the next leader
-		trouble func(w *world, h *host)
+		trouble func(w *simCluster, h *host)
 	}{
 		{"keepers", true, false, nil},
 		{"no keepers", false, false, nil},
 		{"no keepers, no worker hears the next leader", false, true, nil},
-		{"deaf", false, false, func(w *world, h *host) { h.deafen(w.span(5*micro.Second, 25*micro.Second)) }},
-		{"hung", true, false, func(w *world, h *host) { h.hang(w.span(5*micro.Second, 25*micro.Second)) }},
+		{"deaf", false, false, func(w *simCluster, h *host) { h.deafen(w.span(5*micro.Second, 25*micro.Second)) }},
+		{"hung", true, false, func(w *simCluster, h *host) { h.hang(w.span(5*micro.Second, 25*micro.Second)) }},
 	} {
 		each(t, 5, c.name, func(t *testing.T, seed uint64) {
-			play(t, seed, 5, func(w *world) {
+			play(t, seed, 5, func(w *simCluster) {
 				if !c.keepers {
 					w.base.KeepLeases = 0
 				}
-			}, func(w *world) {
+			}, func(w *simCluster) {
 				var jobs []*job
 				for _, o := range []order{{kind: wire.Service, tasks: 3}, {kind: wire.Array, tasks: 3, run: forever}, {kind: wire.Gang, tasks: 3, run: forever}, {kind: wire.Service, tasks: 2, zone: "b"}} {
 					jobs = append(jobs, w.begun(o))
@@ -571,7 +571,7 @@
 }
 
 // fillsTeam submits services that take up a team's limit, and waits until they run.
-func (w *world) fillsTeam(team string, cpus int, o order) []*job {
+func (w *simCluster) fillsTeam(team string, cpus int, o order) []*job {
 	w.t.Helper()
 	var jobs []*job
 	for n := 0; n < cpus; n += o.tasks {
@@ -593,7 +593,7 @@
 // off or hung, and the leader changed, twice. What was not proven free counts for
 // the team, whoever leads; room that is proven free is used within seconds.
 func TestTeamsAtTheirLimitsWhileJobsOnLostMachinesAreCancelled(t *testing.T) {
-	far := func(w *world, h *host) {
+	far := func(w *simCluster, h *host) {
 		d := w.span(10*micro.Second, 50*micro.Second)
 		h.deafen(d)
 		h.silence(d)
@@ -601,22 +601,24 @@
 	for _, c := range []struct {
 		name    string
 		keepers bool
-		lost    func(w *world, h *host)
-		change  func(w *world, l *proc)
+		lost    func(w *simCluster, h *host)
+		change  func(w *simCluster, l *controllerProc)
 	}{
-		{"cut off, killed", true, far, func(w *world, l *proc) { w.restart(l, w.span(micro.Second, 8*micro.Second)) }},
-		{"cut off, frozen", true, far, func(w *world, l *proc) { l.freeze(w.span(4500*micro.Millisecond, 12*micro.Second)) }},
-		{"hung, killed", false, func(w *world, h *host) { h.hang(w.span(10*micro.Second, 50*micro.Second)) }, func(w *world, l *proc) { w.restart(l, w.span(micro.Second, 8*micro.Second)) }},
-		{"hung, refused", true, func(w *world, h *host) { h.hang(w.span(5*micro.Second, 28*micro.Second)) }, func(w *world, l *proc) { w.refuse(l, w.span(6*micro.Second, 12*micro.Second)) }},
-		{"deaf, cut", false, func(w *world, h *host) { h.deafen(w.span(5*micro.Second, 40*micro.Second)) }, func(w *world, l *proc) { w.cutOff(l, w.span(6*micro.Second, 12*micro.Second), "state", "peers") }},
+		{"cut off, killed", true, far, func(w *simCluster, l *controllerProc) { w.restart(l, w.span(micro.Second, 8*micro.Second)) }},
+		{"cut off, frozen", true, far, func(w *simCluster, l *controllerProc) { l.freeze(w.span(4500*micro.Millisecond, 12*micro.Second)) }},
+		{"hung, killed", false, func(w *simCluster, h *host) { h.hang(w.span(10*micro.Second, 50*micro.Second)) }, func(w *simCluster, l *controllerProc) { w.restart(l, w.span(micro.Second, 8*micro.Second)) }},
+		{"hung, refused", true, func(w *simCluster, h *host) { h.hang(w.span(5*micro.Second, 28*micro.Second)) }, func(w *simCluster, l *controllerProc) { w.refuse(l, w.span(6*micro.Second, 12*micro.Second)) }},
+		{"deaf, cut", false, func(w *simCluster, h *host) { h.deafen(w.span(5*micro.Second, 40*micro.Second)) }, func(w *simCluster, l *controllerProc) {
+			w.cutOff(l, w.span(6*micro.Second, 12*micro.Second), "state", "peers")
+		}},
 	} {
 		each(t, 4, c.name, func(t *testing.T, seed uint64) {
-			play(t, seed, []int{3, 5}[seed%2], func(w *world) {
+			play(t, seed, []int{3, 5}[seed%2], func(w *simCluster) {
 				w.quick = true
 				if !c.keepers {
 					w.base.KeepLeases = 0
 				}
-			}, func(w *world) {
+			}, func(w *simCluster) {
 				team, other := w.fillsTeam("team", teamMax, order{tasks: 2}), w.fillsTeam("other", teamMax, order{tasks: 4})
 				var waits []*job
 				for range 4 {
@@ -668,9 +670,9 @@
 }
 
 // leads waits for a leader.
-func (w *world) leads() *proc {
+func (w *simCluster) leads() *controllerProc {
 	w.t.Helper()
-	var l *proc
+	var l *controllerProc
 	w.until("somebody leads", 20*micro.Second, func() bool {
 		l = w.leader()
 		return l != nil && l.leads()
@@ -679,7 +681,7 @@
 }
 
 // proven reports whether the leader takes all places of some jobs for free.
-func (w *world) proven(jobs ...*job) bool {
+func (w *simCluster) proven(jobs ...*job) bool {
 	p := w.leader()
 	if p == nil {
 		return false
@@ -710,7 +712,7 @@
 // from the records counts until it is proven gone, whether its job is cancelled or
 // not.
 //
-//revive:disable-next-line:cognitive-complexity a story told in one piece, still to be split
+//revive:disable-next-line:cognitive-complexity a scenario in one piece, still to be split
 func TestTeamAtItsLimitWhenSomeOfItsMachinesCannotBeAsked(t *testing.T) {
 	const before, within, after = "before", "within", "after"
 	for _, c := range []struct {
@@ -730,12 +732,12 @@
 		{"another job, after", false, after, false, 20 * micro.Second},
 	} {
 		each(t, 4, c.name, func(t *testing.T, seed uint64) {
-			play(t, seed, []int{3, 4}[seed%2], func(w *world) {
+			play(t, seed, []int{3, 4}[seed%2], func(w *simCluster) {
 				w.quick = true
 				if !c.keepers {
 					w.base.KeepLeases = 0
 				}
-			}, func(w *world) {
+			}, func(w *simCluster) {
 				full := w.fillsTeam("team", teamMax, order{tasks: 2})
 				wait := w.wants(order{kind: wire.Service, tasks: 2, rank: wire.Production}).submit()
 				w.sleep(3 * micro.Second)
@@ -800,34 +802,38 @@
 // Jobs were cancelled in the seconds in which one controller's work changed hands:
 // at ten moments from a second before to six after.
 //
-//revive:disable-next-line:cognitive-complexity a story told in one piece, still to be split
+//revive:disable-next-line:cognitive-complexity a scenario in one piece, still to be split
 func TestCancelledWhileTheLeaderChanges(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		nodes   int
 		keepers bool
-		change  func(w *world, l *proc)
-		trouble func(w *world)
+		change  func(w *simCluster, l *controllerProc)
+		trouble func(w *simCluster)
 	}{
-		{"killed", 3, false, func(w *world, l *proc) { w.restart(l, w.span(100*micro.Millisecond, 8*micro.Second)) }, nil},
-		{"killed, back within a second", 4, true, func(w *world, l *proc) { w.restart(l, w.span(50*micro.Millisecond, 900*micro.Millisecond)) }, nil},
-		{"frozen", 3, false, func(w *world, l *proc) { l.freeze(w.span(4500*micro.Millisecond, 9*micro.Second)) }, nil},
-		{"frozen, keepers", 5, true, func(w *world, l *proc) { l.freeze(w.span(4500*micro.Millisecond, 9*micro.Second)) }, nil},
-		{"cut", 4, true, func(w *world, l *proc) { w.cutOff(l, w.span(4*micro.Second, 12*micro.Second), "state", "peers") }, nil},
-		{"refused", 3, false, func(w *world, l *proc) { w.refuse(l, w.span(4*micro.Second, 12*micro.Second)) }, nil},
-		{"resigns", 4, true, func(_ *world, l *proc) { resigns(l) }, nil},
-		{"resigns, no keepers", 3, false, func(_ *world, l *proc) { resigns(l) }, nil},
-		{"killed, writes late", 3, false, func(w *world, l *proc) { w.restart(l, w.span(100*micro.Millisecond, 8*micro.Second)) }, func(w *world) { w.unsure(0.3, 0, 8*micro.Second) }},
-		{"resigns, answers lost", 4, true, func(_ *world, l *proc) { resigns(l) }, func(w *world) { w.unsure(0, 0.3, 8*micro.Second) }},
-		{"frozen, reports late", 3, false, func(w *world, l *proc) { l.freeze(w.span(4500*micro.Millisecond, 9*micro.Second)) }, func(w *world) { w.stale(0.5, 45*micro.Second, 15*micro.Second) }},
+		{"killed", 3, false, func(w *simCluster, l *controllerProc) { w.restart(l, w.span(100*micro.Millisecond, 8*micro.Second)) }, nil},
+		{"killed, back within a second", 4, true, func(w *simCluster, l *controllerProc) {
+			w.restart(l, w.span(50*micro.Millisecond, 900*micro.Millisecond))
+		}, nil},
+		{"frozen", 3, false, func(w *simCluster, l *controllerProc) { l.freeze(w.span(4500*micro.Millisecond, 9*micro.Second)) }, nil},
+		{"frozen, keepers", 5, true, func(w *simCluster, l *controllerProc) { l.freeze(w.span(4500*micro.Millisecond, 9*micro.Second)) }, nil},
+		{"cut", 4, true, func(w *simCluster, l *controllerProc) {
+			w.cutOff(l, w.span(4*micro.Second, 12*micro.Second), "state", "peers")
+		}, nil},
+		{"refused", 3, false, func(w *simCluster, l *controllerProc) { w.refuse(l, w.span(4*micro.Second, 12*micro.Second)) }, nil},
+		{"resigns", 4, true, func(_ *simCluster, l *controllerProc) { resigns(l) }, nil},
+		{"resigns, no keepers", 3, false, func(_ *simCluster, l *controllerProc) { resigns(l) }, nil},
+		{"killed, writes late", 3, false, func(w *simCluster, l *controllerProc) { w.restart(l, w.span(100*micro.Millisecond, 8*micro.Second)) }, func(w *simCluster) { w.unsure(0.3, 0, 8*micro.Second) }},
+		{"resigns, answers lost", 4, true, func(_ *simCluster, l *controllerProc) { resigns(l) }, func(w *simCluster) { w.unsure(0, 0.3, 8*micro.Second) }},
+		{"frozen, reports late", 3, false, func(w *simCluster, l *controllerProc) { l.freeze(w.span(4500*micro.Millisecond, 9*micro.Second)) }, func(w *simCluster) { w.stale(0.5, 45*micro.Second, 15*micro.Second) }},
 	} {
 		met := newTally(t)
 		each(t, 6, c.name, func(t *testing.T, seed uint64) {
-			play(t, seed, c.nodes, func(w *world) {
+			play(t, seed, c.nodes, func(w *simCluster) {
 				if !c.keepers {
 					w.base.KeepLeases = 0
 				}
-			}, func(w *world) {
+			}, func(w *simCluster) {
 				met.note(played)
 				const n = 10
 				var jobs []*job
@@ -860,7 +866,7 @@
 				c.change(w, l)
 				var led micro.Time
 				w.until("a new term", 20*micro.Second, func() bool {
-					for _, p := range w.procs {
+					for _, p := range w.controllers {
 						if x := p.current(); x != nil && x.leading() != nil && x.leading().term.Stamp > was.Stamp {
 							led = w.now()
 						}
@@ -892,9 +898,9 @@
 }
 
 // resigns has a leader hand over.
-func resigns(p *proc) {
+func resigns(p *controllerProc) {
 	if l := p.current().leading(); l != nil {
-		l.post(func() { l.resign("a story wants it") })
+		l.post(func() { l.resign("a scenario wants it") })
 	}
 }
 
@@ -904,14 +910,14 @@
 func TestNextLeaderStopsWhatWasCancelledBeforeIt(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		change func(w *world, l *proc)
+		change func(w *simCluster, l *controllerProc)
 	}{
-		{"killed", func(w *world, l *proc) { w.restart(l, w.span(micro.Second, 8*micro.Second)) }},
-		{"refused", func(w *world, l *proc) { w.refuse(l, w.span(6*micro.Second, 12*micro.Second)) }},
-		{"resigns", func(_ *world, l *proc) { resigns(l) }},
+		{"killed", func(w *simCluster, l *controllerProc) { w.restart(l, w.span(micro.Second, 8*micro.Second)) }},
+		{"refused", func(w *simCluster, l *controllerProc) { w.refuse(l, w.span(6*micro.Second, 12*micro.Second)) }},
+		{"resigns", func(_ *simCluster, l *controllerProc) { resigns(l) }},
 	} {
 		each(t, 4, c.name, func(t *testing.T, seed uint64) {
-			play(t, seed, 3, func(w *world) { w.base.KeepLeases = 0 }, func(w *world) {
+			play(t, seed, 3, func(w *simCluster) { w.base.KeepLeases = 0 }, func(w *simCluster) {
 				jobs := []*job{w.begun(order{kind: wire.Service, tasks: 2}), w.begun(order{kind: wire.Array, tasks: 2, run: forever}), w.begun(order{kind: wire.Gang, tasks: 2, run: forever})}
 				w.sleep(3 * micro.Second)
 				l := w.leads()
@@ -947,13 +953,13 @@
 // would run on.
 func TestCancellationCarriedOutAfterTheNextLeaderBegan(t *testing.T) {
 	met := newTally(t)
-	for name, change := range map[string]func(w *world, l *proc){
-		"killed":  func(w *world, l *proc) { w.restart(l, 20*micro.Second) },
-		"resigns": func(_ *world, l *proc) { resigns(l) },
-		"cut":     func(w *world, l *proc) { w.cutOff(l, 20*micro.Second, "state", "peers") },
+	for name, change := range map[string]func(w *simCluster, l *controllerProc){
+		"killed":  func(w *simCluster, l *controllerProc) { w.restart(l, 20*micro.Second) },
+		"resigns": func(_ *simCluster, l *controllerProc) { resigns(l) },
+		"cut":     func(w *simCluster, l *controllerProc) { w.cutOff(l, 20*micro.Second, "state", "peers") },
 	} {
 		each(t, 5, name, func(t *testing.T, seed uint64) {
-			play(t, seed, 3, func(w *world) { w.base.KeepLeases = 0 }, func(w *world) {
+			play(t, seed, 3, func(w *simCluster) { w.base.KeepLeases = 0 }, func(w *simCluster) {
 				met.note(played)
 				j := w.begun(order{kind: wire.Service, tasks: 2})
 				w.sleep(3 * micro.Second)
@@ -974,7 +980,7 @@
 				} else if !in && err != nil {
 					met.note("refused by its guard")
 				}
-				for _, p := range w.procs {
+				for _, p := range w.controllers {
 					if p != old || p.leads() {
 						j.poll(p)
 					}
--- a/internal/controller/deaf_test.go
+++ b/internal/controller/deaf_test.go
@@ -23,7 +23,7 @@
 	for _, deaf := range []int{1, 2, 3, 4} {
 		for _, after := range []micro.Time{5 * micro.Second, 25 * micro.Second, 33 * micro.Second} {
 			t.Run(fmt.Sprintf("%d of 4 deaf, leader ends after %v s", deaf, after.Seconds()), func(t *testing.T) {
-				seeds(t, 2, 3, func(w *world) {
+				seeds(t, 2, 3, func(w *simCluster) {
 					j := w.fills("a", 4)
 					machines := j.on()[:deaf]
 					within := againWithin
@@ -57,7 +57,7 @@
 					if j.running() != 4 || j.starts() != 4+deaf {
 						w.t.Errorf("%d of its tasks run, %d starts", j.running(), j.starts())
 					}
-					w.goesOn(w.procs)
+					w.goesOn(w.controllers)
 				})
 			})
 		}
--- a/internal/controller/failing_test.go
+++ b/internal/controller/failing_test.go
@@ -12,7 +12,7 @@
 )
 
 // changesOf counts the changes of the store whose key begins so.
-func (w *world) changesOf(prefix string) int {
+func (w *simCluster) changesOf(prefix string) int {
 	ev, err := w.store.Watch(w.ctx, prefix, 0, 0)
 	if err != nil {
 		w.t.Fatal(err)
@@ -21,7 +21,7 @@
 }
 
 // passes is how often the process looked for room.
-func (p *proc) passes() int {
+func (p *controllerProc) passes() int {
 	var b strings.Builder
 	p.current().Metrics.Write(&b)
 	for line := range strings.Lines(b.String()) {
@@ -41,7 +41,7 @@
 		singles = 60
 		span    = 3 * micro.Minute
 	)
-	play(t, 5, 3, func(w *world) { w.quick = true }, func(w *world) {
+	play(t, 5, 3, func(w *simCluster) { w.quick = true }, func(w *simCluster) {
 		var mu sync.Mutex
 		starts := map[string]int{}
 		w.starts = func(_ *host, k fake.Key) {
@@ -70,7 +70,7 @@
 		}
 		machines, _ := w.rented()
 		passes := 0
-		for _, p := range w.procs {
+		for _, p := range w.controllers {
 			passes += p.passes()
 		}
 		mu.Lock()
--- a/internal/controller/meet_fleet_test.go
+++ b/internal/controller/fleet_faults_test.go
@@ -19,7 +19,7 @@
 // than room, and a stream of small jobs.
 
 // recorded reports whether the store holds the record of a place.
-func (w *world) recorded(machine string, k fake.Key) bool {
+func (w *simCluster) recorded(machine string, k fake.Key) bool {
 	id, index, _ := wire.SplitTask(k.Task)
 	p, err := w.store.Range(context.Background(), store.Routine, "run/"+id+"/", "", 1000)
 	if err != nil {
@@ -45,7 +45,7 @@
 }
 
 // rented is how many machines the cloud ever gave, and how many came back.
-func (w *world) rented() (all, back int) {
+func (w *simCluster) rented() (all, back int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return len(w.workers), len(w.cloud.back)
@@ -55,20 +55,20 @@
 // answers of rentals are lost, and the leader ends. The next one adopts them: none
 // is rented twice or returned, and no task starts without its record.
 //
-//revive:disable-next-line:cognitive-complexity,function-length a story told in one piece, still to be split
+//revive:disable-next-line:cognitive-complexity,function-length a scenario in one piece, still to be split
 func TestQuickMachinesAreAdoptedWhenTheLeaderEnds(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		lag  func(w *world, l *proc) (met func() bool)
+		lag  func(w *simCluster, l *controllerProc) (met func() bool)
 	}{
-		{"rental's answer lost", func(w *world, l *proc) func() bool {
+		{"rental's answer lost", func(w *simCluster, l *controllerProc) func() bool {
 			w.cloud.lost = 1
 			return func() bool {
 				all, _ := w.rented()
 				return all > 0 && len(w.hosts()) == all
 			}
 		}},
-		{"rental's record late", func(w *world, l *proc) func() bool {
+		{"rental's record late", func(w *simCluster, l *controllerProc) func() bool {
 			tries := 0
 			var mu sync.Mutex
 			w.meets(l, "hire/", func(n int, _ wire.Change) fake.Fate {
@@ -80,7 +80,7 @@
 			return func() bool { mu.Lock(); defer mu.Unlock(); return tries > 3 }
 		}},
 		// The next leader is there at once, before the machines are.
-		{"rental's answer lost and handed over", func(w *world, l *proc) func() bool {
+		{"rental's answer lost and handed over", func(w *simCluster, l *controllerProc) func() bool {
 			w.cloud.lost = 1
 			return func() bool {
 				if all, _ := w.rented(); all == 0 {
@@ -90,7 +90,7 @@
 				return true
 			}
 		}},
-		{"rental's record late and handed over", func(w *world, l *proc) func() bool {
+		{"rental's record late and handed over", func(w *simCluster, l *controllerProc) func() bool {
 			out := false
 			var mu sync.Mutex
 			w.meets(l, "hire/", func(int, wire.Change) fake.Fate {
@@ -110,7 +110,7 @@
 				return true
 			}
 		}},
-		{"starts' records late", func(w *world, l *proc) func() bool {
+		{"starts' records late", func(w *simCluster, l *controllerProc) func() bool {
 			tries := 0
 			var mu sync.Mutex
 			w.meets(l, "run/", func(n int, _ wire.Change) fake.Fate {
@@ -121,25 +121,25 @@
 			})
 			return func() bool { mu.Lock(); defer mu.Unlock(); return tries > 2 }
 		}},
-		{"starts' answers lost", func(w *world, l *proc) func() bool {
+		{"starts' answers lost", func(w *simCluster, l *controllerProc) func() bool {
 			w.meets(l, "run/", func(n int, _ wire.Change) fake.Fate { return fake.Fate{Mute: n%2 == 1} })
 			return func() bool { return w.check.began() > 0 }
 		}},
-		{"slow store", func(w *world, l *proc) func() bool {
+		{"slow store", func(w *simCluster, l *controllerProc) func() bool {
 			w.slow(700*micro.Millisecond, 30*micro.Second)
 			return func() bool { return w.check.began() > 0 }
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := range uint64(3) {
-				play(t, seed, 3, func(w *world) {
+				play(t, seed, 3, func(w *simCluster) {
 					w.quick = true
 					w.starts = func(h *host, k fake.Key) {
 						if !w.recorded(h.w.Name, k) {
 							w.t.Errorf("%v: %s starts on %s without its record", w.now(), k.Task, h.w.Name)
 						}
 					}
-				}, func(w *world) {
+				}, func(w *simCluster) {
 					l, _ := w.led()
 					met := c.lag(w, l)
 					var jobs []*job
@@ -180,9 +180,9 @@
 }
 
 // handOver has a leader give up its term, as one does that no worker reaches.
-func (p *proc) handOver() {
+func (p *controllerProc) handOver() {
 	if l := p.current().leading(); l != nil {
-		l.post(func() { l.resign("for a story") })
+		l.post(func() { l.resign("for a scenario") })
 	}
 }
 
@@ -195,10 +195,10 @@
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, seed, 3, func(w *world) {
+			play(t, seed, 3, func(w *simCluster) {
 				w.quick = true
 				w.cloud.Capacity = 3
-			}, func(w *world) {
+			}, func(w *simCluster) {
 				w.led()
 				w.slow(600*micro.Millisecond, 4*micro.Minute)
 				w.slowWorkers(600*micro.Millisecond, 4*micro.Minute)
@@ -242,11 +242,11 @@
 
 func streamUnder(t *testing.T, changes float64) {
 	const stream = 2 * micro.Minute
-	play(t, 8, 3, func(w *world) {
+	play(t, 8, 3, func(w *simCluster) {
 		w.quick = true
 		w.writes = changes
 		w.store.Limit(fake.Limits{WriteRPS: changes})
-	}, func(w *world) {
+	}, func(w *simCluster) {
 		w.led()
 		var mu sync.Mutex
 		var jobs []*job
@@ -335,7 +335,7 @@
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, seed, 3, func(w *world) { w.quick = true }, func(w *world) {
+			play(t, seed, 3, func(w *simCluster) { w.quick = true }, func(w *simCluster) {
 				w.led()
 				jobs := []*job{
 					w.wants(order{kind: wire.Array, tasks: 8, cpus: 2, run: 20 * micro.Second, zone: "a"}).submit(),
@@ -375,7 +375,7 @@
 // machines dead, and never rented others.
 func TestAllMachinesDieAndOthersAreRented(t *testing.T) {
 	for seed := range uint64(3) {
-		play(t, seed, 3+int(seed), func(w *world) { w.quick = true }, func(w *world) {
+		play(t, seed, 3+int(seed), func(w *simCluster) { w.quick = true }, func(w *simCluster) {
 			w.led()
 			var jobs []*job
 			for i := range 4 {
--- a/internal/controller/isolation_test.go
+++ b/internal/controller/isolation_test.go
@@ -16,15 +16,15 @@
 // handoverTerm is at most how long a leader that no worker reaches keeps the lead:
 // its machines become silent, and it waits a second and a scan more. The election
 // of the next leader is included.
-func (w *world) handoverTerm() micro.Time {
-	cfg := w.procs[0].current().Cfg
+func (w *simCluster) handoverTerm() micro.Time {
+	cfg := w.controllers[0].current().Cfg
 	return cfg.SilentAfter + 3*micro.Second
 }
 
 // others lists the nodes but these.
-func (w *world) others(but ...*proc) []*proc {
-	var out []*proc
-	for _, p := range w.procs {
+func (w *simCluster) others(but ...*controllerProc) []*controllerProc {
+	var out []*controllerProc
+	for _, p := range w.controllers {
 		excluded := false
 		for _, b := range but {
 			excluded = excluded || p == b
@@ -38,7 +38,7 @@
 
 // submitThrough submits a job through the first of these nodes that accepts it,
 // each user's attempt being made in turn, and fails after a bound.
-func (w *world) submitThrough(nodes []*proc, most micro.Time, o order) *job {
+func (w *simCluster) submitThrough(nodes []*controllerProc, most micro.Time, o order) *job {
 	w.t.Helper()
 	j := w.wants(o)
 	next := 0
@@ -51,14 +51,14 @@
 }
 
 // answeredBy waits until a poll of the job gets an answer from this node.
-func (w *world) answeredBy(j *job, p *proc, most micro.Time) {
+func (w *simCluster) answeredBy(j *job, p *controllerProc, most micro.Time) {
 	w.t.Helper()
 	w.until(fmt.Sprintf("%s answers for %s", p.name, j.id), most, func() bool { return stateOf(j.poll(p)) != "" })
 }
 
 // goesOn checks that submissions, polls and starts work through these nodes, each
 // within a bound.
-func (w *world) goesOn(nodes []*proc) {
+func (w *simCluster) goesOn(nodes []*controllerProc) {
 	w.t.Helper()
 	const (
 		acceptedWithin = 10 * micro.Second
@@ -66,7 +66,7 @@
 		doneWithin     = 45 * micro.Second // a machine may have to be rented
 	)
 	for _, p := range nodes {
-		j := w.submitThrough([]*proc{p}, acceptedWithin, order{kind: wire.Array, tasks: 1, cpus: 1, run: 2 * micro.Second, team: "other"})
+		j := w.submitThrough([]*controllerProc{p}, acceptedWithin, order{kind: wire.Array, tasks: 1, cpus: 1, run: 2 * micro.Second, team: "other"})
 		for _, o := range nodes {
 			w.answeredBy(j, o, answeredWithin)
 		}
@@ -78,7 +78,7 @@
 // and reach the store and each other. The third one, which the workers reach, comes
 // to lead once each of the two has tried at most once.
 func TestNodeThatWorkersReachComesToLead(t *testing.T) {
-	seeds(t, 16, 3, func(w *world) {
+	seeds(t, 16, 3, func(w *simCluster) {
 		j := w.fills("a", 4)
 		leader, followers := w.led()
 		reached := followers[w.drawn(2)]
@@ -89,7 +89,7 @@
 		}
 		w.until("the node that workers reach leads", 2*w.handoverTerm()+micro.Second, func() bool { return w.leader() == reached })
 		w.t.Logf("%s was cut, %s leads after %.1f s", leader.name, reached.name, (w.now() - from).Seconds())
-		w.goesOn(w.procs)
+		w.goesOn(w.controllers)
 		w.runs(j, 4)
 		if w.leader() != reached {
 			w.t.Errorf("%s leads no more, though workers reach it", reached.name)
@@ -102,19 +102,25 @@
 // the others; when it is back it tells nothing of its old term.
 func TestWorkGoesOnWhileTheLeaderIsSilent(t *testing.T) {
 	const silentFor = 100 * micro.Second
-	for name, silence := range map[string]func(w *world, p *proc){
-		"frozen":  func(w *world, p *proc) { w.trouble(silentFor, func() { p.freeze(silentFor) }, func() {}) },
-		"cut off": func(w *world, p *proc) { w.cutOff(p, silentFor, "state", "peers", "workers", "users", "cloud") },
-		"gone":    func(w *world, p *proc) { w.trouble(silentFor, func() { w.restart(p, silentFor) }, func() {}) },
+	for name, silence := range map[string]func(w *simCluster, p *controllerProc){
+		"frozen": func(w *simCluster, p *controllerProc) {
+			w.trouble(silentFor, func() { p.freeze(silentFor) }, func() {})
+		},
+		"cut off": func(w *simCluster, p *controllerProc) {
+			w.cutOff(p, silentFor, "state", "peers", "workers", "users", "cloud")
+		},
+		"gone": func(w *simCluster, p *controllerProc) {
+			w.trouble(silentFor, func() { w.restart(p, silentFor) }, func() {})
+		},
 	} {
 		for _, c := range []struct{ nodes, silent int }{{3, 1}, {5, 2}} {
 			t.Run(fmt.Sprintf("%s, %d of %d", name, c.silent, c.nodes), func(t *testing.T) {
-				seeds(t, 3, c.nodes, func(w *world) {
+				seeds(t, 3, c.nodes, func(w *simCluster) {
 					// Fewer machines than it takes for the old leader to hand over for
 					// hearing none: only its right is to keep it from answering.
 					j := w.fills("a", 1)
 					leader, followers := w.led()
-					silent := append([]*proc{leader}, followers[:c.silent-1]...)
+					silent := append([]*controllerProc{leader}, followers[:c.silent-1]...)
 					rest := w.others(silent...)
 					ends := w.wants(order{kind: wire.Array, tasks: 1, cpus: 1, run: 25 * micro.Second, team: "other"}).submit()
 					called := w.wants(order{kind: wire.Service, tasks: 1, cpus: 1}).submit()
@@ -141,7 +147,7 @@
 						w.sleep(20 * micro.Millisecond)
 					}
 					w.until("calm", 10*micro.Second, w.calm)
-					w.goesOn(w.procs)
+					w.goesOn(w.controllers)
 					if j.running() != 1 || j.starts() != 1 {
 						w.t.Errorf("%d of its tasks run, %d starts", j.running(), j.starts())
 					}
@@ -158,15 +164,15 @@
 	const refusedFor = 70 * micro.Second
 	for _, nodes := range []int{3, 5} {
 		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
-			seeds(t, 4, nodes, func(w *world) {
+			seeds(t, 4, nodes, func(w *simCluster) {
 				j := w.fills("a", 3)
 				refused, followers := w.led()
 				from := w.now()
 				w.refuse(refused, refusedFor)
 				w.until("another leads", 8*micro.Second, func() bool { l := w.leader(); return l != nil && l != refused })
-				called := w.submitThrough([]*proc{refused}, 10*micro.Second, order{kind: wire.Service, tasks: 1, cpus: 1})
+				called := w.submitThrough([]*controllerProc{refused}, 10*micro.Second, order{kind: wire.Service, tasks: 1, cpus: 1})
 				w.until("cancelled", 60*micro.Second, func() bool { return stateOf(called.withdraw(followers[0])) == wire.JobAborted })
-				w.goesOn(append([]*proc{refused}, followers[:1]...))
+				w.goesOn(append([]*controllerProc{refused}, followers[:1]...))
 				w.sleep(from + refusedFor - 5*micro.Second - w.now())
 				w.answeredBy(called, refused, 2*micro.Second)
 				if l := w.leader(); l == nil || l == refused {
@@ -176,7 +182,7 @@
 					w.t.Errorf("%d of its tasks run, %d starts", j.running(), j.starts())
 				}
 				w.until("calm", 10*micro.Second, w.calm)
-				w.goesOn(w.procs)
+				w.goesOn(w.controllers)
 				time.Sleep(time.Second)
 				if j.running() != 3 || j.starts() != 3 {
 					w.t.Errorf("afterwards %d of its tasks run, %d starts", j.running(), j.starts())
--- a/internal/controller/meet_leader_test.go
+++ b/internal/controller/leader_faults_test.go
@@ -12,16 +12,16 @@
 )
 
 // Meetings of troubles with a change of leader, or with orders and reports that
-// come late. Each story makes sure that its meeting came about; the checker of
+// come late. Each scenario makes sure that its meeting came about; the checker of
 // the rules judges all that happens.
 
-// seeds plays a story on several days.
-func seeds(t *testing.T, n, nodes int, story func(w *world)) {
+// seeds plays a scenario on several days.
+func seeds(t *testing.T, n, nodes int, scenario func(w *simCluster)) {
 	t.Helper()
 	for seed := range n {
 		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
 			t.Parallel()
-			play(t, uint64(seed+1), nodes, nil, story)
+			play(t, uint64(seed+1), nodes, nil, scenario)
 		})
 	}
 }
@@ -29,20 +29,20 @@
 // fills submits a service, a machine a task in one zone, and waits until it runs.
 // Of three nodes, zone a has two, which keep its leases in a cut, and b has one,
 // which does not.
-func (w *world) fills(zone string, tasks int) *job {
+func (w *simCluster) fills(zone string, tasks int) *job {
 	w.t.Helper()
 	j := w.wants(order{kind: wire.Service, tasks: tasks, cpus: 4, zone: zone}).submit()
 	w.runs(j, tasks)
 	return j
 }
 
-func (w *world) runs(j *job, tasks int) {
+func (w *simCluster) runs(j *job, tasks int) {
 	w.t.Helper()
 	w.until(j.id+" runs", 90*micro.Second, func() bool { return j.running() == tasks })
 }
 
 // idle makes a machine in each of these zones that is up and empty.
-func (w *world) idle(zones ...string) []*host {
+func (w *simCluster) idle(zones ...string) []*host {
 	w.t.Helper()
 	var out []*host
 	var jobs []*job
@@ -66,7 +66,7 @@
 // which showed nothing of it, were taken for proof that it would never run: its
 // team's room went to another job, and the start arrived.
 func TestStartHeldUpBeyondACancellationKeepsItsTeamsRoom(t *testing.T) {
-	seeds(t, 4, 3, func(w *world) {
+	seeds(t, 4, 3, func(w *simCluster) {
 		w.fills("a", 3)
 		h := w.idle("a", "b")[0]
 		h.holdUp()
@@ -94,7 +94,7 @@
 	for _, d := range []micro.Time{3 * micro.Second, 6 * micro.Second, 14 * micro.Second} {
 		t.Run(d.Std().String(), func(t *testing.T) {
 			t.Parallel()
-			play(t, 1, 3, nil, func(w *world) {
+			play(t, 1, 3, nil, func(w *simCluster) {
 				full := w.fills("a", 4)
 				h := full.on()[0]
 				h.hang(d)
@@ -117,7 +117,7 @@
 func TestWorkersThatReachNobodyKeepTheirTasks(t *testing.T) {
 	for _, changes := range []bool{false, true} {
 		t.Run(fmt.Sprint("another leader ", changes), func(t *testing.T) {
-			seeds(t, 3, 3, func(w *world) {
+			seeds(t, 3, 3, func(w *simCluster) {
 				long, short := w.fills("b", 3), w.fills("b", 1)
 				mute := append(long.on()[:2], short.on()...)
 				for _, h := range mute {
@@ -147,7 +147,7 @@
 func TestTasksOfWorkersThatReachNobodyForLongBeginElsewhere(t *testing.T) {
 	for _, changes := range []bool{false, true} {
 		t.Run(fmt.Sprint("another leader ", changes), func(t *testing.T) {
-			seeds(t, 3, 3, func(w *world) {
+			seeds(t, 3, 3, func(w *simCluster) {
 				j := w.fills("b", 4)
 				mute := j.on()[:2]
 				for _, h := range mute {
@@ -178,11 +178,11 @@
 		for _, led := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%d ms, led %v", after, led), func(t *testing.T) {
 				t.Parallel()
-				play(t, 1, 3, nil, func(w *world) {
+				play(t, 1, 3, nil, func(w *simCluster) {
 					j := w.fills("b", 4)
 					l, was := w.leader(), w.term()
 					back := l
-					for _, p := range w.procs {
+					for _, p := range w.controllers {
 						w.kill(p)
 						if !led && p != l {
 							back = p
@@ -195,7 +195,7 @@
 					}
 					w.until("leads", most, func() bool { x := w.term(); return x > was })
 					w.sleep(20 * micro.Second)
-					for _, p := range w.procs {
+					for _, p := range w.controllers {
 						if p != back {
 							w.begin(p)
 						}
@@ -217,10 +217,10 @@
 	for _, after := range []micro.Time{100, 500, 900} {
 		t.Run(fmt.Sprintf("%d ms", after), func(t *testing.T) {
 			t.Parallel()
-			play(t, 1, 3, nil, func(w *world) {
+			play(t, 1, 3, nil, func(w *simCluster) {
 				j := w.fills("b", 4)
 				p, was := w.leader(), w.term()
-				for _, p := range w.procs {
+				for _, p := range w.controllers {
 					w.kill(p)
 				}
 				w.sleep(300 * micro.Millisecond)
@@ -254,7 +254,7 @@
 	for _, before := range []micro.Time{100, 500, 1500} {
 		t.Run(fmt.Sprintf("%d ms", before), func(t *testing.T) {
 			t.Parallel()
-			play(t, 1, 3, nil, func(w *world) {
+			play(t, 1, 3, nil, func(w *simCluster) {
 				j := w.wants(order{kind: wire.Array, tasks: 6, run: 20 * micro.Second, cpus: 4}).submit()
 				w.runs(j, 4)
 				w.until("soon over", 30*micro.Second, func() bool { return len(w.ripe(j, 20*micro.Second-before*micro.Millisecond)) > 0 })
@@ -277,7 +277,7 @@
 // Leaders changed ten times in two minutes, each as a start went out, and one of
 // them inside an outage: a start goes out only once the next leader can read of it.
 func TestTenLeadersInTwoMinutesStartNothingTwice(t *testing.T) {
-	seeds(t, 3, 3, func(w *world) {
+	seeds(t, 3, 3, func(w *simCluster) {
 		long := w.fills("b", 2)
 		w.sleep(90 * micro.Second) // the first leader has counted its token up
 		from := w.now()
@@ -314,7 +314,7 @@
 func TestZoneCutOffForLongerThanALeaseKeepsItsTasks(t *testing.T) {
 	for _, zone := range []string{"a", "b"} {
 		t.Run(zone, func(t *testing.T) {
-			seeds(t, 2, 5, func(w *world) {
+			seeds(t, 2, 5, func(w *simCluster) {
 				j := w.wants(order{kind: wire.Service, tasks: 4, cpus: 2, zone: zone}).submit()
 				w.runs(j, 4)
 				was := w.leader()
@@ -344,7 +344,7 @@
 		for _, after := range []micro.Time{700, 900, 1100, 1300, 8000} {
 			t.Run(fmt.Sprintf("%d tasks, %d ms", tasks, after), func(t *testing.T) {
 				t.Parallel()
-				play(t, 1, 3, nil, func(w *world) {
+				play(t, 1, 3, nil, func(w *simCluster) {
 					j := w.wants(order{kind: wire.Array, tasks: tasks, run: 5 * micro.Second, apart: 25 * micro.Second, cpus: 1}).submit()
 					w.until("one ended", 60*micro.Second, func() bool { return j.starts() == tasks && j.running() == tasks-1 })
 					w.sleep(after * micro.Millisecond)
@@ -367,7 +367,7 @@
 func TestReportFromBeforeATaskBeganFreesNothing(t *testing.T) {
 	for _, changes := range []bool{false, true} {
 		t.Run(fmt.Sprint("another leader ", changes), func(t *testing.T) {
-			seeds(t, 2, 3, func(w *world) {
+			seeds(t, 2, 3, func(w *simCluster) {
 				w.tape()
 				w.idle("a") // it reports a while before it has a task
 				j := w.fills("a", 1)
@@ -389,7 +389,7 @@
 // An old report reaches every controller just as a new leader begins, which has
 // heard nothing newer: a cancelled job's task is missing in it, and yet runs.
 func TestOldReportToANewLeaderFreesNoCancelledTask(t *testing.T) {
-	seeds(t, 4, 3, func(w *world) {
+	seeds(t, 4, 3, func(w *simCluster) {
 		w.tape()
 		w.idle("b") // it reports a while before it has a task
 		j := w.fills("b", 1)
@@ -412,7 +412,7 @@
 // A machine died with a report on its way, which arrives once a new leader has
 // begun: it is no sign of life, and work that waits is not sent there.
 func TestReportHeldBackUntilAnotherLeaderActsIsNoSignOfLife(t *testing.T) {
-	seeds(t, 3, 3, func(w *world) {
+	seeds(t, 3, 3, func(w *simCluster) {
 		w.tape()
 		h := w.idle("b")[0]
 		j := w.wants(order{kind: wire.Service, tasks: 1, cpus: 4, zone: "b"})
@@ -436,7 +436,7 @@
 func TestReportOfAnEarlierAttemptStartsNothing(t *testing.T) {
 	for _, changes := range []bool{false, true} {
 		t.Run(fmt.Sprint("another leader ", changes), func(t *testing.T) {
-			seeds(t, 3, 3, func(w *world) {
+			seeds(t, 3, 3, func(w *simCluster) {
 				w.tape()
 				j := w.fills("b", 1)
 				h := j.on()[0]
@@ -464,7 +464,7 @@
 // A report of a session that is over arrives under a new leader, which has heard
 // of the next session, and of a task that runs in it.
 func TestReportOfAnEarlierSessionChangesNothing(t *testing.T) {
-	seeds(t, 2, 3, func(w *world) {
+	seeds(t, 2, 3, func(w *simCluster) {
 		w.tape()
 		w.idle("b", "b")
 		j := w.fills("b", 2)
@@ -528,9 +528,9 @@
 	for _, away := range []micro.Time{32, 45, 70} {
 		t.Run(fmt.Sprintf("%d s", away), func(t *testing.T) {
 			t.Parallel()
-			play(t, 1, 3, nil, func(w *world) {
+			play(t, 1, 3, nil, func(w *simCluster) {
 				j := w.fills("a", 4)
-				for _, p := range w.procs {
+				for _, p := range w.controllers {
 					w.restart(p, away*micro.Second+micro.Time(w.drawn(900))*micro.Millisecond)
 				}
 				w.until("killed", 40*micro.Second, func() bool { return j.running() == 0 })
@@ -552,7 +552,7 @@
 	for what, cut := range map[string]func(*host, micro.Time){"unreachable": (*host).isolate, "deaf": (*host).deafen} {
 		for _, zone := range []string{"a", "b"} {
 			t.Run(what+" in "+zone, func(t *testing.T) {
-				seeds(t, 3, 3, func(w *world) {
+				seeds(t, 3, 3, func(w *simCluster) {
 					j := w.fills(zone, 4)
 					for _, h := range j.on()[:2] {
 						cut(h, 20*micro.Second)
--- a/internal/controller/polls_leader_test.go
+++ b/internal/controller/polls_leader_test.go
@@ -14,7 +14,7 @@
 // Polls for ids that the leader does not know take no turn of its loop, which has
 // the workers' reports to answer.
 func TestPollsForUnknownIDsTakeNoTurnOfTheLeader(t *testing.T) {
-	play(t, 5, 3, nil, func(w *world) {
+	play(t, 5, 3, nil, func(w *simCluster) {
 		l, _ := w.led()
 		lead := l.current().leading()
 		release := make(chan struct{})
--- a/internal/controller/polls_test.go
+++ b/internal/controller/polls_test.go
@@ -149,7 +149,7 @@
 
 // A storm polls for ids that nobody submitted, at every node.
 type storm struct {
-	w       *world
+	w       *simCluster
 	mu      sync.Mutex
 	asked   int
 	denied  int // answered 404
@@ -159,7 +159,7 @@
 }
 
 // storms sends so many polls a second to every node until the storm is over.
-func (w *world) storms(perSecond int) *storm {
+func (w *simCluster) storms(perSecond int) *storm {
 	s := &storm{w: w, stop: make(chan struct{})}
 	const gap = 10 * time.Millisecond
 	each := perSecond * int(gap/time.Millisecond) / 1000
@@ -172,7 +172,7 @@
 				return
 			case <-time.After(gap):
 			}
-			for _, p := range w.procs {
+			for _, p := range w.controllers {
 				for range each {
 					go s.poll(p)
 				}
@@ -182,7 +182,7 @@
 	return s
 }
 
-func (s *storm) poll(p *proc) {
+func (s *storm) poll(p *controllerProc) {
 	s.mu.Lock()
 	s.asked++
 	id := fmt.Sprintf("j-%d", unknownBase+s.asked)
@@ -209,18 +209,22 @@
 // All look-ups together stay within the polls' part of the store's limit.
 func TestStormOfPollsHoldsBackNothingElse(t *testing.T) {
 	const stormS = 20
-	for name, trouble := range map[string]func(w *world, l *proc){
-		"calm":     func(*world, *proc) {},
-		"refused":  func(w *world, l *proc) { w.refuse(w.others(l)[0], 10*micro.Second) },
-		"outage":   func(w *world, _ *proc) { w.store.Outage(true); w.sleep(8 * micro.Second); w.store.Outage(false) },
-		"election": func(w *world, l *proc) { w.restart(l, 5*micro.Second) },
+	for name, trouble := range map[string]func(w *simCluster, l *controllerProc){
+		"calm":    func(*simCluster, *controllerProc) {},
+		"refused": func(w *simCluster, l *controllerProc) { w.refuse(w.others(l)[0], 10*micro.Second) },
+		"outage": func(w *simCluster, _ *controllerProc) {
+			w.store.Outage(true)
+			w.sleep(8 * micro.Second)
+			w.store.Outage(false)
+		},
+		"election": func(w *simCluster, l *controllerProc) { w.restart(l, 5*micro.Second) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := newMeter(stormRPS)
-			play(t, 3, 3, func(w *world) {
+			play(t, 3, 3, func(w *simCluster) {
 				w.wrap = m.wrap
 				w.base.Facts.State.RPS = stormRPS
-			}, func(w *world) {
+			}, func(w *simCluster) {
 				l, _ := w.led()
 				running := w.wants(order{kind: wire.Service, tasks: 2}).submit()
 				w.until("runs", 2*micro.Minute, func() bool { return running.running() == 2 })
@@ -235,7 +239,7 @@
 				w.until("a leader", micro.Minute, func() bool { return w.leader() != nil })
 				w.sleep(2 * micro.Second)
 				for end := from + stormS*micro.Second; w.now() < end; w.sleep(micro.Second) {
-					for _, p := range w.procs {
+					for _, p := range w.controllers {
 						if n := p.current(); n == nil || n.catalog.Load() == nil {
 							continue // it takes no submission yet
 						}
@@ -280,7 +284,7 @@
 // A node that the store refuses alone has its peers say which ids are unknown, and
 // read the jobs that the leader does not answer for.
 func TestRefusedNodeAnswersPollsThroughItsPeers(t *testing.T) {
-	play(t, 6, 3, nil, func(w *world) {
+	play(t, 6, 3, nil, func(w *simCluster) {
 		l, others := w.led()
 		j := w.wants(order{kind: wire.Service, tasks: 1}).submit()
 		w.until("runs", 2*micro.Minute, func() bool { return j.running() == 1 })
@@ -300,7 +304,7 @@
 }
 
 // pollUnknown asks for an id that the checker does not know.
-func (j *job) pollUnknown(p *proc) front.Reply {
+func (j *job) pollUnknown(p *controllerProc) front.Reply {
 	r, _ := j.w.call(p, "users", 2*time.Second, func(n *Node) front.Reply { return n.Show(j.id) })
 	return r
 }
@@ -380,11 +384,11 @@
 // memory, without a read of the store.
 func TestFinishedJobsAreAnsweredInAFloodOfUnknownIDs(t *testing.T) {
 	m := newMeter(stormRPS)
-	play(t, 4, 3, func(w *world) {
+	play(t, 4, 3, func(w *simCluster) {
 		w.wrap = m.wrap
 		w.quick = true
 		w.base.Facts.State.RPS = stormRPS
-	}, func(w *world) {
+	}, func(w *simCluster) {
 		w.led()
 		var jobs []*job
 		for range 6 {
@@ -394,11 +398,11 @@
 			w.until(j.id+" done", 3*micro.Minute, func() bool { return stateOf(j.poll(w.any())) == wire.JobDone })
 		}
 		w.sleep(20 * micro.Second) // their records are deleted
-		for _, p := range w.procs {
+		for _, p := range w.controllers {
 			w.kill(p) // no node remembers what it has told
 		}
 		w.sleep(micro.Second)
-		for _, p := range w.procs {
+		for _, p := range w.controllers {
 			w.begin(p)
 		}
 		l, _ := w.led()
@@ -406,7 +410,7 @@
 		defer close(s.stop)
 		w.sleep(5 * micro.Second)
 		for _, j := range jobs {
-			for _, p := range w.procs {
+			for _, p := range w.controllers {
 				if got := stateOf(j.poll(p)); got != wire.JobDone {
 					t.Errorf("%s at %s, the leader is %s: %q", j.id, p.name, l.name, got)
 				}
--- a/internal/controller/random_test.go
+++ b/internal/controller/random_test.go
@@ -11,28 +11,28 @@
 )
 
 var (
-	worldSeeds = flag.Int("world.seeds", 40, "how many days the random test plays")
-	worldFirst = flag.Uint64("world.first", 1, "the seed of the first of them")
-	worldSeed  = flag.Uint64("world.seed", 0, "the one day that it plays; 0: all of them")
+	simulatedDays = flag.Int("sim.seeds", 40, "how many days the random test plays")
+	firstSeed     = flag.Uint64("sim.first", 1, "the seed of the first of them")
+	onlySeed      = flag.Uint64("sim.seed", 0, "the one day that it plays; 0: all of them")
 )
 
 // Random days: jobs of all kinds, and troubles that meet as they come. After the
 // troubles are over, each accepted job that was not cancelled must be served
 // within the time that the users name. The troubles of a day follow from its
 // seed; the order of what happens in the same instant does not, so a failure may
-// take several replays (-world.seed=N -count=20).
+// take several replays (-sim.seed=N -count=20).
 func TestRandomDaysKeepTheRules(t *testing.T) {
 	seeds := []uint64{}
-	for i := range *worldSeeds {
-		seeds = append(seeds, *worldFirst+uint64(i))
+	for i := range *simulatedDays {
+		seeds = append(seeds, *firstSeed+uint64(i))
 	}
-	if *worldSeed > 0 {
-		seeds = []uint64{*worldSeed}
+	if *onlySeed > 0 {
+		seeds = []uint64{*onlySeed}
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, seed, []int{3, 4, 5}[seed%3], func(w *world) {
+			play(t, seed, []int{3, 4, 5}[seed%3], func(w *simCluster) {
 				w.quick = seed%4 == 0
 				w.cloud.never = []float64{0, 0.1}[seed%2]
 				w.cloud.lost = []float64{0, 0, 0.2}[seed%3]
@@ -47,7 +47,7 @@
 	}
 }
 
-func randomDay(w *world) {
+func randomDay(w *simCluster) {
 	const day = 200 * micro.Second
 	var jobs []*job
 	go w.troubles(day)
@@ -70,7 +70,7 @@
 		}
 		if w.chance(0.1) { // and ask for what nobody submitted
 			x := &job{w, fmt.Sprint("j-9", w.drawn(100000)), nil}
-			for _, p := range w.procs {
+			for _, p := range w.controllers {
 				go x.poll(p)
 			}
 		}
@@ -120,7 +120,7 @@
 		}
 	}
 	for _, j := range jobs { // and nothing is forgotten
-		for _, p := range w.procs {
+		for _, p := range w.controllers {
 			j.poll(p)
 		}
 	}
@@ -131,7 +131,7 @@
 }
 
 // order draws a job.
-func (w *world) order() order {
+func (w *simCluster) order() order {
 	o := order{tasks: 1 + w.drawn(6), run: micro.Time(1+w.drawn(30)) * micro.Second, cpus: float64(1 + w.drawn(2)), team: []string{"team", "other"}[w.drawn(2)]}
 	o.rank = []wire.Priority{wire.Production, wire.High, wire.Normal, wire.Low}[w.drawn(4)]
 	o.spot = w.chance(0.4)
--- a/internal/controller/reachability_test.go
+++ b/internal/controller/reachability_test.go
@@ -67,14 +67,14 @@
 		bound = 5500 * micro.Millisecond
 	)
 	for seed := range uint64(3) {
-		play(t, seed, 3, func(w *world) {
+		play(t, seed, 3, func(w *simCluster) {
 			w.quick = true
 			// Room for one task on each machine.
 			tiny := wire.MachineType{Name: "tiny", CPUs: cpus, MemoryGB: 16, Price: 1, SpotPrice: 0.3, BootS: 5, FetchGBPerS: 1, Zones: []string{"a", "b"}}
 			w.types = []wire.MachineType{tiny}
 			w.check.types[tiny.Name] = tiny
 			w.cloud.Types, w.cloud.Capacity = w.types, 2*tasks
-		}, func(w *world) {
+		}, func(w *simCluster) {
 			w.led()
 			job := w.wants(order{kind: wire.Array, tasks: tasks, cpus: cpus, run: 5 * micro.Minute, team: "team"}).submit()
 			w.until("all run", 2*micro.Minute, func() bool { return job.running() == tasks })
--- a/internal/controller/world_hosts_test.go
+++ b/internal/controller/simulation_hosts_test.go
@@ -12,7 +12,7 @@
 
 // host is a machine with its worker.
 type host struct {
-	world *world
+	cluster *simCluster
 
 	mu      sync.Mutex
 	w       *fake.Worker
@@ -42,7 +42,7 @@
 		return
 	}
 	h.booted = true
-	h.w.Sent = h.world.now()
+	h.w.Sent = h.cluster.now()
 	h.w.Refuse = h.refuse
 }
 
@@ -57,26 +57,26 @@
 
 func (h *host) alive() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.booted && !h.gone }
 
-func (h *host) deaf() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.world.now() < h.deafTo }
+func (h *host) deaf() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.cluster.now() < h.deafTo }
 
-func (h *host) mute() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.world.now() < h.muteTo }
+func (h *host) mute() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.cluster.now() < h.muteTo }
 
 // hang lets the machine stand still; deafen and silence cut one way of its talk.
 func (h *host) hang(d micro.Time) {
 	h.mu.Lock()
-	h.hung = h.world.now() + d
+	h.hung = h.cluster.now() + d
 	h.mu.Unlock()
 }
 
-func (h *host) deafen(d micro.Time) { h.mu.Lock(); h.deafTo = h.world.now() + d; h.mu.Unlock() }
+func (h *host) deafen(d micro.Time) { h.mu.Lock(); h.deafTo = h.cluster.now() + d; h.mu.Unlock() }
 
-func (h *host) silence(d micro.Time) { h.mu.Lock(); h.muteTo = h.world.now() + d; h.mu.Unlock() }
+func (h *host) silence(d micro.Time) { h.mu.Lock(); h.muteTo = h.cluster.now() + d; h.mu.Unlock() }
 
 // wake waits while the machine stands still.
 func (h *host) wake() {
 	for {
 		h.mu.Lock()
-		d := h.hung - h.world.now()
+		d := h.hung - h.cluster.now()
 		h.mu.Unlock()
 		if d <= 0 {
 			return
@@ -88,11 +88,11 @@
 // refuse is why a start is refused.
 func (h *host) refuse(task string) wire.Cause {
 	id, _, _ := wire.SplitTask(task)
-	spec, ok := h.world.check.spec(id)
+	spec, ok := h.cluster.check.spec(id)
 	if !ok {
 		return wire.CauseUnknown
 	}
-	room := h.world.check.types[h.w.Type].CPUs
+	room := h.cluster.check.types[h.w.Type].CPUs
 	for k, t := range h.w.Tasks {
 		if t.State == wire.TaskExited {
 			continue
@@ -101,7 +101,7 @@
 			return wire.CauseBusy
 		}
 		other, _, _ := wire.SplitTask(k.Task)
-		o, _ := h.world.check.spec(other)
+		o, _ := h.cluster.check.spec(other)
 		room -= o.CPUs
 	}
 	if room < spec.CPUs-1e-9 {
@@ -127,7 +127,7 @@
 
 // expire ends the session if the lease ran out.
 func (h *host) expire() {
-	if h.w.Expire(h.world.now()) {
+	if h.w.Expire(h.cluster.now()) {
 		h.changed = true
 		h.tell()
 	}
@@ -135,13 +135,13 @@
 
 // tell shows the checker what is on the machine; the caller holds the lock.
 func (h *host) tell() {
-	now := h.world.now()
+	now := h.cluster.now()
 	for k, t := range h.w.Tasks {
 		if _, ok := h.since[k]; !ok && t.State != wire.TaskExited {
 			h.since[k] = now
 			h.changed = true
-			if h.world.starts != nil {
-				h.world.starts(h, k)
+			if h.cluster.starts != nil {
+				h.cluster.starts(h, k)
 			}
 		}
 	}
@@ -150,14 +150,14 @@
 			delete(h.since, k)
 		}
 	}
-	h.world.check.machine(h)
+	h.cluster.check.machine(h)
 }
 
 // step is a tenth of a second of the machine.
 func (h *host) step() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := h.world.now()
+	now := h.cluster.now()
 	if !h.booted || h.gone {
 		return
 	}
@@ -167,7 +167,7 @@
 	}
 	for k, t := range h.w.Tasks {
 		id, index, _ := wire.SplitTask(k.Task)
-		j := h.world.check.job(id)
+		j := h.cluster.check.job(id)
 		if j == nil {
 			continue
 		}
@@ -182,14 +182,14 @@
 			h.exit(k, t, wire.CauseError)
 		case t.State == wire.TaskRunning && j.spec.Kind == wire.Array && now-h.since[k] >= j.run+micro.Time(index)*j.apart:
 			h.exit(k, t, wire.CauseDone)
-			h.world.check.completed(id, index)
+			h.cluster.check.completed(id, index)
 		}
 	}
 	h.tell()
 	if !h.sending && (now >= h.next || h.changed && now-h.last >= 500*micro.Millisecond) {
 		h.sending, h.changed, h.last = true, false, now
 		r := h.w.Report()
-		if h.world.tapes() {
+		if h.cluster.tapes() {
 			h.reports = append(h.reports, wire.MustMarshal(r))
 		}
 		go h.report(r, wire.MustMarshal(r), now)
@@ -203,9 +203,9 @@
 
 // report sends one report and takes its answer.
 func (h *host) report(r *wire.Report, body []byte, sent micro.Time) {
-	w := h.world
+	w := h.cluster
 	h.mu.Lock()
-	to := w.procs[h.at]
+	to := w.controllers[h.at]
 	h.mu.Unlock()
 	var got front.Reply
 	ok := false
@@ -250,7 +250,7 @@
 		}
 	case wire.Redirect:
 		if ok && !late && got.Status == 421 {
-			for i, p := range w.procs {
+			for i, p := range w.controllers {
 				if p.name == o.Leader && i != h.at {
 					h.at, h.next = i, now+200*micro.Millisecond
 					return
@@ -259,12 +259,12 @@
 		}
 	}
 	w.vain.Add(1)
-	h.at, h.next = (h.at+1)%len(w.procs), now+micro.Second
+	h.at, h.next = (h.at+1)%len(w.controllers), now+micro.Second
 }
 
 // again delivers a copy of a report once more, much later, to any node, or to
 // all just as another leader has begun.
-func (w *world) again(body []byte) {
+func (w *simCluster) again(body []byte) {
 	w.mu.Lock()
 	most := w.copies
 	w.mu.Unlock()
@@ -280,7 +280,7 @@
 					break
 				}
 			}
-			for _, p := range w.procs {
+			for _, p := range w.controllers {
 				if n := p.current(); n != nil && w.ctx.Err() == nil {
 					n.Beat(body)
 				}
@@ -289,14 +289,14 @@
 		return
 	}
 	time.AfterFunc(w.between(2*micro.Second, most), func() {
-		if n := w.procs[w.drawn(len(w.procs))].current(); n != nil && w.ctx.Err() == nil {
+		if n := w.controllers[w.drawn(len(w.controllers))].current(); n != nil && w.ctx.Err() == nil {
 			n.Beat(body)
 		}
 	})
 }
 
 // gangs lets the tasks of gangs find each other.
-func (w *world) gangs() {
+func (w *simCluster) gangs() {
 	type member struct {
 		h     *host
 		k     fake.Key
--- a/internal/controller/world_test.go
+++ b/internal/controller/simulation_test.go
@@ -32,40 +32,40 @@
 	"notchmux.dev/notchmux/wire"
 )
 
-var worldLog = flag.String("world.log", "", "folder for the nodes' logs of those worlds that failed")
+var simulationLog = flag.String("sim.log", "", "folder for the nodes' logs of simulations that failed")
 
-// A world is a whole site in fake time: nodes with all their parts but the
+// A simCluster is a whole site in fake time: nodes with all their parts but the
 // sockets, workers, the cloud, the store and users, with the troubles that the
 // protocol and the users foresee. A checker of the rules sees every start, exit
-// and answer. Stories bring one meeting of troubles about; the random test draws
+// and answer. Scenarios bring one meeting of troubles about; the random test draws
 // them.
-type world struct {
-	t       testing.TB
-	mu      sync.Mutex // of rand, workers and troubles
-	rand    *rand.Rand
-	from    time.Time
-	store   *fake.Store
-	cloud   *skies
-	procs   []*proc
-	workers map[string]*host
-	check   *checker
-	ctx     context.Context
-	base    config.Config
-	queue   int // jobs named so far
-	types   []wire.MachineType
-	quick   bool                           // machines are up within two seconds
-	writes  float64                        // changes a second that the store takes; 0: any number
-	starts  func(h *host, k fake.Key)      // told of every start that takes effect
-	wrap    func(l *fake.Link) store.Store // what the nodes have of the store; nil: the link itself
-	vain    atomic.Int64                   // reports that got neither orders nor a leader's name
-	copies  micro.Time                     // how late copies of reports come at the most; 0: none come
-	share   float64                        // of the reports that are copied
-	away    map[string]bool                // zones that are cut off from the others
-	way     micro.Time                     // how long what workers send or are sent is on its way; 0: no time
-	active  int                            // troubles that are not over
-	taping  bool                           // reports are kept, so that copies can come late
-	log     func(node string) *slog.Logger
-	logs    *logs
+type simCluster struct {
+	t           testing.TB
+	mu          sync.Mutex // of rand, workers and troubles
+	rand        *rand.Rand
+	from        time.Time
+	store       *fake.Store
+	cloud       *skies
+	controllers []*controllerProc
+	workers     map[string]*host
+	check       *checker
+	ctx         context.Context
+	base        config.Config
+	queue       int // jobs named so far
+	types       []wire.MachineType
+	quick       bool                           // machines are up within two seconds
+	writes      float64                        // changes a second that the store takes; 0: any number
+	starts      func(h *host, k fake.Key)      // told of every start that takes effect
+	wrap        func(l *fake.Link) store.Store // what the nodes have of the store; nil: the link itself
+	vain        atomic.Int64                   // reports that got neither orders nor a leader's name
+	copies      micro.Time                     // how late copies of reports come at the most; 0: none come
+	share       float64                        // of the reports that are copied
+	away        map[string]bool                // zones that are cut off from the others
+	way         micro.Time                     // how long what workers send or are sent is on its way; 0: no time
+	active      int                            // troubles that are not over
+	taping      bool                           // reports are kept, so that copies can come late
+	log         func(node string) *slog.Logger
+	logs        *logs
 }
 
 const (
@@ -75,32 +75,32 @@
 	teamMax = 16
 )
 
-// play runs a story in fake time.
-func play(t *testing.T, seed uint64, nodes int, set func(*world), story func(*world)) {
+// play runs a scenario in fake time.
+func play(t *testing.T, seed uint64, nodes int, set func(*simCluster), scenario func(*simCluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
-		w := newWorld(t, ctx, seed)
+		w := newSimCluster(t, ctx, seed)
 		if set != nil {
 			set(w)
 		}
 		for i := range nodes {
-			w.addProc(fmt.Sprintf("n-%d", i), []string{"a", "b"}[i%2], nodes)
+			w.addController(fmt.Sprintf("n-%d", i), []string{"a", "b"}[i%2], nodes)
 		}
-		for _, p := range w.procs {
+		for _, p := range w.controllers {
 			w.begin(p)
 		}
-		// Also after a story that gave up: a world that goes on would hide why.
+		// Also after a scenario that gave up: a simulation that goes on would hide why.
 		defer w.close(stop)
 		go w.steps(ctx)
-		story(w)
+		scenario(w)
 	})
 }
 
-// close ends a world and reports what broke in it.
-func (w *world) close(stop func()) {
+// close ends a simulation and reports what broke in it.
+func (w *simCluster) close(stop func()) {
 	stop()
-	for _, p := range w.procs {
+	for _, p := range w.controllers {
 		w.kill(p)
 	}
 	synctest.Wait()
@@ -114,20 +114,20 @@
 }
 
 // save keeps the nodes' logs, if anybody wants to read them.
-func (w *world) save() {
+func (w *simCluster) save() {
 	if w.logs == nil {
 		return
 	}
 	w.logs.mu.Lock()
 	defer w.logs.mu.Unlock()
-	name := filepath.Join(*worldLog, strings.NewReplacer("/", "-", " ", "-").Replace(w.t.Name())+".log")
+	name := filepath.Join(*simulationLog, strings.NewReplacer("/", "-", " ", "-").Replace(w.t.Name())+".log")
 	if err := os.WriteFile(name, w.logs.b.Bytes(), 0o644); err != nil {
 		w.t.Error(err)
 	}
 }
 
-func newWorld(t testing.TB, ctx context.Context, seed uint64) *world {
-	w := &world{t: t, rand: rand.New(rand.NewPCG(seed, 17)), from: time.Now(), store: fake.NewStore(), workers: map[string]*host{}, away: map[string]bool{}, ctx: ctx}
+func newSimCluster(t testing.TB, ctx context.Context, seed uint64) *simCluster {
+	w := &simCluster{t: t, rand: rand.New(rand.NewPCG(seed, 17)), from: time.Now(), store: fake.NewStore(), workers: map[string]*host{}, away: map[string]bool{}, ctx: ctx}
 	w.store.Now = w.now
 	w.types = []wire.MachineType{
 		{Name: "small", CPUs: 4, MemoryGB: 16, Price: 1, SpotPrice: 0.3, BootS: 5, FetchGBPerS: 1, Zones: []string{"a", "b"}},
@@ -151,7 +151,7 @@
 		w.check.types[t.Name] = t
 	}
 	w.log = func(string) *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
-	if *worldLog != "" {
+	if *simulationLog != "" {
 		w.logs = &logs{}
 		w.log = func(node string) *slog.Logger {
 			return slog.New(slog.NewTextHandler(w.logs, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
@@ -177,46 +177,46 @@
 	return l.b.Write(p)
 }
 
-// now is true time since the world began.
-func (w *world) now() micro.Time { return micro.Time(time.Since(w.from).Microseconds()) }
+// now is true time since the simulation began.
+func (w *simCluster) now() micro.Time { return micro.Time(time.Since(w.from).Microseconds()) }
 
-func (w *world) tapes() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.taping }
+func (w *simCluster) tapes() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.taping }
 
-func (w *world) drawn(below int) int {
+func (w *simCluster) drawn(below int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.rand.IntN(below)
 }
 
-func (w *world) chance(share float64) bool {
+func (w *simCluster) chance(share float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return share > 0 && w.rand.Float64() < share
 }
 
 // between draws a span.
-func (w *world) between(least, most micro.Time) time.Duration {
+func (w *simCluster) between(least, most micro.Time) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return (least + micro.Time(w.rand.Int64N(int64(most-least)+1))).Std()
 }
 
-func (w *world) sleep(d micro.Time) { time.Sleep(d.Std()) }
+func (w *simCluster) sleep(d micro.Time) { time.Sleep(d.Std()) }
 
 // until waits for something that must come about, for so long at the most.
-func (w *world) until(what string, most micro.Time, ok func() bool) {
+func (w *simCluster) until(what string, most micro.Time, ok func() bool) {
 	w.t.Helper()
 	for end := w.now() + most; !ok(); w.sleep(50 * micro.Millisecond) {
 		if w.now() > end {
-			w.save() // the story ends here
+			w.save() // the scenario ends here
 			w.t.Fatalf("%v: never: %s", w.now(), what)
 		}
 	}
 }
 
 // proc is a node over its incarnations.
-type proc struct {
-	w          *world
+type controllerProc struct {
+	w          *simCluster
 	name, zone string
 	drift      float64
 	offset     micro.Time
@@ -231,18 +231,18 @@
 	reach  fake.Reach
 }
 
-func (w *world) addProc(name, zone string, all int) *proc {
-	p := &proc{w: w, name: name, zone: zone, drift: 1 + float64(w.drawn(50))/1e5, offset: micro.Time(w.drawn(3_600_000_000)), cuts: map[string]bool{}}
-	w.procs = append(w.procs, p)
+func (w *simCluster) addController(name, zone string, all int) *controllerProc {
+	p := &controllerProc{w: w, name: name, zone: zone, drift: 1 + float64(w.drawn(50))/1e5, offset: micro.Time(w.drawn(3_600_000_000)), cuts: map[string]bool{}}
+	w.controllers = append(w.controllers, p)
 	return p
 }
 
 // begin starts a process of the node.
-func (w *world) begin(p *proc) {
+func (w *simCluster) begin(p *controllerProc) {
 	cfg := w.base
 	cfg.Node, cfg.Zone = p.name, p.zone
 	cfg.Peers = nil
-	for _, o := range w.procs {
+	for _, o := range w.controllers {
 		if o != p {
 			cfg.Peers = append(cfg.Peers, config.Peer{Node: o.name, Zone: o.zone})
 		}
@@ -252,7 +252,7 @@
 	link := fake.NewLink(w.store, rand.New(rand.NewPCG(w.rand.Uint64(), 1)))
 	w.mu.Unlock()
 	if w.writes > 0 {
-		link.Budget(w.writes, 1/float64(len(w.procs)))
+		link.Budget(w.writes, 1/float64(len(w.controllers)))
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
 	began := w.now()
@@ -280,7 +280,7 @@
 }
 
 // kill ends the process with no signal.
-func (w *world) kill(p *proc) {
+func (w *simCluster) kill(p *controllerProc) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.alive {
@@ -292,7 +292,7 @@
 }
 
 // restart kills the process, and starts another after a while.
-func (w *world) restart(p *proc, after micro.Time) {
+func (w *simCluster) restart(p *controllerProc, after micro.Time) {
 	w.kill(p)
 	time.AfterFunc(after.Std(), func() {
 		if w.ctx.Err() == nil && !p.up() {
@@ -301,10 +301,10 @@
 	})
 }
 
-func (p *proc) up() bool { p.mu.Lock(); defer p.mu.Unlock(); return p.alive }
+func (p *controllerProc) up() bool { p.mu.Lock(); defer p.mu.Unlock(); return p.alive }
 
 // freeze lets the process stand still: what it sends, and what it is sent, waits.
-func (p *proc) freeze(d micro.Time) {
+func (p *controllerProc) freeze(d micro.Time) {
 	p.mu.Lock()
 	p.thaw = time.Now().Add(d.Std())
 	p.link.Hold(p.thaw)
@@ -312,7 +312,7 @@
 }
 
 // stand waits while the process stands still.
-func (p *proc) stand() {
+func (p *controllerProc) stand() {
 	p.mu.Lock()
 	d := time.Until(p.thaw)
 	p.mu.Unlock()
@@ -322,7 +322,7 @@
 }
 
 // cut sets what the network keeps from the node.
-func (p *proc) cut(on bool, what ...string) {
+func (p *controllerProc) cut(on bool, what ...string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, x := range what {
@@ -336,7 +336,7 @@
 }
 
 // refuse has the store refuse the node, and it alone.
-func (p *proc) refuse(on bool) {
+func (p *controllerProc) refuse(on bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reach = fake.Served
@@ -348,10 +348,14 @@
 	}
 }
 
-func (p *proc) cutFrom(what string) bool { p.mu.Lock(); defer p.mu.Unlock(); return p.cuts[what] }
+func (p *controllerProc) cutFrom(what string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cuts[what]
+}
 
 // current is the process that answers now; nil: none.
-func (p *proc) current() *Node {
+func (p *controllerProc) current() *Node {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.alive {
@@ -361,8 +365,8 @@
 }
 
 // leader is the node with the right to act, nil if there is none.
-func (w *world) leader() *proc {
-	for _, p := range w.procs {
+func (w *simCluster) leader() *controllerProc {
+	for _, p := range w.controllers {
 		if n := p.current(); n != nil && n.leading() != nil {
 			return p
 		}
@@ -371,14 +375,14 @@
 }
 
 // parted reports whether the network keeps two zones apart.
-func (w *world) parted(a, b string) bool {
+func (w *simCluster) parted(a, b string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return a != b && (w.away[a] || w.away[b])
 }
 
 // call asks a process, as one that waits for so long.
-func (w *world) call(p *proc, from string, wait time.Duration, ask func(*Node) front.Reply) (front.Reply, bool) {
+func (w *simCluster) call(p *controllerProc, from string, wait time.Duration, ask func(*Node) front.Reply) (front.Reply, bool) {
 	n := p.current()
 	if n == nil {
 		return front.Reply{}, false
@@ -412,7 +416,7 @@
 
 // peerLines are the calls of one process to the other nodes.
 type peerLines struct {
-	p    *proc
+	p    *controllerProc
 	link *fake.Link
 }
 
@@ -426,7 +430,7 @@
 		out    []byte
 	}
 	ch := make(chan answer, 1)
-	for _, o := range c.p.w.procs {
+	for _, o := range c.p.w.controllers {
 		if o.name != node {
 			continue
 		}
@@ -456,7 +460,7 @@
 
 // wires carry the direct orders of one process.
 type wires struct {
-	p    *proc
+	p    *controllerProc
 	link *fake.Link
 }
 
@@ -501,7 +505,7 @@
 // skies are the cloud, which boots workers.
 type skies struct {
 	*fake.Cloud
-	w     *world
+	w     *simCluster
 	down  bool
 	never float64  // share of machines that never come up
 	lost  float64  // share of rentals whose answer is lost
@@ -535,7 +539,7 @@
 // sky is the cloud as one process reaches it.
 type sky struct {
 	*skies
-	p    *proc
+	p    *controllerProc
 	link *fake.Link
 }
 
@@ -631,16 +635,16 @@
 	return l, nil
 }
 
-func (w *world) host(name string) *host {
+func (w *simCluster) host(name string) *host {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.workers[name]
 }
 
 // hosts lists the machines that are there, in the order of their names. No lock
-// of a machine is taken under that of the world: a machine takes them the other
+// of a machine is taken under that of the cluster: a machine takes them the other
 // way round.
-func (w *world) hosts() []*host {
+func (w *simCluster) hosts() []*host {
 	w.mu.Lock()
 	all := make([]*host, 0, len(w.workers))
 	for _, h := range w.workers {
@@ -658,7 +662,7 @@
 }
 
 // boot brings a rented machine up, once.
-func (w *world) boot(name string, r wire.Rental) {
+func (w *simCluster) boot(name string, r wire.Rental) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.workers[name] != nil {
@@ -667,7 +671,7 @@
 	fw := fake.NewWorker(name, r.Type, r.Zone, leaseS*micro.Second)
 	fw.Spot = r.Spot
 	fw.First = wire.TaskFetching
-	h := &host{world: w, w: fw, since: map[fake.Key]micro.Time{}, at: w.rand.IntN(len(w.procs))}
+	h := &host{cluster: w, w: fw, since: map[fake.Key]micro.Time{}, at: w.rand.IntN(len(w.controllers))}
 	w.workers[name] = h
 	w.cloud.from[name] = w.now()
 	if w.rand.Float64() < w.cloud.never || w.cloud.fails != nil && w.cloud.fails(r) {
@@ -681,7 +685,7 @@
 }
 
 // steps lets the machines go on, every tenth of a second.
-func (w *world) steps(ctx context.Context) {
+func (w *simCluster) steps(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, h := range w.hosts() {
 			h.step()
--- a/internal/controller/world_users_test.go
+++ b/internal/controller/simulation_users_test.go
@@ -44,13 +44,13 @@
 
 // job is a submission by its user, who keeps to the protocol.
 type job struct {
-	w    *world
+	w    *simCluster
 	id   string
 	body []byte
 }
 
 // wants makes a job that nobody has submitted yet.
-func (w *world) wants(o order) *job {
+func (w *simCluster) wants(o order) *job {
 	if o.cpus == 0 {
 		o.cpus = 1
 	}
@@ -75,9 +75,9 @@
 }
 
 // any draws a node that takes users, nil if there is none.
-func (w *world) any() *proc {
+func (w *simCluster) any() *controllerProc {
 	for range 8 {
-		if p := w.procs[w.drawn(len(w.procs))]; p.up() && !p.cutFrom("users") {
+		if p := w.controllers[w.drawn(len(w.controllers))]; p.up() && !p.cutFrom("users") {
 			return p
 		}
 	}
@@ -85,7 +85,7 @@
 }
 
 // try sends one request to one node.
-func (j *job) try(p *proc, wait time.Duration, ask func(*Node) front.Reply) front.Reply {
+func (j *job) try(p *controllerProc, wait time.Duration, ask func(*Node) front.Reply) front.Reply {
 	if p == nil {
 		return front.Reply{}
 	}
@@ -98,15 +98,15 @@
 	return r
 }
 
-func (j *job) send(p *proc) front.Reply {
+func (j *job) send(p *controllerProc) front.Reply {
 	return j.try(p, 5*time.Second, func(n *Node) front.Reply { return n.Submit(j.body) })
 }
 
-func (j *job) poll(p *proc) front.Reply {
+func (j *job) poll(p *controllerProc) front.Reply {
 	return j.try(p, 2*time.Second, func(n *Node) front.Reply { return n.Show(j.id) })
 }
 
-func (j *job) withdraw(p *proc) front.Reply {
+func (j *job) withdraw(p *controllerProc) front.Reply {
 	j.w.check.withdraws(j.id)
 	return j.try(p, 5*time.Second, func(n *Node) front.Reply { return n.Withdraw(j.id) })
 }
@@ -155,7 +155,7 @@
 // submission.
 func (j *job) closely() {
 	for range 3 {
-		for _, p := range j.w.procs {
+		for _, p := range j.w.controllers {
 			go j.poll(p)
 			go j.send(p)
 		}
@@ -200,7 +200,7 @@
 }
 
 // ripe lists the tasks of a job that have run for so long.
-func (w *world) ripe(j *job, d micro.Time) []string {
+func (w *simCluster) ripe(j *job, d micro.Time) []string {
 	var out []string
 	for _, h := range w.hosts() {
 		h.mu.Lock()
--- a/internal/controller/meet_store_test.go
+++ b/internal/controller/store_faults_test.go
@@ -16,15 +16,15 @@
 // what a user was told, whatever the state service does with the writes.
 
 // led waits for a leader and gives it, and the others.
-func (w *world) led() (*proc, []*proc) {
+func (w *simCluster) led() (*controllerProc, []*controllerProc) {
 	w.t.Helper()
 	w.until("a leader that has taken over", micro.Minute, func() bool {
 		l := w.leader()
 		return l != nil && l.remembers("") != "away"
 	})
 	l := w.leader()
-	var others []*proc
-	for _, p := range w.procs {
+	var others []*controllerProc
+	for _, p := range w.controllers {
 		if p != l {
 			others = append(others, p)
 		}
@@ -34,7 +34,7 @@
 
 // remembers is the state of a job in the memory of a leader: "" if it has none,
 // "away" if it does not say.
-func (p *proc) remembers(id string) string {
+func (p *controllerProc) remembers(id string) string {
 	n := p.current()
 	if n == nil {
 		return "away"
@@ -62,7 +62,7 @@
 // looks asks all nodes and repeats the submission at all, for so long.
 func (j *job) looks(d micro.Time) {
 	for end := j.w.now() + d; j.w.now() < end; j.w.sleep(20 * micro.Millisecond) {
-		for _, p := range j.w.procs {
+		for _, p := range j.w.controllers {
 			go j.poll(p)
 			go j.send(p)
 		}
@@ -77,7 +77,7 @@
 	if s.aborted {
 		want = wire.JobAborted
 	}
-	for _, p := range j.w.procs {
+	for _, p := range j.w.controllers {
 		if got := stateOf(j.poll(p)); got != want {
 			j.w.t.Errorf("%s was over (%+v), %s says %q", j.id, s, p.name, got)
 		}
@@ -87,7 +87,7 @@
 // A job is cancelled at the leader, which has not heard yet that another node has
 // accepted it: that is no reason to call it unknown.
 func TestWithdrawalOfAJobThatTheLeaderHasNotHeardOf(t *testing.T) {
-	play(t, 1, 3, nil, func(w *world) {
+	play(t, 1, 3, nil, func(w *simCluster) {
 		l, others := w.led()
 		w.cutOff(others[0], 20*micro.Second, "peers") // it can't tell the leader
 		met := 0
@@ -100,7 +100,7 @@
 			if l.remembers(j.id) == "" {
 				met++
 			}
-			for _, p := range []*proc{l, others[1]} {
+			for _, p := range []*controllerProc{l, others[1]} {
 				j.withdraw(p)
 				j.poll(p)
 				j.send(p)
@@ -120,7 +120,7 @@
 // A leader that was cut from the store and the other nodes is asked, after its
 // jobs were cancelled through the next one.
 func TestFormerLeaderIsAskedAboutWhatTheNextOneCancelled(t *testing.T) {
-	play(t, 1, 3, nil, func(w *world) {
+	play(t, 1, 3, nil, func(w *simCluster) {
 		old, others := w.led()
 		var jobs []*job
 		for range 4 {
@@ -134,7 +134,7 @@
 			return n == len(jobs)
 		})
 		w.cutOff(old, 40*micro.Second, "state", "peers")
-		var next *proc
+		var next *controllerProc
 		w.until("another leads", micro.Minute, func() bool {
 			for _, p := range others {
 				if n := p.current(); n.leading() != nil {
@@ -163,7 +163,7 @@
 func TestEndIsReadByOthersWhileItsWriterHasNoAnswer(t *testing.T) {
 	for _, withdrawn := range []bool{false, true} {
 		t.Run(fmt.Sprint("withdrawn ", withdrawn), func(t *testing.T) {
-			play(t, 2, 3, nil, func(w *world) {
+			play(t, 2, 3, nil, func(w *simCluster) {
 				l, others := w.led()
 				reader := others[0]
 				w.cutOff(reader, 5*micro.Minute, "peers")
@@ -192,7 +192,7 @@
 // The write of an end gets no answer, and is not there when it is looked for; the
 // next try is refused. Then the first is carried out, and read by another node.
 func TestEndIsCarriedOutLateAfterItsWriterLookedForIt(t *testing.T) {
-	play(t, 3, 3, nil, func(w *world) {
+	play(t, 3, 3, nil, func(w *simCluster) {
 		l, others := w.led()
 		reader := others[0]
 		w.cutOff(reader, 5*micro.Minute, "peers")
@@ -239,7 +239,7 @@
 func TestRecordsAreNotOverwrittenByOlderOnesThatCameLate(t *testing.T) {
 	met := 0
 	for seed := range uint64(4) {
-		play(t, seed, 3, func(w *world) { w.quick = true }, func(w *world) {
+		play(t, seed, 3, func(w *simCluster) { w.quick = true }, func(w *simCluster) {
 			l, _ := w.led()
 			j := w.wants(order{kind: wire.Array, tasks: 3, cpus: 4, run: 2 * micro.Minute})
 			var mu sync.Mutex
@@ -272,7 +272,7 @@
 		})
 	}
 	if met < 2 {
-		t.Errorf("the late record lacked places in %d of 4 worlds", met)
+		t.Errorf("the late record lacked places in %d of 4 simulations", met)
 	}
 }
 
@@ -280,7 +280,7 @@
 // every poll. An answer that a job is not over comes no later after another node said
 // that it is than a read may take whose answer is still worth telling.
 func TestSlowReadsAreNotToldOnceTheyAreOld(t *testing.T) {
-	play(t, 5, 3, nil, func(w *world) {
+	play(t, 5, 3, nil, func(w *simCluster) {
 		l, others := w.led()
 		reader := others[0]
 		w.cutOff(reader, 5*micro.Minute, "peers")
@@ -289,13 +289,13 @@
 		for i := range 12 {
 			j := w.wants(order{kind: wire.Array, tasks: 1, run: 4 * micro.Second}).submit()
 			jobs = append(jobs, j)
-			w.slowFor([]*proc{reader}, []micro.Time{350 * micro.Millisecond, 700 * micro.Millisecond}[i%2], 14*micro.Second)
+			w.slowFor([]*controllerProc{reader}, []micro.Time{350 * micro.Millisecond, 700 * micro.Millisecond}[i%2], 14*micro.Second)
 			var mu sync.Mutex
 			told := micro.Time(0)
 			if i%4 > 1 {
 				time.AfterFunc(w.between(micro.Second, 6*micro.Second), func() { j.cancel() })
 			}
-			ask := func(p *proc) {
+			ask := func(p *controllerProc) {
 				began := w.now()
 				s := stateOf(j.poll(p))
 				mu.Lock()
@@ -341,7 +341,7 @@
 // with no other trouble; the store and the workers take their usual time. Each has one end, and all
 // nodes name it for ever.
 func TestCancellationMeetsTheEndOfTheLastTask(t *testing.T) {
-	play(t, 6, 3, nil, func(w *world) {
+	play(t, 6, 3, nil, func(w *simCluster) {
 		w.led()
 		w.slow(150*micro.Millisecond, 10*micro.Minute)
 		w.slowWorkers(100*micro.Millisecond, 10*micro.Minute)
@@ -399,11 +399,11 @@
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, seed+10, 3+int(seed%3), nil, func(w *world) {
+			play(t, seed+10, 3+int(seed%3), nil, func(w *simCluster) {
 				w.led()
 				w.unsure([]float64{0, 0.15}[seed%2], 0.3, 80*micro.Second)
 				if seed%3 == 2 {
-					w.cutOff(w.procs[0], 60*micro.Second, "peers")
+					w.cutOff(w.controllers[0], 60*micro.Second, "peers")
 				}
 				var wg sync.WaitGroup
 				var jobs []*job
@@ -422,7 +422,7 @@
 							if s := j.is(); s.done || s.aborted {
 								break
 							}
-							for _, p := range w.procs {
+							for _, p := range w.controllers {
 								go j.poll(p)
 							}
 							w.sleep(200 * micro.Millisecond)
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -11,12 +11,12 @@
 	"notchmux.dev/notchmux/wire"
 )
 
-// The troubles of a world. Each begins and ends by itself, and counts as long as
+// The troubles of a simulation. Each begins and ends by itself, and counts as long as
 // it lasts.
 
 // trouble runs one, and notes when it is over: after a while, or when what it
 // returns is called.
-func (w *world) trouble(d micro.Time, on, off func()) func() {
+func (w *simCluster) trouble(d micro.Time, on, off func()) func() {
 	w.mu.Lock()
 	w.active++
 	w.mu.Unlock()
@@ -35,31 +35,31 @@
 }
 
 // calm reports whether no trouble is left.
-func (w *world) calm() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.active == 0 }
+func (w *simCluster) calm() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.active == 0 }
 
 // outage takes the store from all nodes.
-func (w *world) outage(d micro.Time) {
+func (w *simCluster) outage(d micro.Time) {
 	w.trouble(d, func() { w.store.Outage(true) }, func() { w.store.Outage(false) })
 }
 
 // refuse has the store refuse one node for a while.
-func (w *world) refuse(p *proc, d micro.Time) {
+func (w *simCluster) refuse(p *controllerProc, d micro.Time) {
 	w.trouble(d, func() { p.refuse(true) }, func() { p.refuse(false) })
 }
 
 // cutOff keeps some of its surroundings from a node for a while.
-func (w *world) cutOff(p *proc, d micro.Time, what ...string) {
+func (w *simCluster) cutOff(p *controllerProc, d micro.Time, what ...string) {
 	w.trouble(d, func() { p.cut(true, what...) }, func() { p.cut(false, what...) })
 }
 
 // cutZone keeps a zone's nodes and workers from everything outside.
-func (w *world) cutZone(zone string, d micro.Time) func() {
+func (w *simCluster) cutZone(zone string, d micro.Time) func() {
 	set := func(on bool) func() {
 		return func() {
 			w.mu.Lock()
 			w.away[zone] = on
 			w.mu.Unlock()
-			for _, p := range w.procs {
+			for _, p := range w.controllers {
 				if p.zone == zone {
 					p.cut(on, "state", "users", "cloud")
 				}
@@ -71,9 +71,9 @@
 
 // unsure has a share of the commits carried out late, or their answers lost: of
 // some nodes, or of all if none is named.
-func (w *world) unsure(late, lost float64, d micro.Time, only ...*proc) {
+func (w *simCluster) unsure(late, lost float64, d micro.Time, only ...*controllerProc) {
 	if only == nil {
-		only = w.procs
+		only = w.controllers
 	}
 	set := func(a, b float64) func() {
 		return func() {
@@ -91,7 +91,7 @@
 
 // meets says what befalls the commits of one process that put a key of a prefix:
 // the first of them, the second, and so on.
-func (w *world) meets(p *proc, prefix string, fate func(n int, c wire.Change) fake.Fate) {
+func (w *simCluster) meets(p *controllerProc, prefix string, fate func(n int, c wire.Change) fake.Fate) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
@@ -107,10 +107,10 @@
 }
 
 // slow makes the store slow for all.
-func (w *world) slow(delay, d micro.Time) { w.slowFor(w.procs, delay, d) }
+func (w *simCluster) slow(delay, d micro.Time) { w.slowFor(w.controllers, delay, d) }
 
 // slowFor makes it slow for some nodes.
-func (w *world) slowFor(procs []*proc, delay, d micro.Time) {
+func (w *simCluster) slowFor(procs []*controllerProc, delay, d micro.Time) {
 	set := func(x micro.Time) func() {
 		return func() {
 			for _, p := range procs {
@@ -127,13 +127,13 @@
 
 // slowWorkers makes every report, direct command and answer of workers take half
 // to one and a half times so long.
-func (w *world) slowWorkers(delay, d micro.Time) {
+func (w *simCluster) slowWorkers(delay, d micro.Time) {
 	set := func(x micro.Time) func() { return func() { w.mu.Lock(); w.way = x; w.mu.Unlock() } }
 	w.trouble(d, set(delay), set(0))
 }
 
 // travel is one way between a worker and a node.
-func (w *world) travel() {
+func (w *simCluster) travel() {
 	w.mu.Lock()
 	d := w.way
 	w.mu.Unlock()
@@ -143,7 +143,7 @@
 }
 
 // stale has copies of reports come late.
-func (w *world) stale(share float64, most, d micro.Time) {
+func (w *simCluster) stale(share float64, most, d micro.Time) {
 	set := func(s float64, m micro.Time) func() {
 		return func() {
 			w.mu.Lock()
@@ -185,7 +185,7 @@
 func (h *host) heldUp() int { h.mu.Lock(); defer h.mu.Unlock(); return len(h.held) }
 
 // tape keeps what all machines report from now on.
-func (w *world) tape() { w.mu.Lock(); w.taping = true; w.mu.Unlock() }
+func (w *simCluster) tape() { w.mu.Lock(); w.taping = true; w.mu.Unlock() }
 
 // late delivers a copy of the machine's last report from before a job's task was
 // on it to every node, and lateWith one of the last that shows the task.
@@ -194,7 +194,7 @@
 func (h *host) lateWith(j *job) { h.resend(j, true) }
 
 func (h *host) resend(j *job, with bool) {
-	h.world.t.Helper()
+	h.cluster.t.Helper()
 	var body []byte
 	h.mu.Lock()
 	for _, r := range h.reports {
@@ -206,9 +206,9 @@
 	}
 	h.mu.Unlock()
 	if r, err := wire.DecodeReport(body); err != nil || r.Token == 0 {
-		h.world.t.Fatal("no such report that shows a token")
+		h.cluster.t.Fatal("no such report that shows a token")
 	}
-	for _, p := range h.world.procs {
+	for _, p := range h.cluster.controllers {
 		if n := p.current(); n != nil {
 			n.Beat(body)
 		}
@@ -219,7 +219,7 @@
 func (h *host) isolate(d micro.Time) { h.silence(d); h.deafen(d) }
 
 // term names the term of whoever leads, 0 if nobody does.
-func (w *world) term() uint64 {
+func (w *simCluster) term() uint64 {
 	if p := w.leader(); p != nil {
 		if l := p.current().leading(); l != nil {
 			return l.term.Stamp
@@ -230,7 +230,7 @@
 
 // depose ends the leader's process, which is back after a while, and waits until
 // another term has begun.
-func (w *world) depose(back micro.Time) {
+func (w *simCluster) depose(back micro.Time) {
 	w.t.Helper()
 	was := w.term()
 	if was == 0 {
@@ -241,7 +241,7 @@
 }
 
 // some draws machines.
-func (w *world) some(n int) []*host {
+func (w *simCluster) some(n int) []*host {
 	hs := w.hosts()
 	var out []*host
 	for range min(n, len(hs)) {
@@ -251,16 +251,16 @@
 }
 
 // troubles draws them until a day is over.
-func (w *world) troubles(day micro.Time) {
+func (w *simCluster) troubles(day micro.Time) {
 	nothing := func() {}
 	for w.now() < day-60*micro.Second && w.ctx.Err() == nil {
 		time.Sleep(w.between(2*micro.Second, 20*micro.Second))
-		p := w.procs[w.drawn(len(w.procs))]
+		p := w.controllers[w.drawn(len(w.controllers))]
 		if l := w.leader(); l != nil && w.chance(0.7) {
 			p = l
 		}
 		d := micro.Time(w.between(2*micro.Second, 50*micro.Second) / time.Microsecond)
-		w.log("world").Debug("trouble drawn", "node", p.name, "for_s", d.Seconds())
+		w.log("simulation").Debug("trouble drawn", "node", p.name, "for_s", d.Seconds())
 		switch w.drawn(18) {
 		case 0:
 			w.outage(micro.Time(w.between(2*micro.Second, 70*micro.Second) / time.Microsecond))
@@ -276,7 +276,7 @@
 		case 4:
 			after := micro.Time(w.between(100*micro.Millisecond, 40*micro.Second) / time.Microsecond)
 			w.trouble(after+10*micro.Second, func() {
-				for _, p := range w.procs {
+				for _, p := range w.controllers {
 					w.restart(p, after+micro.Time(w.between(0, micro.Second)/time.Microsecond))
 				}
 			}, nothing)
--- a/internal/controller/zone_cut_test.go
+++ b/internal/controller/zone_cut_test.go
@@ -9,7 +9,7 @@
 )
 
 // leadOutside brings about a leader outside a zone.
-func (w *world) leadOutside(zone string) *proc {
+func (w *simCluster) leadOutside(zone string) *controllerProc {
 	w.t.Helper()
 	w.until("a leader outside zone "+zone, 2*micro.Minute, func() bool {
 		l := w.leader()
@@ -24,9 +24,9 @@
 }
 
 // outside lists the nodes of other zones.
-func (w *world) outside(zone string) []*proc {
-	var out []*proc
-	for _, p := range w.procs {
+func (w *simCluster) outside(zone string) []*controllerProc {
+	var out []*controllerProc
+	for _, p := range w.controllers {
 		if p.zone != zone {
 			out = append(out, p)
 		}
@@ -36,7 +36,7 @@
 
 // inOneZone submits a service that may run anywhere, a machine a task, and waits
 // until it runs in one zone, which it names.
-func (w *world) inOneZone(tasks int) (*job, string) {
+func (w *simCluster) inOneZone(tasks int) (*job, string) {
 	w.t.Helper()
 	j := w.wants(order{kind: wire.Service, tasks: tasks, cpus: 4}).submit()
 	w.runs(j, tasks)
@@ -51,7 +51,7 @@
 
 // machinesInBoth holds a machine in either zone, so that in a cut the leader outside
 // still hears one.
-func (w *world) machinesInBoth() {
+func (w *simCluster) machinesInBoth() {
 	w.t.Helper()
 	for _, z := range []string{"a", "b"} {
 		w.runs(w.wants(order{kind: wire.Service, tasks: 1, cpus: 4, zone: z, team: "other"}).submit(), 1)
@@ -79,17 +79,17 @@
 // keptAtMost is until when after the beginning of a cut tasks inside may run on: a
 // leader inside loses its right, the keepers' span begins with that, and the lease
 // that they renewed last runs out.
-func (w *world) keptAtMost() micro.Time {
-	cfg := w.procs[0].current().Cfg
+func (w *simCluster) keptAtMost() micro.Time {
+	cfg := w.controllers[0].current().Cfg
 	return cfg.LeaderLease + cfg.KeepSpan() + leaseS*micro.Second
 }
 
 // placedAgainWithin is how long after that the tasks run elsewhere at the latest:
 // the leader adds room for drift, and rents machines, whose workers try all nodes,
 // those out of reach included.
-func (w *world) placedAgainWithin() micro.Time {
+func (w *simCluster) placedAgainWithin() micro.Time {
 	const rentAndBoot = 12 * micro.Second
-	return rentAndBoot + w.procs[0].current().Cfg.Round()
+	return rentAndBoot + w.controllers[0].current().Cfg.Round()
 }
 
 // Fault: a zone with controllers is cut off for longer than its keepers may renew
@@ -98,12 +98,12 @@
 func TestZoneCutOffBeyondTheKeepersSpan(t *testing.T) {
 	for _, outside := range []bool{true, false} {
 		t.Run(fmt.Sprint("machines outside ", outside), func(t *testing.T) {
-			seeds(t, 4, 5, func(w *world) { beyondTheKeepersSpan(w, outside) })
+			seeds(t, 4, 5, func(w *simCluster) { beyondTheKeepersSpan(w, outside) })
 		})
 	}
 }
 
-func beyondTheKeepersSpan(w *world, outside bool) {
+func beyondTheKeepersSpan(w *simCluster, outside bool) {
 	j, zone := w.inOneZone(4)
 	most := w.keptAtMost() + w.placedAgainWithin()
 	if outside {
@@ -116,7 +116,7 @@
 	w.sleep(5 * micro.Second)
 	from := w.now()
 	w.cutZone(zone, most+90*micro.Second)
-	w.sleep(w.procs[0].current().Cfg.KeepSpan())
+	w.sleep(w.controllers[0].current().Cfg.KeepSpan())
 	if j.running() != 4 || j.starts() != 4 {
 		w.t.Errorf("within the keepers' span %d tasks run, %d starts", j.running(), j.starts())
 	}
@@ -130,7 +130,7 @@
 	w.until("the cut is over", 5*micro.Minute, w.calm)
 	back := w.wants(order{kind: wire.Service, tasks: 1, cpus: 4, zone: zone, team: "other"}).submit()
 	w.until("the zone serves again", 30*micro.Second, func() bool { return back.running() == 1 })
-	w.goesOn(w.procs)
+	w.goesOn(w.controllers)
 	if j.running() != 4 || j.starts() != 8 {
 		w.t.Errorf("%d of its tasks run, %d starts", j.running(), j.starts())
 	}
@@ -148,7 +148,7 @@
 	}{{"cut within the keepers' span", 43 * micro.Second, 0}, {"cut beyond it", 160 * micro.Second, 4}} {
 		for _, after := range []micro.Time{6 * micro.Second, 20 * micro.Second} {
 			t.Run(fmt.Sprintf("%s, leader ends after %v s", c.name, after.Seconds()), func(t *testing.T) {
-				seeds(t, 3, 5, func(w *world) {
+				seeds(t, 3, 5, func(w *simCluster) {
 					j, zone := w.inOneZone(4) // all that the team may have
 					w.machinesInBoth()
 					was := w.leadOutside(zone)
@@ -168,7 +168,7 @@
 						w.until("the cut is over", 2*micro.Minute, w.calm)
 						w.sleep(20 * micro.Second)
 					} else {
-						most := w.procs[0].current().Cfg.KeepSpan() + leaseS*micro.Second + w.placedAgainWithin()
+						most := w.controllers[0].current().Cfg.KeepSpan() + leaseS*micro.Second + w.placedAgainWithin()
 						w.until("placed again elsewhere", took+most-w.now(), func() bool { return j.runsOutside(zone)+waits.running() == 4 })
 						w.t.Logf("placed again %.1f s after the cut began", (w.now() - from).Seconds())
 						w.until("the cut is over", 2*micro.Minute, w.calm)
@@ -179,7 +179,7 @@
 					}
 					go j.cancel()
 					w.until("the job that waited is done", micro.Minute, func() bool { return stateOf(waits.poll(w.any())) == wire.JobDone })
-					w.goesOn(w.procs)
+					w.goesOn(w.controllers)
 				})
 			})
 		}
