The return of a machine that holds tasks does not wait for its rental's record

Change: only the return of a machine without places waits for the record. For one that is given up for its silence the record is written lazily beside it.

Test: TestOnlyTheReturnOfAMachineWithoutTasksWaitsForItsRecord, seen failing with either half of the rule taken out.

--- a/internal/controller/boot_test.go
+++ b/internal/controller/boot_test.go
@@ -72,6 +72,40 @@
 	}
 }
 
+// The tasks of a dead machine begin elsewhere without waiting until the store knows
+// that the machine is to be returned: behind the writes of a busy hour that took 14 s.
+// A machine that holds nothing is in no hurry.
+func TestOnlyTheReturnOfAMachineWithoutTasksWaitsForItsRecord(t *testing.T) {
+	play(t, 5, 3, func(w *simCluster) { w.quick = true }, func(w *simCluster) {
+		l, _ := w.led()
+		w.until("the forms of this version in use", micro.Minute, func() bool { return l.current().leading().c.Compact })
+		long := w.wants(order{kind: wire.Array, tasks: 1, cpus: 4, run: 3 * micro.Minute}).submit()
+		short := w.wants(order{kind: wire.Array, tasks: 1, cpus: 4, run: 20 * micro.Second}).submit()
+		w.until("both run", micro.Minute, func() bool { return long.running() == 1 && short.running() == 1 })
+		busy, idle := long.on()[0].w.Name, short.on()[0].w.Name
+		w.until("one is done", micro.Minute, func() bool { return stateOf(short.poll(w.any())) == wire.JobDone })
+		w.sleep(micro.Second)
+		lead := w.leader().current().leading()
+		waits := make(chan map[string]bool, 1)
+		lead.post(func() {
+			found := map[string]bool{}
+			for _, name := range []string{busy, idle} {
+				m := lead.c.Machines[name]
+				lead.giveBack(m, "for a test")
+				found[name] = !lead.recorded(m)
+			}
+			waits <- found
+		})
+		found := <-waits
+		if found[busy] {
+			t.Error("the return of a machine with a task waits for the record")
+		}
+		if !found[idle] {
+			t.Error("the return of an idle machine does not wait for the record")
+		}
+	})
+}
+
 // anyAskedBack reports whether the return of any machine was asked for.
 func (w *simCluster) anyAskedBack() bool {
 	for _, h := range w.hosts() {
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -248,7 +248,10 @@
 
 // giveBack marks a machine to be returned. Where its rental has a record, that is
 // written before the request goes out: a request that is carried out late once took
-// a machine away with the work that the next leader had started on it.
+// a machine away with the work that the next leader had started on it. The request
+// for a machine that holds places does not wait: it was given up for its silence, and
+// only the cloud's answer frees them. Behind the writes of a busy hour the tasks of
+// dead machines were placed again 14 s later.
 func (l *Lead) giveBack(m *model.Machine, why string) {
 	if !l.c.Become(m, model.Returning, why) {
 		return
@@ -261,6 +264,10 @@
 	h.rec.Machines = without(h.rec.Machines, m.Name)
 	h.rec.Returning = append(slices.Clone(h.rec.Returning), m.Name)
 	h.version++
+	if len(m.Places) > 0 {
+		h.cell.touch(l.n.Now(), lazy)
+		return
+	}
 	l.returns[m] = h.version
 	h.cell.touch(l.n.Now(), soon)
 }
