Fleets of 4,000 machines: what grew without bound, and limits below that size

Need: the operators run about 4,000 machines, unwatched; no fixed limit may stand below that, and nothing kept may grow with the age of a term.

- A leader kept every job, end and returned machine that it ever saw.
Jobs are forgotten 10 minutes after their end once nothing of them is left in the store but the end, ends and returned machines after an hour.
- The cloud's list of 4,000 machines took a third of the cloud's rate; it keeps to a fifth now, within the age by which machines are returned.
- Room for 16,384 events, and for as many clients of workers (4,096 and 5,000).
- Polls at nodes that do not lead go to the leader together while calls are under way.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -30,9 +30,10 @@
 	hosts   map[string]*fasthttp.HostClient
 }
 
-// maxHosts bounds the clients kept; their idle connections end soon anyway, since
-// sockets are scarce where workers are many.
-const maxHosts = 5000
+// maxHosts bounds the clients kept, several times the largest fleet that a site is
+// known to run. Beyond it all are made anew, which costs their idle connections;
+// those end soon anyway, since sockets are scarce where workers are many.
+const maxHosts = 16_384
 
 // NewClient makes a client that gives a worker the time to answer.
 func NewClient(timeout micro.Time) *Client {
--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -10,27 +10,6 @@
 // maxDirects bounds the direct orders under way: each takes a socket.
 const maxDirects = 96
 
-// show answers a poll from memory. Of an id that is not in the model the loop,
-// which has workers to answer, is not asked; that alone is no reason to deny a job.
-func (l *Lead) show(id string) (wire.JobStatus, bool) {
-	if _, known := l.known.Load(id); !known && l.serving.Load() {
-		return wire.JobStatus{}, false
-	}
-	r, ok := l.ask(l.asks, 400*micro.Millisecond, func(reply func(front.Reply)) {
-		if j := l.c.Jobs[id]; j != nil && !l.unsure(j) {
-			s := j.Status()
-			s.Needs = l.c.Lacks(j)
-			reply(front.Reply{Status: 200, Body: s})
-			return
-		}
-		reply(front.Reply{Status: 404})
-	})
-	if !ok || r.Status != 200 {
-		return wire.JobStatus{}, false
-	}
-	return r.Body.(wire.JobStatus), true
-}
-
 // unsure reports whether the end of a job, or of one that it needs, may be in the
 // store without this leader knowing: its write went out, and has no answer yet.
 // Another node may have read it there, and told the user.
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -23,6 +23,15 @@
 // bits above are the version of the leader's key.
 const tokenBits = 24
 
+// eventQueue is how many events wait for the loop before those that bring more are
+// held up. After a cut all workers report within a second or two: there is room for
+// the reports of more than 10,000 machines. askQueue is the same for questions, whose
+// askers go to the store instead.
+const (
+	eventQueue = 16384
+	askQueue   = 1024
+)
+
 // Lead is one term of leadership. Its loop owns the model.
 type Lead struct {
 	n      *Node
@@ -58,6 +67,7 @@
 	lastSpeed   micro.Time
 	lastStats   micro.Time
 	lastImages  micro.Time
+	lastPrune   micro.Time
 	rentals     map[string]*rental
 	rentalCount int
 	asking      []*rental                 // rentals whose turn is to come
@@ -85,7 +95,7 @@
 
 func newLead(n *Node, t *election.Term) *Lead {
 	l := &Lead{
-		n: n, term: t, log: n.Log.With("term", t.Stamp), events: make(chan func(), 4096), asks: make(chan func(), 1024), done: make(chan struct{}),
+		n: n, term: t, log: n.Log.With("term", t.Stamp), events: make(chan func(), eventQueue), asks: make(chan func(), askQueue), done: make(chan struct{}),
 		token: t.Stamp << tokenBits, kicked: map[*model.Machine]bool{}, rentals: map[string]*rental{},
 		returns: map[*model.Machine]uint64{}, waiters: map[string][]chan front.Reply{},
 		lookups: map[string]bool{}, doubted: map[string]micro.Time{},
@@ -248,7 +258,11 @@
 	}
 	if now-l.lastImages >= imagesEvery {
 		l.lastImages = now
-		l.w.images.touch(now, lazy)
+		l.w.images.next(now)
+	}
+	if now-l.lastPrune >= pruneEvery {
+		l.lastPrune = now
+		l.prune(now)
 	}
 	if now-l.lastStats >= statsEvery {
 		l.lastStats = now
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -162,7 +162,7 @@
 		im.Machines[name] = []int{0, 1}
 	}
 	l.c.RestoreImages(im, 0)
-	images, _ := l.w.images.build()
+	images, _ := l.w.images.first.build()
 	returning := rec
 	returning.Machines, returning.Returning = rec.Machines[:10], rec.Machines[10:]
 	for _, v := range []any{rec, returning, images, FormatRecord{Version, 64}} {
--- a/internal/controller/machine_list.go
+++ b/internal/controller/machine_list.go
@@ -12,6 +12,7 @@
 // listLoop reads the cloud's list.
 func (l *Lead) listLoop(ctx context.Context) {
 	for {
+		pages := 1
 		if l.valid() {
 			asked := l.n.Now()
 			var rows []wire.ListedMachine
@@ -29,12 +30,13 @@
 					break
 				}
 				after = page.Machines[len(page.Machines)-1].Name
+				pages++
 			}
 			if ok {
 				l.post(func() { l.listed(rows, asked) })
 			}
 		}
-		if !l.sleep(listEvery) {
+		if !l.sleep(listPause(pages, l.n.Cfg.Facts.Cloud.RPS)) {
 			return
 		}
 	}
@@ -44,6 +46,23 @@
 // than what they tell, which is seldom news.
 const listEvery = 6 * micro.Second
 
+// listShare is the part of the cloud's rate that reading the list may take. Read
+// every 6 s, the pages of 4,000 machines took a third of it, and those of 6,000 half:
+// rentals and returns waited for them.
+const listShare = 0.2
+
+// maxListPause keeps lists fresh enough to return machines by (freshList), whatever
+// their length.
+const maxListPause = 12 * micro.Second
+
+// listPause is how long the leader waits after reading a list of so many pages.
+func listPause(pages int, cloudRPS float64) micro.Time {
+	if cloudRPS <= 0 {
+		return listEvery
+	}
+	return min(max(listEvery, micro.Of(float64(pages)/(cloudRPS*listShare))), maxListPause)
+}
+
 // freshList is how old a list may be by which machines are returned.
 const freshList = 20 * micro.Second
 
@@ -72,7 +91,7 @@
 	l.listAt = asked
 	for i := range rows {
 		r := &rows[i]
-		if l.c.Gone[r.Name] {
+		if l.c.Departed(r.Name) {
 			continue // the list lags
 		}
 		m := l.c.Machine(r.Name, now)
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -57,6 +57,8 @@
 
 	pollBudget pollBudget
 	lookUps    lookUps
+
+	leaderPolls leaderPolls
 }
 
 // New makes a node that speaks to the real services.
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -79,7 +79,7 @@
 		return n.answerAccepted(body)
 	case peer.Read:
 		return n.answerRead(string(body))
-	case peer.Show, peer.Withdraw, peer.Notify:
+	case peer.Show, peer.Shows, peer.Withdraw, peer.Notify:
 		if l := n.leading(); l != nil {
 			return n.leaderCall(l, call, body)
 		}
@@ -93,6 +93,8 @@
 	switch call {
 	case peer.Show:
 		return n.answerShow(l, string(body))
+	case peer.Shows:
+		return n.answerShows(l, body)
 	case peer.Withdraw:
 		if !wire.ValidJobID(string(body)) {
 			return 400, nil
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -15,8 +15,7 @@
 	w.speed.build = func() (any, uint64) { return l.speeds.Record(), 0 }
 	w.first = w.cell(firstKey)
 	w.first.build = func() (any, uint64) { return firstRecord{l.first}, 0 }
-	w.images = w.cell(imageKey)
-	w.images.build = func() (any, uint64) { return l.c.Images(w.valueBytes() / 2), 0 }
+	w.images = newImageWriter(w)
 	w.format = w.cell(formatKey)
 	w.format.build = func() (any, uint64) {
 		_, safe := l.n.Cfg.ValueBytes()
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -135,7 +135,7 @@
 
 // addRented adds a machine that a rental brought.
 func (l *Lead) addRented(h *rental, name string, at, now micro.Time) {
-	if l.c.Gone[name] {
+	if l.c.Departed(name) {
 		return
 	}
 	m := l.c.Machine(name, now)
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -20,10 +20,10 @@
 	}
 	now, wall := l.n.Now(), l.n.Wall()
 	// The forms in use come first: they say how to read the rest.
-	var images wire.Item
+	var images []wire.Item
 	_, ok = l.readAll(ctx, "fleet/", func(it wire.Item) {
-		if it.Key == imageKey {
-			images = it
+		if isImageKey(it.Key) {
+			images = append(images, it)
 			return
 		}
 		l.restoreFleet(it)
@@ -107,12 +107,14 @@
 }
 
 // restoreImages reads which machines had which images; it comes after the machines.
-func (l *Lead) restoreImages(it wire.Item, now micro.Time) {
-	var record model.ImageRecord
-	if it.Key != "" && wire.Unmarshal(it.Value, &record) == nil {
-		l.c.RestoreImages(record, now)
+func (l *Lead) restoreImages(items []wire.Item, now micro.Time) {
+	for _, it := range items {
+		var record model.ImageRecord
+		if wire.Unmarshal(it.Value, &record) == nil {
+			l.c.RestoreImages(record, now)
+		}
+		l.w.images.restored(it)
 	}
-	l.w.images.stamp = uint64(it.Version)
 }
 
 // restored completes the model once everything was read.
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -186,11 +186,9 @@
 			return front.Reply{Status: 200, Body: s}, true
 		}
 	} else if leader := n.election.Leader(); leader != "" && leader != n.Cfg.Node {
-		if status, out, err := n.ask(leader, peer.Show, []byte(id), askWait); err == nil && status == 200 {
-			if r, ok := decodeReply(status, out); ok {
-				n.finals.put(r.Body.(wire.JobStatus))
-				return r, true
-			}
+		if r, ok := n.showByLeader(leader, id); ok {
+			n.finals.put(r.Body.(wire.JobStatus))
+			return r, true
 		}
 	}
 	return front.Reply{}, false
--- a/internal/controller/write.go
+++ b/internal/controller/write.go
@@ -91,7 +91,7 @@
 	chunks  map[*model.Chunk]*cell
 	speed   *cell
 	first   *cell
-	images  *cell
+	images  *imageWriter
 	olds    map[*model.Old]*cell
 	format  *cell
 	parked  []*cell        // those that the store would not take, to be tried again
--- a/internal/model/images_test.go
+++ b/internal/model/images_test.go
@@ -23,12 +23,28 @@
 		s.beat(w)
 		s.beat(w)
 	}
-	rec := s.c.Images(4096)
+	pages := s.c.ImagePages(4096)
+	rec := pages[0]
+	if len(pages) != 1 {
+		t.Fatalf("%d records where one holds all", len(pages))
+	}
 	if len(rec.Machines) != 40 || len(rec.Names) != 3 {
 		t.Fatalf("%d machines, %d images", len(rec.Machines), len(rec.Names))
 	}
-	if n := wire.JSONSize(s.c.Images(500)); n > 500 {
-		t.Fatalf("%d bytes where 500 are allowed", n)
+	together := map[string]bool{}
+	for _, page := range s.c.ImagePages(500) {
+		if n := wire.JSONSize(page); n > 500 {
+			t.Fatalf("%d bytes where 500 are allowed", n)
+		}
+		for name := range page.Machines {
+			if together[name] {
+				t.Errorf("%s is in two records", name)
+			}
+			together[name] = true
+		}
+	}
+	if len(together) != 40 {
+		t.Errorf("the records of 500 bytes hold %d of 40 machines", len(together))
 	}
 	s.takeOver(2)
 	s.c.RestoreImages(rec, s.now)
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -127,7 +127,7 @@
 	if m == nil {
 		m = &Machine{
 			Name: name, Places: map[PlaceKey]*Place{}, exits: map[PlaceKey]*exit{},
-			images: map[string]image{}, Errors: map[string]micro.Time{}, Rented: now, IdleSince: now, Prove: c.BaseTok,
+			images: c.takeHint(name), Errors: map[string]micro.Time{}, Rented: now, IdleSince: now, Prove: c.BaseTok,
 		}
 		c.Machines[name] = m
 		c.list = nil
@@ -135,6 +135,16 @@
 	return m
 }
 
+// takeHint gives the images that a machine had by the records, for good.
+func (c *Cluster) takeHint(name string) map[string]image {
+	images, ok := c.imageHints[name]
+	if !ok {
+		return map[string]image{}
+	}
+	delete(c.imageHints, name)
+	return images
+}
+
 // Describe fills in what a machine is. Places restored before its zone was
 // known are counted anew: counted under no zone, they once let a spread service
 // put two of its tasks into one.
@@ -275,7 +285,14 @@
 	delete(c.Machines, m.Name)
 	delete(c.accused, m)
 	c.list = nil
-	c.Gone[m.Name] = true
+	c.Gone[m.Name] = now
+}
+
+// Departed reports whether a machine was returned in this term, as far back as that
+// is remembered.
+func (c *Cluster) Departed(name string) bool {
+	_, gone := c.Gone[name]
+	return gone
 }
 
 // sorted lists the places in a fixed order, so that runs repeat.
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -92,7 +92,7 @@
 	Types    map[string]*Type
 	Order    []*Type
 	Classes  map[string]*Class
-	Gone     map[string]bool       // machines returned in this term
+	Gone     map[string]micro.Time // machines returned in this term, and when
 	Kept     map[string]micro.Time // until when a keeper may have renewed leases, by zone; "": any
 	Away     map[string]micro.Time // zones none of whose controllers answer, since when
 	Lease    micro.Time            // the workers' lease, with room for drift
@@ -115,18 +115,19 @@
 	list  []*Machine
 	pools map[poolKey]*Pool
 
-	accused    map[*Machine]bool // machines that jobs failed on
-	doubtUntil micro.Time        // until when so many look faulty that the jobs are the likelier cause
+	imageHints map[string]map[string]image // images of machines that are not known yet
+	accused    map[*Machine]bool           // machines that jobs failed on
+	doubtUntil micro.Time                  // until when so many look faulty that the jobs are the likelier cause
 }
 
 // New makes an empty picture.
 func New(fx Effects) *Cluster {
 	return &Cluster{
 		Effects: fx, Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Teams: map[string]*Team{},
-		Types: map[string]*Type{}, Classes: map[string]*Class{}, Gone: map[string]bool{}, Kept: map[string]micro.Time{}, Away: map[string]micro.Time{},
+		Types: map[string]*Type{}, Classes: map[string]*Class{}, Gone: map[string]micro.Time{}, Kept: map[string]micro.Time{}, Away: map[string]micro.Time{},
 		Pending: map[*Job]bool{}, Live: map[*Job]bool{}, ErrJobs: 2,
 		Ends: map[string]End{}, PerChunk: ChunkTasks, after: map[string][]*Job{},
-		pools: map[poolKey]*Pool{}, accused: map[*Machine]bool{},
+		imageHints: map[string]map[string]image{}, pools: map[poolKey]*Pool{}, accused: map[*Machine]bool{},
 	}
 }
 
--- a/internal/model/report.go
+++ b/internal/model/report.go
@@ -26,7 +26,7 @@
 
 // Apply reads a worker's message into the model.
 func (c *Cluster) Apply(r *wire.Report, via Via, now micro.Time) (*Machine, Verdict) {
-	if c.Gone[r.Machine] {
+	if c.Departed(r.Machine) {
 		return nil, Refused
 	}
 	m := c.Machine(r.Machine, now)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,6 +19,7 @@
 // Calls between nodes.
 const (
 	Show     = "/peer/show"     // a job's status, from the leader's memory
+	Shows    = "/peer/shows"    // the statuses of several jobs, from the leader's memory
 	Withdraw = "/peer/withdraw" // cancel a job; the leader only
 	Submit   = "/peer/submit"   // submit on behalf of a node the store refuses
 	Read     = "/peer/read"     // a job's status, from the store
@@ -102,7 +103,7 @@
 // Serve answers the other nodes on a listener until the context ends.
 func Serve(ctx context.Context, ln net.Listener, h Handler, metrics func(io.Writer)) error {
 	mux := http.NewServeMux()
-	for _, call := range []string{Show, Withdraw, Submit, Read, Notify, Ping, Exist, Accepted, Announce, Keep} {
+	for _, call := range []string{Show, Shows, Withdraw, Submit, Read, Notify, Ping, Exist, Accepted, Announce, Keep} {
 		mux.HandleFunc("POST "+call, func(w http.ResponseWriter, r *http.Request) {
 			body, err := io.ReadAll(io.LimitReader(r.Body, wire.MaxBody+1))
 			if err != nil || len(body) > wire.MaxBody {
