The writer of guarded changes in a package of its own

Need: owners of shares will write under other conditions than the leader's, by the same rules; and the writer was part of the leader's loop.

internal/writer batches changes for a host that says when it may write and under which conditions; an entry may carry further ones. controller keeps what the keys are for (records.go). Names: entry for cell, urgency for haste. No change of behaviour: the tests of controller pass unchanged but for the names.

--- a/internal/controller/accept.go
+++ b/internal/controller/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"notchmux.dev/notchmux/internal/writer"
 	"strconv"
 	"time"
 
@@ -96,7 +97,7 @@
 			ask = append(ask, id)
 		}
 	}
-	most := guardsPerChange * n.Cfg.TxnOps()
+	most := writer.GuardsPerChange * n.Cfg.TxnOps()
 	for len(ask) > 0 {
 		part := ask[:min(len(ask), most)]
 		ask = ask[len(part):]
@@ -114,10 +115,6 @@
 	return "", nil
 }
 
-// guardsPerChange is how many conditions the store takes for each change that a
-// transaction may have.
-const guardsPerChange = 4
-
 // exist asks the store, or a peer that reaches it, which jobs were accepted.
 func (n *Node) exist(ids []string, relay bool) (map[string]bool, error) {
 	there, err := n.existing(ids, store.Routine)
--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -14,7 +14,7 @@
 // store without this leader knowing: its write went out, and has no answer yet.
 // Another node may have read it there, and told the user.
 func (l *Lead) unsure(j *model.Job) bool {
-	if l.w.unsure(j.Spec.ID) {
+	if l.records.unsure(j.Spec.ID) {
 		return true
 	}
 	if j.State != model.Awaiting {
@@ -29,7 +29,7 @@
 			if n == nil || n.Over() || seen[n] {
 				continue
 			}
-			if l.w.unsure(id) {
+			if l.records.unsure(id) {
 				return true
 			}
 			seen[n] = true
--- a/internal/controller/cancellation_faults_test.go
+++ b/internal/controller/cancellation_faults_test.go
@@ -401,7 +401,7 @@
 					}
 					return true
 				})
-				if n := next.current().leading(); n == nil || !n.w.unsure(j.id) {
+				if n := next.current().leading(); n == nil || !n.records.unsure(j.id) {
 					t.Fatal("the leader knows that its write was carried out")
 				}
 				_, by, left, _ := j.aborted()
@@ -967,7 +967,7 @@
 				w.unsure(1, 0, 300*micro.Millisecond, old)
 				go j.withdraw(old)
 				w.sleep(200 * micro.Millisecond)
-				if n := old.current().leading(); n == nil || !n.w.unsure(j.id) {
+				if n := old.current().leading(); n == nil || !n.records.unsure(j.id) {
 					t.Fatal("its write did not go out")
 				}
 				change(w, old)
--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -4,6 +4,7 @@
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/model"
 	"notchmux.dev/notchmux/internal/sched"
+	"notchmux.dev/notchmux/internal/writer"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -14,34 +15,34 @@
 	if ch.Job.Over() && len(ch.Places) > 0 {
 		return // goes once its last place is free
 	}
-	c := l.w.chunk(ch)
+	c := l.records.chunk(ch)
 	if ch.Job.Over() {
 		for _, x := range ch.Job.Chunks {
 			if x.Old != nil && x.Old.Free() {
-				l.w.outdated(x.Old)
+				l.records.outdated(x.Old)
 				x.Old = nil
 			}
 		}
-		c.putOff(l.n.Now())
+		c.PutOff(l.n.Now())
 		return
 	}
-	c.touch(l.n.Now(), lazy)
+	c.Touch(l.n.Now(), writer.Lazy)
 }
 
 // Press notes that a start waits for a chunk.
 func (l *Lead) Press(ch *model.Chunk) {
-	h := soon
+	u := writer.Soon
 	if ch.Job.Level == 0 {
-		h = first
+		u = writer.First
 	}
-	l.w.chunk(ch).touch(l.n.Now(), h)
+	l.records.chunk(ch).Touch(l.n.Now(), u)
 }
 
 // Kick notes that a machine has orders worth sending directly.
 func (l *Lead) Kick(m *model.Machine) { l.kicked[m] = true }
 
 // Finished writes the end of a job whose tasks are all done.
-func (l *Lead) Finished(j *model.Job) { l.w.end(j, wire.JobDone) }
+func (l *Lead) Finished(j *model.Job) { l.records.end(j, wire.JobDone) }
 
 // Ran learns from a completed run.
 func (l *Lead) Ran(p *model.Place, took micro.Time) {
@@ -65,15 +66,15 @@
 
 // Moved notes that a chunk's record in the first form stands for chunks of the
 // later one until they are stored.
-func (l *Lead) Moved(ch *model.Chunk, o *model.Old) { l.w.move(ch, o) }
+func (l *Lead) Moved(ch *model.Chunk, o *model.Old) { l.records.move(ch, o) }
 
 // Outdated deletes a record in the first form once nothing depends on it.
-func (l *Lead) Outdated(o *model.Old) { l.w.outdated(o) }
+func (l *Lead) Outdated(o *model.Old) { l.records.outdated(o) }
 
 // Doomed writes the end of a job that needs an aborted one.
 func (l *Lead) Doomed(j *model.Job) {
 	l.log.Info("job falls with another", "job", j.Spec.ID)
-	l.w.end(j, wire.JobAborted)
+	l.records.end(j, wire.JobAborted)
 }
 
 // Unknown looks up a job that another awaits.
--- a/internal/controller/format.go
+++ b/internal/controller/format.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"notchmux.dev/notchmux/internal/writer"
 	"time"
 
 	"notchmux.dev/notchmux/internal/micro"
@@ -180,8 +181,8 @@
 
 // raise writes fleet/format. From then on, and not before, the new forms are used.
 func (l *Lead) raise() {
-	if !l.c.Compact && l.loaded && !l.w.format.dirty && !l.w.format.doubt {
-		l.w.format.touch(l.n.Now(), soon)
+	if !l.c.Compact && l.loaded && !l.records.format.Dirty() && !l.records.format.Doubtful() {
+		l.records.format.Touch(l.n.Now(), writer.Soon)
 	}
 }
 
@@ -191,7 +192,7 @@
 	if wire.Unmarshal(it.Value, &rec) != nil || rec.Version < Version || rec.Tasks < 1 || rec.Tasks > 128 || 128%rec.Tasks != 0 {
 		return false
 	}
-	l.w.format.stamp = uint64(it.Version)
+	l.records.format.SetVersion(uint64(it.Version))
 	l.format = rec
 	return true
 }
@@ -202,7 +203,7 @@
 		return
 	}
 	if l.format.Tasks == 0 {
-		rec, _ := l.w.format.build()
+		rec, _ := l.records.format.Build()
 		l.format = rec.(FormatRecord)
 	}
 	l.c.UseCompact(l.format.Tasks)
--- a/internal/controller/image_records.go
+++ b/internal/controller/image_records.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"notchmux.dev/notchmux/internal/writer"
 	"strconv"
 	"strings"
 
@@ -23,54 +24,54 @@
 // imageWriter keeps the records of the machines' images. Each round writes the first
 // record and one of the others in turn, so that the cost does not grow with the fleet.
 type imageWriter struct {
-	w     *writer
-	first *cell
-	pages map[int]*cell // the further records that the store may hold
-	turn  int           // the further record that was written last
+	w     *records
+	first *writer.Entry
+	pages map[int]*writer.Entry // the further records that the store may hold
+	turn  int                   // the further record that was written last
 }
 
-func newImageWriter(w *writer) *imageWriter {
-	iw := &imageWriter{w: w, first: w.cell(imageKey), pages: map[int]*cell{}}
-	iw.first.build = func() (any, uint64) { return w.l.c.ImagePages(iw.size())[0], 0 }
+func newImageWriter(w *records) *imageWriter {
+	iw := &imageWriter{w: w, first: w.Entry(imageKey), pages: map[int]*writer.Entry{}}
+	iw.first.Build = func() (any, uint64) { return w.l.c.ImagePages(iw.size())[0], 0 }
 	return iw
 }
 
 // size is what a record may take: half of a value, since its size is estimated.
-func (iw *imageWriter) size() int { return iw.w.valueBytes() / 2 }
+func (iw *imageWriter) size() int { return iw.w.l.ValueBytes() / 2 }
 
 // restored notes a record that the takeover read.
 func (iw *imageWriter) restored(it wire.Item) {
 	if it.Key == imageKey {
-		iw.first.stamp = uint64(it.Version)
+		iw.first.SetVersion(uint64(it.Version))
 		return
 	}
 	if n, err := strconv.Atoi(strings.TrimPrefix(it.Key, imagePagePrefix)); err == nil && n > 0 {
-		iw.page(n).stamp = uint64(it.Version)
+		iw.page(n).SetVersion(uint64(it.Version))
 	}
 }
 
-// page finds or makes the cell of a further record. A record that is needed no more
+// page finds or makes the entry of a further record. A record that is needed no more
 // is deleted.
-func (iw *imageWriter) page(n int) *cell {
-	c := iw.pages[n]
-	if c != nil {
-		return c
+func (iw *imageWriter) page(n int) *writer.Entry {
+	entry := iw.pages[n]
+	if entry != nil {
+		return entry
 	}
-	c = iw.w.cell(imagePageKey(n))
-	c.build = func() (any, uint64) {
+	entry = iw.w.Entry(imagePageKey(n))
+	entry.Build = func() (any, uint64) {
 		if all := iw.w.l.c.ImagePages(iw.size()); n < len(all) {
 			return all[n], 0
 		}
 		delete(iw.pages, n)
 		return nil, 0
 	}
-	iw.pages[n] = c
-	return c
+	iw.pages[n] = entry
+	return entry
 }
 
 // next writes the first record, and one of the others.
 func (iw *imageWriter) next(now micro.Time) {
-	iw.first.touch(now, lazy)
+	iw.first.Touch(now, writer.Lazy)
 	if !iw.w.l.c.Compact {
 		return // the version before would not delete them
 	}
@@ -82,5 +83,5 @@
 		return
 	}
 	iw.turn = iw.turn%last + 1
-	iw.page(iw.turn).touch(now, lazy)
+	iw.page(iw.turn).Touch(now, writer.Lazy)
 }
--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -211,6 +211,6 @@
 	}
 	delete(l.leaving, j)
 	if j.State == model.Aborting {
-		l.w.end(j, wire.JobAborted)
+		l.records.end(j, wire.JobAborted)
 	}
 }
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"notchmux.dev/notchmux/internal/writer"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -52,7 +53,7 @@
 	planner     *scale.Planner
 	speeds      *sched.Speeds
 	goals       *sched.Goals
-	w           *writer
+	records     *records
 	token       uint64
 	tokenAt     micro.Time
 	raisedAt    micro.Time
@@ -120,7 +121,7 @@
 	l.placer = &sched.Placer{C: l.c, Goals: l.goals, Props: &n.Cfg.Properties, Rand: rand.New(rand.NewPCG(t.Stamp, 1))}
 	l.planner = &scale.Planner{C: l.c, Goals: l.goals, Props: &n.Cfg.Properties, Refused: map[scale.Offer]micro.Time{}, Dry: map[scale.Offer]int{}, Asked: map[string]scale.Ask{}}
 	l.placer.Affordable = l.planner.Affordable
-	l.w = newWriter(l)
+	l.records = newRecords(l)
 	return l
 }
 
@@ -218,7 +219,7 @@
 	for j := range l.leaving {
 		l.settle(j, now)
 	}
-	l.w.flush(now)
+	l.records.Flush(now)
 	for m := range l.kicked {
 		if l.directs >= maxDirects {
 			break // the rest wait, or the next reports bring them
@@ -258,7 +259,7 @@
 	}
 	if now-l.lastImages >= imagesEvery {
 		l.lastImages = now
-		l.w.images.next(now)
+		l.records.images.next(now)
 	}
 	if now-l.lastPrune >= pruneEvery {
 		l.lastPrune = now
@@ -275,7 +276,7 @@
 			for _, t := range l.c.Order {
 				l.log.Debug("speed", "type", t.Name, "k", t.K, "learnt", l.speeds.Record().K[t.Name])
 			}
-			l.w.speed.touch(now, lazy)
+			l.records.speed.Touch(now, writer.Lazy)
 		}
 	}
 	if now-l.tokenAt >= micro.Second {
@@ -340,7 +341,7 @@
 		fmt.Fprintf(&fleet, "%s %s %s %d, %d empty; ", p.Type.Name, p.Zone, kind, p.N, empty)
 	}
 	l.log.Info("leading", "live", len(l.c.Live), "awaiting", l.c.AwaitingN, "pending", len(l.c.Pending), "tasks", l.pendingTasks.Load(), "usable", up, "known", len(l.c.Machines),
-		"writes_first", len(l.w.queues[first]), "writes_soon", len(l.w.queues[soon]), "writes_lazy", len(l.w.queues[lazy]), "writes_idle", len(l.w.queues[idle]), "written", l.w.told(),
+		"writes_first", l.records.Queued(writer.First), "writes_soon", l.records.Queued(writer.Soon), "writes_lazy", l.records.Queued(writer.Lazy), "writes_idle", l.records.Queued(writer.Idle), "written", l.records.Told(),
 		"pass_gap_ms", int64(l.passGap/micro.Millisecond), "events", len(l.events), "asks", len(l.asks), "directs", l.directs, "kicked", len(l.kicked), "rentals_waiting", len(l.asking), "fleet", fleet.String())
 }
 
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"notchmux.dev/notchmux/internal/writer"
 	"strings"
 	"sync"
 	"testing"
@@ -95,9 +96,9 @@
 	b.store.Limit(fake.Limits{ValueBytes: 1 << 10}) // long before it was to be expected
 	put := func(key string, bytes int) {
 		l.post(func() {
-			c := l.w.cell(key)
-			c.build = func() (any, uint64) { return strings.Repeat("x", bytes), 0 }
-			c.touch(n.Now(), soon)
+			e := l.records.Entry(key)
+			e.Build = func() (any, uint64) { return strings.Repeat("x", bytes), 0 }
+			e.Touch(n.Now(), writer.Soon)
 		})
 	}
 	put("job/j-1/end", 1<<11) // the limits as known allow it
@@ -162,7 +163,7 @@
 		im.Machines[name] = []int{0, 1}
 	}
 	l.c.RestoreImages(im, 0)
-	images, _ := l.w.images.first.build()
+	images, _ := l.records.images.first.Build()
 	returning := rec
 	returning.Machines, returning.Returning = rec.Machines[:10], rec.Machines[10:]
 	for _, v := range []any{rec, returning, images, FormatRecord{Version, 64}} {
@@ -206,9 +207,9 @@
 	l := n.leading()
 	put := func(key, value string) {
 		l.post(func() {
-			c := l.w.cell(key)
-			c.build = func() (any, uint64) { return value, 0 }
-			c.touch(n.Now(), soon)
+			e := l.records.Entry(key)
+			e.Build = func() (any, uint64) { return value, 0 }
+			e.Touch(n.Now(), writer.Soon)
 		})
 	}
 	written := func(key, value string) func() bool {
--- a/internal/controller/polls.go
+++ b/internal/controller/polls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"notchmux.dev/notchmux/internal/writer"
 	"sync"
 	"time"
 
@@ -214,7 +215,7 @@
 	defer q.mu.Unlock()
 	u := q.gathered[id]
 	if u == nil {
-		if len(q.gathered) >= guardsPerChange*n.Cfg.TxnOps() {
+		if len(q.gathered) >= writer.GuardsPerChange*n.Cfg.TxnOps() {
 			return nil, false
 		}
 		u = newLookUp()
@@ -343,7 +344,7 @@
 // accepted.
 func (n *Node) answerAccepted(body []byte) (int, []byte) {
 	var ids []string
-	if wire.Unmarshal(body, &ids) != nil || len(ids) > guardsPerChange*n.Cfg.TxnOps() {
+	if wire.Unmarshal(body, &ids) != nil || len(ids) > writer.GuardsPerChange*n.Cfg.TxnOps() {
 		return 400, nil
 	}
 	if !n.pollBudget.admit(1, readRequests) {
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"notchmux.dev/notchmux/internal/writer"
 	"slices"
 	"sort"
 	"time"
@@ -59,7 +60,7 @@
 	asked micro.Time
 	sent  bool // the cloud may know of it
 	level int  // the rank of the work that asked for it
-	cell  *cell
+	entry *writer.Entry
 
 	version uint64 // of the record, counted up with each machine to be returned
 	saved   uint64 // the latest of them that is known to be in the store
@@ -79,23 +80,23 @@
 		l.pump(h.asked)
 	case RentalHeld:
 		delete(l.planner.Asked, h.rec.Rental.Request)
-		h.cell.touch(l.n.Now(), lazy)
+		h.entry.Touch(l.n.Now(), writer.Lazy)
 	case RentalOver:
 		delete(l.planner.Asked, h.rec.Rental.Request)
 		delete(l.rentals, h.rec.Rental.Request)
-		h.cell.touch(l.n.Now(), lazy)
+		h.entry.Touch(l.n.Now(), writer.Lazy)
 	}
 }
 
-func (l *Lead) rentalRecordCell(h *rental) *cell {
-	c := l.w.cell(rentalPrefix + h.rec.Rental.Request)
-	c.build = func() (any, uint64) {
+func (l *Lead) rentalEntry(h *rental) *writer.Entry {
+	c := l.records.Entry(rentalPrefix + h.rec.Rental.Request)
+	c.Build = func() (any, uint64) {
 		if h.state == RentalOver {
 			return nil, 0
 		}
 		return h.rec, h.version
 	}
-	c.saved = func(version uint64) {
+	c.Saved = func(version uint64) {
 		if h.state == RentalWriting {
 			l.become(h, RentalRequested)
 		}
@@ -104,7 +105,7 @@
 			l.sendReturns()
 		}
 	}
-	h.cell = c
+	h.entry = c
 	return c
 }
 
@@ -115,7 +116,7 @@
 	}
 	h := &rental{rec: rec}
 	l.rentals[rec.Rental.Request] = h
-	l.rentalRecordCell(h).stamp = uint64(it.Version)
+	l.rentalEntry(h).SetVersion(uint64(it.Version))
 	if !rec.Answered {
 		h.sent = true // perhaps: only the same name again can tell
 		l.planner.Asked[rec.Rental.Request] = scale.Ask{Offer: scale.Offer{Type: rec.Rental.Type, Zone: rec.Rental.Zone, Spot: rec.Rental.Spot}, Count: rec.Rental.Count}
@@ -153,11 +154,11 @@
 			Request: fmt.Sprintf("r-%d-%d", l.term.Stamp, l.rentalCount), Type: a.Type, Zone: a.Zone, Spot: a.Spot, Count: a.Count}}}
 		l.rentals[h.rec.Rental.Request] = h
 		l.planner.Asked[h.rec.Rental.Request] = a
-		haste := soon
+		urgency := writer.Soon
 		if a.Level == 0 {
-			haste = first
+			urgency = writer.First
 		}
-		l.rentalRecordCell(h).touch(now, haste)
+		l.rentalEntry(h).Touch(now, urgency)
 		l.log.Info("rent", "request", h.rec.Rental.Request, "type", a.Type, "zone", a.Zone, "spot", a.Spot, "count", a.Count, "for", a.For)
 	}
 	for _, m := range idle {
@@ -240,7 +241,7 @@
 	for _, name := range names {
 		if l.first == "" || before(name, l.first) {
 			l.first = name
-			l.w.first.touch(now, soon)
+			l.records.first.Touch(now, writer.Soon)
 		}
 		l.addRented(h, name, h.asked, now)
 	}
@@ -265,11 +266,11 @@
 	h.rec.Returning = append(slices.Clone(h.rec.Returning), m.Name)
 	h.version++
 	if len(m.Places) > 0 {
-		h.cell.touch(l.n.Now(), lazy)
+		h.entry.Touch(l.n.Now(), writer.Lazy)
 		return
 	}
 	l.returns[m] = h.version
-	h.cell.touch(l.n.Now(), soon)
+	h.entry.Touch(l.n.Now(), writer.Soon)
 }
 
 // recorded reports whether the store knows that a machine is to be returned.
--- a/internal/controller/retention_test.go
+++ b/internal/controller/retention_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"notchmux.dev/notchmux/internal/writer"
 	"testing"
 
 	"notchmux.dev/notchmux/internal/micro"
@@ -66,15 +67,16 @@
 		h.l.c.Lose(p.Machine, h.now)
 	}
 	h.now += micro.Minute * 60
-	c := h.l.w.chunk(j.Chunks[0])
-	c.dirty, c.stamp = false, 17
+	entry := h.l.records.chunk(j.Chunks[0])
+	entry.Clean()
+	entry.SetVersion(17)
 	h.l.prune(h.now)
 	if h.l.c.Jobs[j.Spec.ID] == nil {
 		t.Fatal("forgotten though its record is in the store")
 	}
-	c.stamp = 0
+	entry.SetVersion(0)
 	h.l.prune(h.now)
-	if h.l.c.Jobs[j.Spec.ID] != nil || h.l.w.chunks[j.Chunks[0]] != nil {
+	if h.l.c.Jobs[j.Spec.ID] != nil || h.l.records.chunks[j.Chunks[0]] != nil {
 		t.Fatal("kept though nothing of it is left")
 	}
 	if s, ok := h.l.n.finals.get(j.Spec.ID); !ok || s.State != wire.JobAborted {
@@ -92,7 +94,7 @@
 		has.Machines[h.l.c.Machine(wire.TaskName("i", i), h.now).Name] = []int{0}
 	}
 	h.l.c.RestoreImages(has, h.now)
-	all := len(h.l.c.ImagePages(h.l.w.images.size()))
+	all := len(h.l.c.ImagePages(h.l.records.images.size()))
 	written := h.imageRounds(3 * all)
 	if len(written) != all {
 		t.Errorf("%d of %d records were written", len(written), all)
@@ -101,7 +103,7 @@
 		h.l.c.Depart(m, h.now)
 	}
 	h.imageRounds(3 * all)
-	if n := len(h.l.w.images.pages); n != 0 {
+	if n := len(h.l.records.images.pages); n != 0 {
 		t.Errorf("%d records are left of a fleet that needs none", n)
 	}
 }
@@ -110,20 +112,22 @@
 func (h *herd) imageRounds(n int) map[string]bool {
 	put := map[string]bool{}
 	for range n {
-		h.l.w.images.next(h.now)
+		h.l.records.images.next(h.now)
 		changes := 0
-		for key, c := range h.l.w.cells {
-			if !c.dirty || !isImageKey(key) {
-				continue
+		h.l.records.Each(func(e *writer.Entry) {
+			if !e.Dirty() || !isImageKey(e.Key) {
+				return
 			}
 			changes++
-			value, _ := c.build()
-			if c.dirty, c.stamp = false, 1; value == nil {
-				h.l.w.drop(c)
-				continue
+			value, _ := e.Build()
+			e.Clean()
+			e.SetVersion(1)
+			if value == nil {
+				h.l.records.Drop(e)
+				return
 			}
-			put[key] = true
-		}
+			put[e.Key] = true
+		})
 		if changes > 2 {
 			panic("more than two records in a round")
 		}
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -91,13 +91,13 @@
 		var r sched.Record
 		if wire.Unmarshal(it.Value, &r) == nil {
 			l.speeds.Restore(r)
-			l.w.speed.stamp = uint64(it.Version)
+			l.records.speed.SetVersion(uint64(it.Version))
 		}
 	case firstKey:
 		var r firstRecord
 		if wire.Unmarshal(it.Value, &r) == nil {
 			l.first = r.Machine
-			l.w.first.stamp = uint64(it.Version)
+			l.records.first.SetVersion(uint64(it.Version))
 		}
 	case formatKey:
 		if l.readFormat(it) {
@@ -113,7 +113,7 @@
 		if wire.Unmarshal(it.Value, &record) == nil {
 			l.c.RestoreImages(record, now)
 		}
-		l.w.images.restored(it)
+		l.records.images.restored(it)
 	}
 }
 
--- a/internal/controller/versions_test.go
+++ b/internal/controller/versions_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"fmt"
+	"notchmux.dev/notchmux/internal/writer"
 	"reflect"
 	"testing"
 	"time"
@@ -168,10 +169,10 @@
 			// record stays while it alone says where its tasks are.
 			l.post(func() {
 				for _, ch := range l.c.Jobs["j-9"].Chunks {
-					l.w.outdated(ch.Old)
-					l.w.olds[ch.Old].touch(n.Now(), soon)
+					l.records.outdated(ch.Old)
+					l.records.olds[ch.Old].Touch(n.Now(), writer.Soon)
 				}
-				l.w.first.touch(n.Now(), soon)
+				l.records.first.Touch(n.Now(), writer.Soon)
 			})
 			wait(t, "later writes done", func() bool {
 				_, err := b.store.Get(context.Background(), store.Routine, firstKey)
