Polls are answered while the leader is overloaded; it then sends urgent orders only

A node whose call came too late asks for 10 s for many jobs at a time, two calls at a time, with 900 ms each, and answers from its part of the store's budget what that has room for.

--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -104,6 +104,7 @@
 			return
 		}
 		l.reports++
+		l.noteWait(now-from, now)
 		m, verdict := l.c.Apply(r, model.Beat, now)
 		if m == nil || verdict == model.Refused || verdict == model.Stale && uint64(r.Session) != m.Session {
 			reply(front.Later(503, 1))
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -87,6 +87,7 @@
 	deaf        micro.Time // since when no worker reports; 0: some do
 	reports     uint64     // reports heard from workers
 	silence     silence    // how long none has come
+	overload    overload
 	waiters     map[string][]chan front.Reply
 	lookups     map[string]bool // awaited jobs to be looked up in the store
 	format      FormatRecord
@@ -225,7 +226,9 @@
 			break // the rest wait, or the next reports bring them
 		}
 		delete(l.kicked, m)
-		l.direct(m, now)
+		if l.worthDirect(m) {
+			l.direct(m, now)
+		}
 	}
 }
 
--- a/internal/controller/polls_leader.go
+++ b/internal/controller/polls_leader.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -20,6 +21,14 @@
 	// maxShown is how many jobs one call asks for: the answer stays below
 	// wire.MaxBody, whatever the jobs wait for.
 	maxShown = 128
+	// patientFor is for how long a leader that answered too late is asked for several
+	// jobs at a time only, gathered for patientGather, by patientAtOnce calls at a time,
+	// and given patientWait for each. Asked as usual, an overloaded leader answered nothing for minutes: each call that
+	// came too late kept the node from asking again for badPeer.
+	patientFor    = 10 * micro.Second
+	patientWait   = 900 * micro.Millisecond
+	patientGather = 50 * micro.Millisecond
+	patientAtOnce = 2
 	// showSingly is for how long a leader is asked for one job at a time after it
 	// did not know the call for several.
 	showSingly = micro.Minute
@@ -31,6 +40,21 @@
 	underWay int
 	waiting  []*leaderPoll
 	singly   micro.Time // until when jobs are asked for one by one
+	patient  micro.Time // until when the leader is given more time for fewer calls
+}
+
+// isPatient reports whether the leader answered too late lately.
+func (q *leaderPolls) isPatient(now micro.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return now < q.patient
+}
+
+// late notes that the leader answered a call too late.
+func (q *leaderPolls) late(now micro.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.patient = now + patientFor
 }
 
 // leaderPoll is a poll that waits for the leader's answer.
@@ -43,20 +67,37 @@
 // showByLeader asks the leader for a job.
 func (n *Node) showByLeader(leader, id string) (front.Reply, bool) {
 	q := &n.leaderPolls
+	now := n.Now()
 	q.mu.Lock()
-	if q.underWay < showsAtOnce || n.Now() < q.singly {
+	wait, atOnce := askWait, showsAtOnce
+	if now < q.patient {
+		wait, atOnce = patientWait, patientAtOnce
+	}
+	free := q.underWay < atOnce
+	if free && now >= q.patient || now < q.singly {
 		q.underWay++
 		q.mu.Unlock()
-		defer n.nextShows()
+		defer func() { go n.nextShows() }()
 		return n.showOne(leader, id)
 	}
 	poll := &leaderPoll{leader: leader, id: id, reply: make(chan front.Reply, 1)}
 	q.waiting = append(q.waiting, poll)
+	if free {
+		q.underWay++
+	}
 	q.mu.Unlock()
-	timer := time.NewTimer(askWait.Std())
+	if free {
+		time.AfterFunc(patientGather.Std(), n.nextShows)
+	}
+	return poll.wait(wait)
+}
+
+// wait is what the leader says within a time.
+func (p *leaderPoll) wait(most micro.Time) (front.Reply, bool) {
+	timer := time.NewTimer(most.Std())
 	defer timer.Stop()
 	select {
-	case r, ok := <-poll.reply:
+	case r, ok := <-p.reply:
 		return r, ok
 	case <-timer.C:
 		return front.Reply{}, false
@@ -66,29 +107,37 @@
 // showOne asks the leader for one job.
 func (n *Node) showOne(leader, id string) (front.Reply, bool) {
 	status, out, err := n.ask(leader, peer.Show, []byte(id), askWait)
+	if err != nil {
+		n.leaderPolls.late(n.Now())
+	}
 	if err != nil || status != 200 {
 		return front.Reply{}, false
 	}
 	return decodeReply(status, out)
 }
 
-// nextShows ends a call, and sends what was gathered meanwhile.
+// nextShows ends a call, or the wait for one, and sends what was gathered meanwhile.
 func (n *Node) nextShows() {
-	q := &n.leaderPolls
+	for {
+		group := n.leaderPolls.take()
+		if len(group) == 0 {
+			return
+		}
+		n.showGroup(group)
+	}
+}
+
+// take gives the polls of the next call; none: the caller's call is over.
+func (q *leaderPolls) take() []*leaderPoll {
 	q.mu.Lock()
+	defer q.mu.Unlock()
 	group := q.waiting[:min(len(q.waiting), maxShown)]
 	q.waiting = q.waiting[len(group):]
 	if len(group) == 0 {
 		q.waiting = nil
 		q.underWay--
 	}
-	q.mu.Unlock()
-	if len(group) > 0 {
-		go func() {
-			defer n.nextShows()
-			n.showGroup(group)
-		}()
-	}
+	return group
 }
 
 // showGroup asks the leader, as the latest of the polls knew it, for several jobs.
@@ -112,7 +161,15 @@
 			ids = append(ids, poll.id)
 		}
 	}
-	status, out, err := n.ask(leader, peer.Shows, wire.MustMarshal(ids), askWait)
+	// Not by ask: that a call of another kind got no answer says little of this one.
+	wait := askWait
+	if n.leaderPolls.isPatient(n.Now()) {
+		wait = patientWait
+	}
+	status, out, err := n.Peers.Call(context.Background(), leader, peer.Shows, wire.MustMarshal(ids), wait)
+	if err != nil {
+		n.leaderPolls.late(n.Now())
+	}
 	if err == nil && status == 404 {
 		q := &n.leaderPolls
 		q.mu.Lock()
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -229,6 +229,8 @@
 	thaw   time.Time       // it stands still until then
 	cuts   map[string]bool // what the network keeps from it: state, peers, workers, users
 	reach  fake.Reach
+
+	peerDelay micro.Time // how long it takes over each answer to another node
 }
 
 func (w *simCluster) addController(name, zone string, all int) *controllerProc {
@@ -321,6 +323,21 @@
 	}
 }
 
+// hesitate waits as long as the node takes over an answer to another.
+func (p *controllerProc) hesitate() {
+	p.mu.Lock()
+	d := p.peerDelay
+	p.mu.Unlock()
+	time.Sleep(d.Std())
+}
+
+// slowPeers has a node take its time over answers to the other nodes.
+func (w *simCluster) slowPeers(p *controllerProc, d micro.Time) {
+	p.mu.Lock()
+	p.peerDelay = d
+	p.mu.Unlock()
+}
+
 // cut sets what the network keeps from the node.
 func (p *controllerProc) cut(on bool, what ...string) {
 	p.mu.Lock()
@@ -445,6 +462,7 @@
 			o.stand()
 			if o.current() == n {
 				status, out := n.peerCall(context.Background(), call, body)
+				o.hesitate()
 				o.stand()
 				ch <- answer{status, out}
 			}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -157,7 +157,10 @@
 	if !wire.ValidJobID(id) {
 		return front.Fail(404, "no such job")
 	}
-	r, ok := n.remembered(id)
+	r, ok := n.finalOrStored(id)
+	if !ok {
+		r, ok = n.remembered(id)
+	}
 	if !ok {
 		r = n.lookUpJob(id)
 	}
@@ -167,6 +170,22 @@
 	return r
 }
 
+// finalOrStored answers a poll without the leader, while that answers too late: as far
+// as the polls' part of the store's budget goes. The others wait for the leader.
+func (n *Node) finalOrStored(id string) (front.Reply, bool) {
+	if n.leading() != nil || !n.leaderPolls.isPatient(n.Now()) {
+		return front.Reply{}, false
+	}
+	if s, ok := n.finals.get(id); ok {
+		return front.Reply{Status: 200, Body: s}, true
+	}
+	if _, accepted := n.seen.Load(id); !accepted {
+		return front.Reply{}, false // it is asked for together with others
+	}
+	r := n.lookUpJob(id)
+	return r, r.Status == 200 || r.Status == 404
+}
+
 // showSubmitted answers a repeated submission, which goes before polls.
 func (n *Node) showSubmitted(id string) front.Reply {
 	if r, ok := n.remembered(id); ok {
