share: who owns which machines, as records, a table and the owner's state machine

Need: a share of the machines is to move from one controller to another while jobs run, with no machine claimed twice or left without an owner.

internal/share: records of shares and their changes of state, selectors, a table that readers see as a whole (a persistent radix tree), and the state machine of one ownership: its right to act, its conditions and tokens, the hand-over in one transaction and how a doubt about it is resolved. No I/O; nothing uses it yet. election holds any key, not just the leader's, for the controllers' sessions.

The record counts changes of owner; a new count is a new ownership.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -1,5 +1,6 @@
 // Package election keeps one leader among the nodes, by a key on a lease of the
-// state service.
+// state service. A node's session as an owner of shares is held by the same rules, as
+// a key for which no other node stands.
 //
 // The right to act ends, by this node's own steady clock, a lifetime (less the
 // drift of clocks) after the last good renewal was sent. The store ends the
@@ -50,6 +51,7 @@
 type Term struct {
 	Stamp uint64 // version of the leader's key: every write is guarded by it
 	Lease uint64
+	key   string // the key that is held
 	until atomic.Int64
 	ended atomic.Bool
 }
@@ -60,20 +62,29 @@
 }
 
 // Guard is the condition that every write of the term carries.
-func (t *Term) Guard() wire.Guard { return wire.Guard{Key: Key, Version: wire.Count(t.Stamp)} }
+func (t *Term) Guard() wire.Guard { return wire.Guard{Key: t.key, Version: wire.Count(t.Stamp)} }
 
 // End gives the term up for good.
 func (t *Term) End() { t.ended.Store(true) }
 
 // NewTerm makes a term that is valid until the given time; for tests.
 func NewTerm(stamp uint64, until micro.Time) *Term {
-	t := &Term{Stamp: stamp}
+	return NewTermOf(Key, stamp, until)
+}
+
+// NewTermOf makes a term that holds the given key; for tests.
+func NewTermOf(key string, stamp uint64, until micro.Time) *Term {
+	t := &Term{Stamp: stamp, key: key}
 	t.until.Store(int64(until))
 	return t
 }
 
+// Extend puts off the end of the right; for tests.
+func (t *Term) Extend(until micro.Time) { t.until.Store(int64(until)) }
+
 // Election runs one node's part.
 type Election struct {
+	Key    string // the key to be held; "": the leader's
 	Node   string
 	Nonce  string
 	Store  store.Store
@@ -92,6 +103,14 @@
 	term   *Term
 }
 
+// key is the key to be held.
+func (e *Election) key() string {
+	if e.Key == "" {
+		return Key
+	}
+	return e.Key
+}
+
 // Leader is the node that this one believes leads, "" if none is known.
 func (e *Election) Leader() string {
 	e.mu.Lock()
@@ -163,7 +182,7 @@
 
 // round looks at the leader's key once and does what it calls for.
 func (e *Election) round(ctx context.Context) {
-	it, err := e.Store.Get(ctx, store.Leadership, Key)
+	it, err := e.Store.Get(ctx, store.Leadership, e.key())
 	switch {
 	case errors.Is(err, store.ErrNotFound):
 		if e.campaign(ctx) {
@@ -193,7 +212,7 @@
 		return
 	}
 	e.become(Follower, rec.Node, nil)
-	ev, err := e.Store.Watch(ctx, Key, uint64(it.Version), 10*micro.Second)
+	ev, err := e.Store.Watch(ctx, e.key(), uint64(it.Version), 10*micro.Second)
 	if err != nil {
 		e.pause(ctx, 200*micro.Millisecond+micro.Time(rand.Int64N(int64(200*micro.Millisecond))))
 		return
@@ -227,8 +246,8 @@
 		return false
 	}
 	rev, err := e.Store.Commit(ctx, store.Leadership, wire.Txn{
-		If:   []wire.Guard{{Key: Key}},
-		Then: []wire.Change{{Put: Key, Value: Record{Node: e.Node, Nonce: e.Nonce, Lease: wire.Count(lease)}, Lease: wire.Count(lease)}},
+		If:   []wire.Guard{{Key: e.key()}},
+		Then: []wire.Change{{Put: e.key(), Value: Record{Node: e.Node, Nonce: e.Nonce, Lease: wire.Count(lease)}, Lease: wire.Count(lease)}},
 	})
 	if err != nil {
 		if !errors.Is(err, store.ErrConflict) {
@@ -236,7 +255,7 @@
 		}
 		return false
 	}
-	t := &Term{Stamp: rev, Lease: lease}
+	t := &Term{Stamp: rev, Lease: lease, key: e.key()}
 	t.until.Store(int64(e.right(sent)))
 	e.become(Leader, e.Node, t)
 	return true
--- /dev/null
+++ b/internal/share/keys.go
@@ -0,0 +1,66 @@
+package share
+
+import (
+	"strconv"
+	"strings"
+)
+
+// The keys that shares use. They are fixed formats.
+const (
+	RecordPrefix     = "share/"
+	SessionPrefix    = "owner/"
+	AssignmentPrefix = "assign/"
+	AllocationPrefix = "alloc/"
+	// MarkerKey exists as long as any share does. It lies among the records of the
+	// fleet, which every leader reads first.
+	MarkerKey = "fleet/shares"
+)
+
+// RecordKey is the key of a share's record.
+func RecordKey(name string) string { return RecordPrefix + name }
+
+// SessionKey is the key of a controller's session.
+func SessionKey(node string) string { return SessionPrefix + node }
+
+// AssignmentsOf begins the keys of a share's assignments.
+func AssignmentsOf(name string) string { return AssignmentPrefix + name + "/" }
+
+// AssignmentKey is the key of a job's assignment to a share.
+func AssignmentKey(name, job string) string { return AssignmentsOf(name) + job }
+
+// AllocationsOf begins the keys of a share's allocations.
+func AllocationsOf(name string) string { return AllocationPrefix + name + "/" }
+
+// AllocationKey is the key of the record of a chunk of a job's tasks in a share.
+func AllocationKey(name, job string, chunk int) string {
+	return AllocationsOf(name) + job + "/" + strconv.Itoa(chunk)
+}
+
+// ParseAssignmentKey splits the key of an assignment.
+func ParseAssignmentKey(key string) (name, job string, ok bool) {
+	return strings.Cut(strings.TrimPrefix(key, AssignmentPrefix), "/")
+}
+
+// ParseAllocationKey splits the key of an allocation's record.
+func ParseAllocationKey(key string) (name, job string, chunk int, ok bool) {
+	name, rest, ok := strings.Cut(strings.TrimPrefix(key, AllocationPrefix), "/")
+	job, number, cut := strings.Cut(rest, "/")
+	chunk, err := strconv.Atoi(number)
+	return name, job, chunk, ok && cut && err == nil && chunk >= 0
+}
+
+// maxName is the longest name of a share: keys have 200 bytes.
+const maxName = 40
+
+// ValidName reports whether a share may be called so: letters, digits and hyphens.
+func ValidName(name string) bool {
+	if name == "" || len(name) > maxName {
+		return false
+	}
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/share/record.go
@@ -0,0 +1,151 @@
+// Package share divides the machines among the controllers. A share is a named set of
+// machines with one owner, the controller that answers their reports, places tasks on
+// them and commands them. All other machines belong to whoever leads.
+//
+// The store holds one record for each share. At each of its revisions the record names
+// one owner at the most, and every write of an owner carries the record's version, so
+// that what an earlier owner sent changes nothing. The package does no I/O: it says
+// which transaction comes next, and takes in what came of it.
+package share
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"notchmux.dev/notchmux/wire"
+)
+
+// State is the state of a share's record.
+type State string
+
+// The states of a share.
+const (
+	Forming  State = "forming"  // the leader still owns the machines, and clears them of other work
+	Owned    State = "owned"    // its owner acts
+	Moving   State = "moving"   // its owner still acts, and is to hand over to the target
+	Released State = "released" // its owner gave it back to the leader, which takes in its work
+)
+
+// stateMoves lists the states that may follow each state.
+var stateMoves = map[State][]State{
+	Forming:  {Owned, Released},
+	Owned:    {Moving, Owned},
+	Moving:   {Owned, Released},
+	Released: {},
+}
+
+// The reasons for which a change of a share is refused.
+var (
+	ErrSameOwner   = errors.New("the target owns the share already")
+	ErrMoving      = errors.New("the share is moving already")
+	ErrNotMoving   = errors.New("the share is not moving")
+	ErrNotOwned    = errors.New("the share has no owner yet, or none any more")
+	ErrNoTarget    = errors.New("the target has no session: it is not running, or runs without shares")
+	ErrOverlap     = errors.New("another share selects some of the same machines")
+	ErrNoSelection = errors.New("selects all machines: name a type, a zone or a kind")
+)
+
+// Controller is one incarnation of a controller as an owner.
+type Controller struct {
+	Node    string     `msgpack:"node" json:"node"`
+	Session wire.Count `msgpack:"session" json:"session"` // version of its session's key
+}
+
+// Guard is the condition that this incarnation still has its session.
+func (c Controller) Guard() wire.Guard {
+	return wire.Guard{Key: SessionKey(c.Node), Version: c.Session}
+}
+
+// Record is the value of a share's key.
+type Record struct {
+	State    State      `msgpack:"state" json:"state"`
+	Owner    Controller `msgpack:"owner" json:"owner"`   // none while forming or released
+	Target   Controller `msgpack:"target" json:"target"` // while moving; no node: the leader
+	Selector Selector   `msgpack:"select" json:"select"`
+	Teams    []string   `msgpack:"teams" json:"teams"` // whose jobs go there first; empty: any job that finds no room elsewhere
+	Moves    uint64     `msgpack:"moves" json:"moves"` // changes of owner so far
+	At       int64      `msgpack:"at" json:"at"`       // wall clock of the last change, microseconds
+}
+
+// become is the one place where a record's state changes.
+func (r Record) become(to State, owner, target Controller, wall int64) (Record, error) {
+	if !slices.Contains(stateMoves[r.State], to) {
+		return r, fmt.Errorf("from %s to %s: %w", r.State, to, ErrNotOwned)
+	}
+	if owner != r.Owner {
+		r.Moves++
+	}
+	r.State, r.Owner, r.Target, r.At = to, owner, target, wall
+	return r, nil
+}
+
+// Form makes the record of a new share.
+func Form(s Selector, teams []string, wall int64) Record {
+	return Record{State: Forming, Selector: s, Teams: teams, At: wall}
+}
+
+// Grant gives a share that was formed to its first owner.
+func (r Record) Grant(owner Controller, wall int64) (Record, error) {
+	if r.State != Forming {
+		return r, ErrSameOwner
+	}
+	return r.become(Owned, owner, Controller{}, wall)
+}
+
+// Move begins a move to a target; without a node, back to the leader.
+func (r Record) Move(target Controller, wall int64) (Record, error) {
+	switch {
+	case r.State == Moving && r.Target.Node == target.Node:
+		return r, ErrMoving
+	case r.State == Moving:
+		return r, fmt.Errorf("to %q: %w", r.Target.Node, ErrMoving)
+	case r.State != Owned:
+		return r, ErrNotOwned
+	case target.Node == r.Owner.Node:
+		return r, ErrSameOwner
+	}
+	return r.become(Moving, r.Owner, target, wall)
+}
+
+// Cancel ends a move that was not carried out: the owner stays.
+func (r Record) Cancel(wall int64) (Record, error) {
+	if r.State != Moving {
+		return r, ErrNotMoving
+	}
+	return r.become(Owned, r.Owner, Controller{}, wall)
+}
+
+// HandOver carries out a move.
+func (r Record) HandOver(wall int64) (Record, error) {
+	switch {
+	case r.State != Moving:
+		return r, ErrNotMoving
+	case r.Target.Node == "":
+		return r.become(Released, Controller{}, Controller{}, wall)
+	}
+	return r.become(Owned, r.Target, Controller{}, wall)
+}
+
+// Reassign gives the share of an owner whose session is over to another incarnation. A
+// move back to the leader goes on with that one.
+func (r Record) Reassign(owner Controller, wall int64) (Record, error) {
+	if r.State != Owned && r.State != Moving {
+		return r, ErrNotOwned
+	}
+	return r.become(Owned, owner, Controller{}, wall)
+}
+
+// Renewed is the same record, to be written anew: whatever else was sent with the
+// version before can then no longer be carried out.
+func (r Record) Renewed(wall int64) Record {
+	r.At = wall
+	return r
+}
+
+// Assignment is a job that the leader gave to a share. It counts against its team's
+// limit for as long as its record exists, which the share's owner deletes.
+type Assignment struct {
+	Job  wire.Job `msgpack:"job" json:"job"`
+	Stop bool     `msgpack:"stop" json:"stop"` // its tasks are to be stopped: it is being withdrawn
+}
