--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -92,6 +92,7 @@
 type Config struct {
 	Platform
 	Properties
+	Features
 }
 
 // LeaseSpan is the workers' lease.
--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -58,8 +58,11 @@
 				case <-l.done:
 				}
 			}()
-			if j.State == model.Active || j.State == model.Awaiting {
+			switch j.State {
+			case model.Active, model.Awaiting:
 				l.leave(j)
+			case model.Assigned:
+				l.leaveShare(j)
 			}
 		}
 	})
@@ -99,7 +102,7 @@
 	from := l.n.Now()
 	rep, ok := l.ask(l.events, 2*micro.Second, func(reply func(front.Reply)) {
 		now := l.n.Now()
-		if !l.term.Valid(now) {
+		if !l.valid() {
 			reply(front.Later(503, 1))
 			return
 		}
--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -12,8 +12,8 @@
 
 // Touch notes that a chunk must be written.
 func (l *Lead) Touch(ch *model.Chunk) {
-	if ch.Job.Over() && len(ch.Places) > 0 {
-		return // goes once its last place is free
+	if ch.Job.Over() && (l.owner != nil || len(ch.Places) > 0) {
+		return // goes once its last place is free; in a share, once its assignment has gone
 	}
 	c := l.records.chunk(ch)
 	if ch.Job.Over() {
@@ -42,7 +42,13 @@
 func (l *Lead) Kick(m *model.Machine) { l.kicked[m] = true }
 
 // Finished writes the end of a job whose tasks are all done.
-func (l *Lead) Finished(j *model.Job) { l.records.end(j, wire.JobDone) }
+func (l *Lead) Finished(j *model.Job) {
+	if l.owner != nil {
+		l.finishedInShare(j)
+		return
+	}
+	l.records.end(j, wire.JobDone)
+}
 
 // Ran learns from a completed run.
 func (l *Lead) Ran(p *model.Place, took micro.Time) {
--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -104,10 +104,19 @@
 // worker's own token is as good as any to it; no other node gives one out here.
 func (n *Node) keepLease(body []byte) (front.Reply, bool) {
 	r, err := wire.DecodeReport(body)
-	if err != nil || r.Token == 0 || r.Zone != n.Cfg.Zone || !n.keeper.Renew(n.Now()) {
+	if err != nil || !n.keepsLease(r) {
 		return front.Reply{}, false
 	}
-	return front.Reply{Status: 200, Body: wire.Orders{Token: r.Token, Orders: []wire.Order{}}}, true
+	return keptReply(r), true
+}
+
+// keepsLease reports whether this node keeps the worker's lease alive now.
+func (n *Node) keepsLease(r *wire.Report) bool {
+	return r.Token != 0 && r.Zone == n.Cfg.Zone && n.keeper.Renew(n.Now())
+}
+
+func keptReply(r *wire.Report) front.Reply {
+	return front.Reply{Status: 200, Body: wire.Orders{Token: r.Token, Orders: []wire.Order{}}}
 }
 
 // answerKeeper answers another node's keeper, while this node leads.
@@ -136,6 +145,10 @@
 // those that must not renew more: where a user was told of a job's end, a worker
 // that may still run its tasks must not be kept alive past the time for that.
 func (l *Lead) bound(now micro.Time) {
+	if l.owner != nil {
+		l.boundByLeader(now)
+		return
+	}
 	l.bar()
 	own := l.n.keeper.Kept() // of a time when this very term had lapsed
 	for _, z := range append([]string{""}, l.n.Cfg.Facts.Zones...) {
@@ -167,6 +180,7 @@
 			barred[p.Machine.Zone] = true
 		}
 	}
+	l.barShares(barred)
 	l.barred.Store(&barred)
 }
 
--- a/internal/controller/kept.go
+++ b/internal/controller/kept.go
@@ -16,6 +16,8 @@
 	needs   map[string]map[int][]string
 	chunks  map[string][]keptChunk // in the first form
 	compact map[string][]keptChunk
+
+	assigned map[string]*keptAssignment // to shares
 }
 
 func newKept() kept {
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -31,6 +31,7 @@
 const (
 	eventQueue = 16384
 	askQueue   = 1024
+	eventBatch = 64 // events that are served before the loop looks at anything else
 )
 
 // Lead is one term of leadership. Its loop owns the model.
@@ -93,12 +94,32 @@
 	format      FormatRecord
 	loaded      bool // the takeover has read everything
 	looking     bool // a look-up is under way
+
+	owner   *ownership  // what this loop owns; nil: it is the leader's
+	silent  atomic.Bool // an owner that may say nothing, for a hand-over is under way or in doubt
+	sharing *leadShares // the leader's part in shares; nil: the feature is off
 }
 
+// newLead makes the loop of a term of leadership.
 func newLead(n *Node, t *election.Term) *Lead {
+	l := newLoop(n, t, t.Stamp<<tokenBits, n.Log.With("term", t.Stamp))
+	zones := map[string]string{}
+	for _, p := range n.Cfg.Peers {
+		zones[p.Node] = p.Zone
+	}
+	l.ledger = keep.NewLedger(t.Stamp, l.c.Began, n.Cfg.KeepSpan(), zones, n.Cfg.Zone)
+	for _, t := range n.Cfg.Facts.Teams {
+		l.c.Teams[t.Name] = &model.Team{Name: t.Name, CPUs: t.CPUs, CPUsMax: t.CPUsMax, GPUs: t.GPUs, GPUsMax: t.GPUsMax}
+	}
+	l.initSharing()
+	return l
+}
+
+// newLoop makes a loop that gives out tokens from the first one on.
+func newLoop(n *Node, t *election.Term, first uint64, log *slog.Logger) *Lead {
 	l := &Lead{
-		n: n, term: t, log: n.Log.With("term", t.Stamp), events: make(chan func(), eventQueue), asks: make(chan func(), askQueue), done: make(chan struct{}),
-		token: t.Stamp << tokenBits, kicked: map[*model.Machine]bool{}, rentals: map[string]*rental{},
+		n: n, term: t, log: log, events: make(chan func(), eventQueue), asks: make(chan func(), askQueue), done: make(chan struct{}),
+		token: first, kicked: map[*model.Machine]bool{}, rentals: map[string]*rental{},
 		returns: map[*model.Machine]uint64{}, waiters: map[string][]chan front.Reply{},
 		lookups: map[string]bool{}, doubted: map[string]micro.Time{},
 		leaving: map[*model.Job]bool{}, unproven: map[*model.Job]bool{},
@@ -106,17 +127,9 @@
 	l.c = model.New(l)
 	l.c.BaseTok = l.token
 	l.c.Began = n.Now()
-	zones := map[string]string{}
-	for _, p := range n.Cfg.Peers {
-		zones[p.Node] = p.Zone
-	}
-	l.ledger = keep.NewLedger(t.Stamp, l.c.Began, n.Cfg.KeepSpan(), zones, n.Cfg.Zone)
 	l.c.Lease = n.Cfg.LeaseOut()
 	l.c.ErrJobs = n.Cfg.ErrorMachines
 	l.c.Verbose = n.Log.Enabled(context.Background(), slog.LevelDebug)
-	for _, t := range n.Cfg.Facts.Teams {
-		l.c.Teams[t.Name] = &model.Team{Name: t.Name, CPUs: t.CPUs, CPUsMax: t.CPUsMax, GPUs: t.GPUs, GPUsMax: t.GPUsMax}
-	}
 	l.goals = sched.NewGoals(n.Cfg.Facts.Objectives)
 	l.speeds = sched.NewSpeeds()
 	l.placer = &sched.Placer{C: l.c, Goals: l.goals, Props: &n.Cfg.Properties, Rand: rand.New(rand.NewPCG(t.Stamp, 1))}
@@ -128,7 +141,18 @@
 
 func (l *Lead) stop() { l.once.Do(func() { close(l.done) }) }
 
-func (l *Lead) valid() bool { return l.term.Valid(l.n.Now()) }
+// valid reports whether this loop may answer and send orders; any goroutine may ask.
+func (l *Lead) valid() bool { return !l.silent.Load() && l.term.Valid(l.n.Now()) }
+
+// stopped reports whether the loop is over.
+func (l *Lead) stopped() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
 
 // post hands the loop something to do; it is dropped once the term is over.
 func (l *Lead) post(f func()) {
@@ -159,15 +183,9 @@
 	return front.Reply{}, false
 }
 
-// run is the loop: it takes over what the store holds, then serves events.
+// run is the leader's loop: it takes over what the store holds, then serves events.
 func (l *Lead) run(ctx context.Context) {
-	go func() {
-		select {
-		case <-ctx.Done():
-			l.stop()
-		case <-l.done:
-		}
-	}()
+	l.stopWith(ctx)
 	from := l.n.Now()
 	rev, ok := l.load(ctx)
 	if !ok {
@@ -177,38 +195,58 @@
 	l.log.Info("took over", "jobs", len(l.c.Jobs), "machines", len(l.c.Machines), "took_ms", int64((l.n.Now()-from)/micro.Millisecond))
 	go l.watch(ctx, rev)
 	go l.listLoop(ctx)
-	tick := time.NewTicker(100 * time.Millisecond)
-	defer tick.Stop()
+	l.serve(l.tick)
+}
+
+// stopWith stops the loop when the context ends.
+func (l *Lead) stopWith(ctx context.Context) {
+	go func() {
+		select {
+		case <-ctx.Done():
+			l.stop()
+		case <-l.done:
+		}
+	}()
+}
+
+// serve serves events, and ticks, until the loop is stopped.
+func (l *Lead) serve(tick func(now micro.Time)) {
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-l.done:
 			return
 		case f := <-l.events:
 			f()
-			for more := 0; more < 64; more++ {
-				select {
-				case f := <-l.events:
-					f()
-					continue
-				default:
-				}
-				break
-			}
+			l.serveMore()
 		case f := <-l.asks:
 			f()
-		case <-tick.C:
-			l.tick(l.n.Now())
+		case <-ticker.C:
+			tick(l.n.Now())
 		}
 		l.act(l.n.Now())
 	}
 }
 
+// serveMore serves some of the events that wait already.
+func (l *Lead) serveMore() {
+	for range eventBatch {
+		select {
+		case f := <-l.events:
+			f()
+		default:
+			return
+		}
+	}
+}
+
 // act does what the events called for: place, write, send.
 func (l *Lead) act(now micro.Time) {
-	if !l.term.Valid(now) {
+	if !l.valid() {
 		return
 	}
-	if l.changed && now-l.lastPass > l.passGap {
+	if l.changed && now-l.lastPass > l.passGap && l.places() {
 		l.changed = false
 		l.lastPass = now
 		l.placer.Pass(now)
@@ -240,20 +278,15 @@
 )
 
 func (l *Lead) tick(now micro.Time) {
-	if !l.term.Valid(now) {
-		l.lapsed = true
+	if !l.heeds(now) {
 		return
 	}
-	if l.lapsed || now-l.lastTick > 2*micro.Second {
-		// The right lapsed, or this process got no time: workers were not heard.
-		l.lapsed, l.resumed, l.silence = false, now, silence{}
-	}
-	l.lastTick = now
 	if now-l.lastScan >= 500*micro.Millisecond {
 		l.lastScan = now
 		l.scan(now)
 	}
 	l.lookUp()
+	l.tendShares(now)
 	if now-l.lastPlan >= l.planEvery() {
 		l.lastPlan = now
 		l.plan(now)
@@ -282,11 +315,31 @@
 			l.records.speed.Touch(now, writer.Lazy)
 		}
 	}
-	if now >= l.tokenAt {
-		l.raiseToken(now)
-		took := l.n.Now() - now
-		l.tokenAt = now + min(tokenShare*took, maxTokenGap)
+	l.lookAtTokens(now)
+}
+
+// heeds reports whether the right to act holds, and notes when it came back.
+func (l *Lead) heeds(now micro.Time) bool {
+	if !l.valid() {
+		l.lapsed = true
+		return false
+	}
+	if l.lapsed || now-l.lastTick > 2*micro.Second {
+		// The right lapsed, or this process got no time: workers were not heard.
+		l.lapsed, l.resumed, l.silence = false, now, silence{}
+	}
+	l.lastTick = now
+	return true
+}
+
+// lookAtTokens gives out a newer token if it is time to look, and one is needed.
+func (l *Lead) lookAtTokens(now micro.Time) {
+	if now < l.tokenAt {
+		return
 	}
+	l.raiseToken(now)
+	took := l.n.Now() - now
+	l.tokenAt = now + min(tokenShare*took, maxTokenGap)
 }
 
 // Looking for what waits for a newer token takes at most one part in tokenShare of the
--- a/internal/controller/machine_watch.go
+++ b/internal/controller/machine_watch.go
@@ -40,6 +40,9 @@
 func (l *Lead) takeCensus(now micro.Time) *census {
 	found := &census{zones: map[string]*zoneCount{}}
 	for _, m := range l.c.List() {
+		if m.Foreign {
+			continue // it reports to the owner of its share
+		}
 		zone := found.zones[m.Zone]
 		if zone == nil {
 			zone = &zoneCount{}
@@ -102,6 +105,10 @@
 // review frees what a machine surely lost and has it returned if it is of no more
 // use.
 func (l *Lead) review(m *model.Machine, found *census, now micro.Time) {
+	if m.Foreign {
+		l.reviewForeign(m, now)
+		return
+	}
 	if len(m.Places) > 0 && m.State != model.Up && l.c.LeaseOut(m, now) {
 		l.c.Lose(m, now)
 	}
@@ -127,6 +134,26 @@
 	}
 }
 
+// reviewForeign gives a machine of another controller's share up that never came up, as
+// far as the list tells. All else is for the share's owner to find.
+func (l *Lead) reviewForeign(m *model.Machine, now micro.Time) {
+	if m.State != model.Unheard {
+		return
+	}
+	if l.unlisted(m) || m.ListState == wire.MachineBooting && now-m.Listed < freshList && now-m.Rented > l.bootPatience(m) {
+		l.giveBack(m, "did not come up in its share")
+	}
+}
+
+// bootPatience is after how long a machine that is booting is given up.
+func (l *Lead) bootPatience(m *model.Machine) micro.Time {
+	boot := unknownBoot
+	if m.Type != nil {
+		boot = micro.Of(m.Type.BootS)
+	}
+	return micro.Time(float64(boot) * l.n.Cfg.BootPatience)
+}
+
 // unlisted reports whether a machine that was listed is no longer, for longer than
 // the list lags.
 func (l *Lead) unlisted(m *model.Machine) bool {
@@ -146,7 +173,7 @@
 		boot = micro.Of(m.Type.BootS)
 	}
 	age := now - max(m.Rented, l.c.Began-micro.Of(3600))
-	patience := micro.Time(float64(boot) * cfg.BootPatience)
+	patience := l.bootPatience(m)
 	waited := now - max(l.c.Began, l.resumed)
 	idle := len(m.Places) == 0
 	switch {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -59,6 +59,7 @@
 	lookUps    lookUps
 
 	leaderPolls leaderPolls
+	shares      *shares // nil: the feature is off
 }
 
 // New makes a node that speaks to the real services.
@@ -87,6 +88,7 @@
 	n.finals.m = map[string]wire.JobStatus{}
 	n.lookUps = lookUps{reading: map[string]bool{}, waiting: map[string]*lookUp{}, answered: map[string]micro.Time{}, gathered: map[string]*lookUp{}}
 	n.share(n.Cfg.EqualShare()) // until it is known who leads
+	n.initShares()
 	n.health.log = n.Log.Info
 	n.keeper.Node, n.keeper.Span, n.keeper.Log = n.Cfg.Node, n.Cfg.KeepSpan(), n.Log.Info
 	n.election = &election.Election{
@@ -116,6 +118,7 @@
 	g.Go(func() error { return n.watchHealth(ctx) })
 	g.Go(func() error { return n.keepTouch(ctx) })
 	g.Go(func() error { return n.watchGate(ctx) })
+	g.Go(func() error { return n.runShares(ctx) })
 	n.Log.Info("serving", "node", n.Cfg.Node, "zone", n.Cfg.Zone, "public", n.Cfg.PublicAddr, "peers", n.Cfg.PeerListen)
 	return g.Wait()
 }
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -79,7 +79,9 @@
 		return n.answerAccepted(body)
 	case peer.Read:
 		return n.answerRead(string(body))
-	case peer.Show, peer.Shows, peer.Withdraw, peer.Notify:
+	case peer.Admin:
+		return n.answerAdmin(body)
+	case peer.Show, peer.Shows, peer.Withdraw, peer.Notify, peer.Share:
 		if l := n.leading(); l != nil {
 			return n.leaderCall(l, call, body)
 		}
@@ -95,6 +97,8 @@
 		return n.answerShow(l, string(body))
 	case peer.Shows:
 		return n.answerShows(l, body)
+	case peer.Share:
+		return n.answerTouch(l, body)
 	case peer.Withdraw:
 		if !wire.ValidJobID(string(body)) {
 			return 400, nil
--- a/internal/controller/random_test.go
+++ b/internal/controller/random_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/share"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -153,3 +154,49 @@
 	}
 	return o
 }
+
+// The same days with a share of the machines, which an operator moves to and fro all the
+// time: its owners, the leader and the machines meet the same troubles.
+func TestRandomDaysWithSharesKeepTheRules(t *testing.T) {
+	for i := range *simulatedDays {
+		seed := *firstSeed + uint64(i)
+		if *onlySeed > 0 {
+			seed = *onlySeed
+		}
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, seed, []int{3, 4, 5}[seed%3], func(w *simCluster) {
+				withShare(w)
+				// Not a whole zone: services that are spread over both would find no room.
+				w.base.Shares.Declared[0].Selector = share.Selector{Kind: []share.Kind{share.SpotOnly, share.OrdinaryOnly}[seed%2]}
+				w.quick = seed%4 == 0
+				w.cloud.never = []float64{0, 0.1}[seed%2]
+				if seed%5 == 0 {
+					w.base.KeepLeases = 0
+				}
+			}, func(w *simCluster) {
+				go w.moveAbout()
+				randomDay(w)
+			})
+		})
+		if *onlySeed > 0 {
+			break
+		}
+	}
+}
+
+// moveAbout has the share moved to one controller after another, or a move cancelled.
+func (w *simCluster) moveAbout() {
+	for w.ctx.Err() == nil && w.now() < 260*micro.Second { // then all must be served
+		time.Sleep(w.between(micro.Second, 12*micro.Second))
+		c := share.Command{Operation: share.Move, Share: "east", Target: w.controllers[w.drawn(len(w.controllers))].name}
+		if w.chance(0.15) {
+			c.Operation = share.Cancel
+		}
+		if p := w.any(); p != nil {
+			if n := p.current(); n != nil {
+				n.answerAdmin(wire.MustMarshal(c))
+			}
+		}
+	}
+}
--- a/internal/controller/reachability.go
+++ b/internal/controller/reachability.go
@@ -28,6 +28,10 @@
 
 // handOver resigns in favour of another node, unless that was tried in vain.
 func (l *Lead) handOver(now micro.Time) {
+	if l.owner != nil {
+		l.owner.unreached = true // the leader moves the share
+		return
+	}
 	was := l.n.handover.Load()
 	if was == nil || l.c.Began-was.at > l.n.handoverSpan() {
 		was = &handover{}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -3,6 +3,7 @@
 import (
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/model"
+	"notchmux.dev/notchmux/internal/share"
 	"notchmux.dev/notchmux/internal/writer"
 	"notchmux.dev/notchmux/wire"
 )
@@ -65,7 +66,12 @@
 func (l *Lead) Valid() bool { return l.valid() }
 
 // Guards are the conditions of every transaction of the term.
-func (l *Lead) Guards() []wire.Guard { return []wire.Guard{l.term.Guard()} }
+func (l *Lead) Guards() []wire.Guard {
+	if l.owner != nil {
+		return l.owner.Guards()
+	}
+	return []wire.Guard{l.term.Guard()}
+}
 
 // Post has the loop run something.
 func (l *Lead) Post(f func()) { l.post(f) }
@@ -86,13 +92,23 @@
 // Committed notes how long a transaction took.
 func (l *Lead) Committed(took micro.Time) { l.n.Metrics.Observe("commit", took) }
 
+// chunkKey is the key of a chunk's record.
+func (l *Lead) chunkKey(ch *model.Chunk) string {
+	id := ch.Job.Spec.ID
+	switch {
+	case l.owner != nil:
+		return share.AllocationKey(l.owner.name, id, ch.N)
+	case l.c.Compact:
+		return compactKey(id, ch.N)
+	}
+	return runKey(id, ch.N)
+}
+
+// chunk finds or makes the entry of a chunk's record.
 func (w *records) chunk(ch *model.Chunk) *writer.Entry {
 	entry := w.chunks[ch]
 	if entry == nil {
-		key := runKey(ch.Job.Spec.ID, ch.N)
-		if w.l.c.Compact {
-			key = compactKey(ch.Job.Spec.ID, ch.N)
-		}
+		key := w.l.chunkKey(ch)
 		compact := w.l.c.Compact
 		entry = w.Entry(key)
 		entry.SetVersion(ch.Stamp)
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -257,6 +257,10 @@
 	if !l.c.Become(m, model.Returning, why) {
 		return
 	}
+	if l.owner != nil {
+		l.wantReturned(m)
+		return
+	}
 	l.returns[m] = 0
 	h := l.rentals[m.RentalID]
 	if h == nil || !l.c.Compact || !slices.Contains(h.rec.Machines, m.Name) {
--- a/internal/controller/retention.go
+++ b/internal/controller/retention.go
@@ -21,7 +21,7 @@
 // settled reports whether nothing of a job that is over has still to be written, or
 // may yet be carried out.
 func (w *records) settled(j *model.Job) bool {
-	if w.Lookup(endKey(j.Spec.ID)) != nil {
+	if w.Lookup(endKey(j.Spec.ID)) != nil || j.Share != "" {
 		return false
 	}
 	for _, ch := range j.Chunks {
--- /dev/null
+++ b/internal/controller/share_lead.go
@@ -0,0 +1,524 @@
+package controller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"notchmux.dev/notchmux/internal/front"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/model"
+	"notchmux.dev/notchmux/internal/scale"
+	"notchmux.dev/notchmux/internal/share"
+	"notchmux.dev/notchmux/internal/store"
+	"notchmux.dev/notchmux/internal/writer"
+	"notchmux.dev/notchmux/wire"
+)
+
+// leadShares is the leader's part in shares: it forms them, decides who owns which,
+// takes them from owners that are gone, and gives them jobs. It acts on what the store
+// holds: each of its transactions carries the version that it looked at, so a late or
+// repeated one does nothing.
+type leadShares struct {
+	views    map[string]*shareView
+	sessions share.Sessions
+	read     bool // the sessions were read in this term
+
+	sending   map[string]bool // shares with a transaction under way
+	reading   bool            // the sessions are being read
+	readAt    micro.Time
+	assigned  map[string]*assignedJob // by job
+	adopted   map[string]*adoption    // shares that are being taken back, by name
+	tendedAt  micro.Time
+	evalAt    micro.Time
+	evaluates bool
+	movedAt   map[string]micro.Time // when each share was last told to move
+	marker    *writer.Entry
+}
+
+// shareView is what the leader knows of a share beside its record.
+type shareView struct {
+	room      []share.Room // free for jobs, less what was assigned since
+	roomAt    micro.Time
+	seen      uint64 // revision up to which the owner has read assignments
+	latest    uint64 // revision of the last assignment that was stored
+	machines  int
+	empty     int
+	waiting   int
+	unreached bool
+	handovers int        // moves in a row because no worker reached the owner
+	awayAt    micro.Time // the last of them
+	demand    []share.Demand
+}
+
+// assignedJob is a job that was assigned to a share.
+type assignedJob struct {
+	job      *model.Job
+	share    string
+	record   share.Assignment
+	entry    *writer.Entry
+	stored   bool     // the record is in the store
+	stopping bool     // its withdrawal is under way
+	ended    bool     // the end of the withdrawal is being written
+	zones    []string // where tasks may still run, after its user was told
+
+	returned bool   // its owner deleted the record though the job is not over
+	fence    uint64 // the share's record must have a later version before it is the leader's again
+	looking  bool   // whether the record is really gone is being looked up
+}
+
+// initSharing prepares the leader's part, if the feature is on.
+func (l *Lead) initSharing() {
+	if l.n.shares == nil {
+		return
+	}
+	l.sharing = &leadShares{views: map[string]*shareView{}, sending: map[string]bool{}, assigned: map[string]*assignedJob{},
+		adopted: map[string]*adoption{}, movedAt: map[string]micro.Time{}}
+	l.sharing.marker = l.records.Entry(share.MarkerKey)
+	l.sharing.marker.Build = func() (any, uint64) {
+		if l.n.shares.table.Snapshot().Len() == 0 && len(l.n.Cfg.Shares.Declared) == 0 {
+			return nil, 0
+		}
+		return true, 0
+	}
+	l.c.Partition = l.partition
+	l.planner.Shares = l.shareDemands
+	l.planner.Own = func(o scale.Offer) bool {
+		_, shared := l.table().Of(attributes(o.Type, o.Zone, o.Spot))
+		return !shared
+	}
+}
+
+// shareDemands lists what waits for room in shares: their owners rent nothing.
+func (l *Lead) shareDemands() []scale.ShareDemand {
+	var out []scale.ShareDemand
+	l.table().Each(func(e share.Entry) bool {
+		if !e.Away() {
+			return true
+		}
+		for _, d := range l.view(e.Name).demand {
+			within := func(o scale.Offer) bool {
+				return e.Record.Selector.Matches(attributes(o.Type, o.Zone, o.Spot)) && (len(d.Zones) == 0 || slices.Contains(d.Zones, o.Zone))
+			}
+			if j := l.c.Jobs[d.Job]; j != nil && j.State == model.Assigned && j.Share == e.Name {
+				out = append(out, scale.ShareDemand{Job: j, Tasks: d.Tasks, Within: within})
+			}
+		}
+		return true
+	})
+	return out
+}
+
+// table is the table of shares as it is now.
+func (l *Lead) table() share.Snapshot { return l.n.shares.table.Snapshot() }
+
+// partition says whether another controller owns a machine, and whether it is to.
+func (l *Lead) partition(m *model.Machine) (foreign, clearing bool) {
+	e, ok := l.table().Of(attributes(m.TypeName, m.Zone, m.Spot))
+	if !ok {
+		return false, false
+	}
+	if a := l.sharing.adopted[e.Name]; a != nil && a.taken {
+		return false, false
+	}
+	return e.Record.State != share.Forming, e.Record.State == share.Forming
+}
+
+func (l *Lead) view(name string) *shareView {
+	v := l.sharing.views[name]
+	if v == nil {
+		v = &shareView{}
+		l.sharing.views[name] = v
+	}
+	return v
+}
+
+// sharesChanged takes in that the table has changed.
+func (l *Lead) sharesChanged() {
+	if l.sharing == nil || !l.loaded {
+		return
+	}
+	for name := range l.sharing.views {
+		if _, ok := l.table().Get(name); !ok {
+			delete(l.sharing.views, name)
+		}
+	}
+	l.c.Repartition()
+}
+
+// How often the leader looks after the shares, and reads who has a session.
+const (
+	tendEvery     = 300 * micro.Millisecond
+	sessionsEvery = micro.Second
+)
+
+// tendShares looks after the shares.
+func (l *Lead) tendShares(now micro.Time) {
+	if l.sharing == nil || now-l.sharing.tendedAt < tendEvery {
+		return
+	}
+	l.sharing.tendedAt = now
+	l.readSessions(now)
+	if !l.n.shares.read.Load() || !l.sharing.read {
+		return
+	}
+	l.table().Each(func(e share.Entry) bool {
+		if !l.sharing.sending[e.Name] {
+			l.tendShare(e, now)
+		}
+		return true
+	})
+	l.formDeclared()
+	l.evaluatePolicies(now)
+	l.tendReturned()
+	l.assignJobs(now)
+}
+
+// readSessions reads which controllers have a session.
+func (l *Lead) readSessions(now micro.Time) {
+	if l.sharing.reading || now-l.sharing.readAt < sessionsEvery {
+		return
+	}
+	l.sharing.reading, l.sharing.readAt = true, now
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), shareTxnWait)
+		defer cancel()
+		page, err := l.n.Store.Range(ctx, store.Routine, share.SessionPrefix, "", 1000)
+		l.post(func() {
+			l.sharing.reading = false
+			if err != nil {
+				return
+			}
+			l.sharing.read = true
+			l.sharing.sessions = share.Sessions{}
+			for _, it := range page.Items {
+				l.sharing.sessions[it.Key[len(share.SessionPrefix):]] = it.Version
+			}
+		})
+	}()
+}
+
+// tendShare does what a share's record calls for.
+func (l *Lead) tendShare(e share.Entry, now micro.Time) {
+	wall := int64(l.n.Wall())
+	switch {
+	case e.Record.State == share.Forming:
+		l.tendForming(e, wall)
+	case e.Record.State == share.Released:
+		l.adoptShare(e, now)
+	case e.OwnerGone(l.sharing.sessions):
+		to, ok := e.Successor(l.sharing.sessions, l.table())
+		if !ok {
+			return
+		}
+		if txn, err := e.Take(to, l.sharing.sessions, wall, l.term.Guard()); err == nil {
+			l.log.Info("share taken from an owner that is gone", "share", e.Name, "owner", e.Record.Owner.Node, "to", to.Node)
+			l.sendShare(e.Name, txn)
+		}
+	case e.Record.State == share.Moving && e.Record.Target.Node != "" && !l.sharing.sessions.Has(e.Record.Target):
+		l.changeShare(e, "move cancelled: its target is gone", e.Record.Cancel)
+	case l.n.Cfg.Shares.Dissolve && e.Record.State == share.Owned:
+		l.changeShare(e, "share to be dissolved", func(wall int64) (share.Record, error) { return e.Record.Move(share.Controller{}, wall) })
+	case e.Record.State == share.Owned && l.view(e.Name).unreached:
+		l.moveAway(e, now)
+	}
+}
+
+// restAfterMoves is how long a share stays where it is after it was moved maxHandovers
+// times because no worker reached its owner: its machines may all be dead, and only an
+// owner that stays can prove it. Sent round for ever, a share once kept the places of
+// its dead machines until the day was over.
+const restAfterMoves = 3 * micro.Minute
+
+// moveAway moves a share whose owner no worker reaches.
+func (l *Lead) moveAway(e share.Entry, now micro.Time) {
+	v := l.view(e.Name)
+	if v.unreached = false; v.handovers >= maxHandovers && now-v.awayAt < restAfterMoves {
+		return
+	}
+	others := share.Sessions{}
+	for node, version := range l.sharing.sessions {
+		if node != e.Record.Owner.Node {
+			others[node] = version
+		}
+	}
+	to, ok := others.FewestShares(l.table())
+	if !ok {
+		return
+	}
+	v.handovers, v.awayAt = v.handovers+1, now
+	l.changeShare(e, "no worker reaches the owner", func(wall int64) (share.Record, error) { return e.Record.Move(to, wall) })
+}
+
+// changeShare writes a change of a share's record.
+func (l *Lead) changeShare(e share.Entry, why string, change func(wall int64) (share.Record, error)) {
+	later, err := change(int64(l.n.Wall()))
+	if err != nil {
+		l.log.Info("share not changed", "share", e.Name, "why", err)
+		return
+	}
+	l.log.Info("share", "share", e.Name, "was", string(e.Record.State), "is", string(later.State), "owner", later.Owner.Node, "target", later.Target.Node, "why", why)
+	l.sendShare(e.Name, e.Put(later, l.term.Guard()))
+}
+
+// sendShare sends a transaction on a share's record. What came of it shows in the table.
+func (l *Lead) sendShare(name string, txn wire.Txn) {
+	l.sharing.sending[name] = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), shareTxnWait)
+		defer cancel()
+		_, err := l.n.Store.Commit(ctx, store.Urgent, txn)
+		if err != nil {
+			l.log.Info("share not written", "share", name, "err", err)
+		}
+		time.Sleep(tablePause.Std()) // the table follows
+		l.post(func() { delete(l.sharing.sending, name) })
+	}()
+}
+
+// allRegistered reports whether every controller of the settings has a session: one that
+// runs without shares would take all machines for its own.
+func (l *Lead) allRegistered() bool {
+	for _, p := range l.n.Cfg.Peers {
+		if _, ok := l.sharing.sessions.Controller(p.Node); !ok {
+			return false
+		}
+	}
+	_, ok := l.sharing.sessions.Controller(l.n.Cfg.Node)
+	return ok
+}
+
+// formDeclared forms the shares of the settings that do not exist.
+func (l *Lead) formDeclared() {
+	if l.n.Cfg.Shares.Dissolve || !l.c.Compact || !l.allRegistered() {
+		return
+	}
+	for _, d := range l.n.Cfg.Shares.Declared {
+		if _, ok := l.table().Get(d.Name); ok || l.sharing.sending[d.Name] {
+			continue
+		}
+		if other, ok := l.table().Overlapping(d.Selector); ok {
+			l.log.Debug("share not formed", "share", d.Name, "why", share.ErrOverlap, "other", other.Name)
+			continue
+		}
+		if l.sharing.marker.Version() == 0 {
+			l.sharing.marker.Touch(l.n.Now(), writer.Soon) // before the first share
+			return
+		}
+		l.log.Info("share formed", "share", d.Name, "selects", d.Selector.String(), "teams", d.Teams)
+		e := share.Entry{Name: d.Name}
+		l.sendShare(d.Name, e.Put(share.Form(d.Selector, d.Teams, int64(l.n.Wall())), l.term.Guard()))
+	}
+}
+
+// tendForming clears the machines of a share that is being formed, and gives it to its
+// first owner once none of them holds a task.
+func (l *Lead) tendForming(e share.Entry, wall int64) {
+	if l.n.Cfg.Shares.Dissolve {
+		l.deleteShare(e)
+		return
+	}
+	if l.clearMachines(e); l.heldIn(e) > 0 || !l.allRegistered() {
+		return
+	}
+	to, ok := l.firstOwner(e.Name)
+	if !ok {
+		return
+	}
+	if later, err := e.Record.Grant(to, wall); err == nil {
+		l.log.Info("share granted", "share", e.Name, "owner", to.Node)
+		l.sendShare(e.Name, e.Put(later, l.term.Guard(), to.Guard()))
+	}
+}
+
+func (l *Lead) firstOwner(name string) (share.Controller, bool) {
+	for _, d := range l.n.Cfg.Shares.Declared {
+		if d.Name == name && d.Owner != "" {
+			return l.sharing.sessions.Controller(d.Owner)
+		}
+	}
+	return l.sharing.sessions.FewestShares(l.table())
+}
+
+// replicasAtOnce is how many replicas are moved from the machines of a share that is
+// being formed at a time: a service keeps the others.
+const replicasAtOnce = 4
+
+// heldIn counts the places on the machines of a share that is being formed, and on those
+// of which it is not known yet whether they are in it: read from the records, a machine
+// has no type until it reports. Given away with such a place on it, a machine was never
+// proven free of it.
+func (l *Lead) heldIn(e share.Entry) int {
+	held := 0
+	for _, m := range l.c.List() {
+		if m.Type == nil || m.Clearing && e.Record.Selector.Matches(attributes(m.TypeName, m.Zone, m.Spot)) {
+			held += len(m.Places)
+		}
+	}
+	return held
+}
+
+// machinesIn lists the machines of a share that is being formed.
+func (l *Lead) machinesIn(e share.Entry) []*model.Machine {
+	var out []*model.Machine
+	for _, m := range l.c.List() {
+		if m.Clearing && e.Record.Selector.Matches(attributes(m.TypeName, m.Zone, m.Spot)) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// clearMachines has the replicas on a share's machines stopped, a few at a time: other
+// tasks end by themselves.
+func (l *Lead) clearMachines(e share.Entry) {
+	now := l.n.Now()
+	stopping := 0
+	var replicas []*model.Place
+	for _, m := range l.machinesIn(e) {
+		for _, p := range m.Sorted() {
+			switch {
+			case p.Job == nil || p.Job.Spec.Kind != wire.Service:
+			case p.Stopping:
+				stopping++
+			default:
+				replicas = append(replicas, p)
+			}
+		}
+	}
+	for _, p := range replicas[:max(min(len(replicas), replicasAtOnce-stopping), 0)] {
+		l.c.Stop(p, "the machine goes to a share", p.Job.Spec.SaveS, now)
+	}
+}
+
+// deleteShare deletes the record of a share that has nothing left. The last one takes
+// the marker along.
+func (l *Lead) deleteShare(e share.Entry) {
+	txn := wire.Txn{If: []wire.Guard{l.term.Guard(), e.Guard()}, Then: []wire.Change{{Delete: e.Key()}}}
+	if l.table().Len() == 1 {
+		txn.Then = append(txn.Then, wire.Change{Delete: share.MarkerKey})
+		l.sharing.marker.SetVersion(0)
+	}
+	l.log.Info("share deleted", "share", e.Name)
+	l.sendShare(e.Name, txn)
+}
+
+// answerTouch answers another node's owner.
+func (n *Node) answerTouch(l *Lead, body []byte) (int, []byte) {
+	reply, ok := l.touched(body)
+	if !ok {
+		return 503, nil
+	}
+	return 200, wire.MustMarshal(reply)
+}
+
+// touched takes in what an owner tells, and answers it.
+func (l *Lead) touched(body []byte) (share.Reply, bool) {
+	var t share.Touch
+	if l.sharing == nil || wire.Unmarshal(body, &t) != nil {
+		return share.Reply{}, false
+	}
+	r, ok := l.ask(l.events, touchWait, func(reply func(front.Reply)) {
+		reply(front.Reply{Body: l.takeTouch(&t, l.n.Now())})
+	})
+	if !ok {
+		return share.Reply{}, false
+	}
+	return r.Body.(share.Reply), true
+}
+
+// takeTouch is touched, in the loop.
+func (l *Lead) takeTouch(t *share.Touch, now micro.Time) share.Reply {
+	reply := share.Reply{Term: l.term.Stamp, Ends: map[string]string{}, Kept: map[string]int64{}}
+	owner := share.Controller{Node: t.Node, Session: wire.Count(t.Session)}
+	for i := range t.Shares {
+		s := &t.Shares[i]
+		e, ok := l.table().Get(s.Name)
+		if ok && e.Away() && e.Record.Owner == owner {
+			l.takeShareTouch(e, s, t.Term, now)
+		}
+		l.replyTo(s, &reply)
+	}
+	for _, zone := range append([]string{""}, l.n.Cfg.Facts.Zones...) {
+		if until := max(l.c.Kept[zone], l.ledger.Until(zone, now)); until > 0 {
+			reply.Kept[zone] = int64(now - until)
+		}
+	}
+	for zone := range l.c.Away {
+		reply.Away = append(reply.Away, zone)
+	}
+	return reply
+}
+
+// takeShareTouch takes in what the owner of a share tells of it.
+func (l *Lead) takeShareTouch(e share.Entry, s *share.ShareTouch, term uint64, now micro.Time) {
+	v := l.view(e.Name)
+	v.machines, v.empty, v.waiting = s.Machines, s.Empty, s.Unassigned
+	v.unreached, v.demand = s.Unreached, s.Demand
+	if s.Machines > 0 {
+		v.handovers = 0
+	}
+	if s.Seen >= v.latest {
+		// The owner knows of all that it was given: its room is net of that.
+		v.room, v.roomAt, v.seen = s.Room, now, s.Seen
+	}
+	for _, id := range s.Finished {
+		if j := l.c.Jobs[id]; j != nil && j.Share == e.Name {
+			l.c.Finish(j)
+		}
+	}
+	for _, x := range s.Stopped {
+		l.stoppedInShare(e.Name, x, now)
+	}
+	for _, p := range s.Progress {
+		if j := l.c.Jobs[p.Job]; j != nil && j.Share == e.Name && j.State == model.Assigned {
+			j.SharedDid, j.SharedRun = p.Done, p.Running
+			l.needInShare(j, p.Need)
+		}
+	}
+	if term == l.term.Stamp {
+		for _, name := range s.Up {
+			l.upInShare(name)
+		}
+	}
+	for _, name := range s.Return {
+		if !l.c.Departed(name) {
+			m := l.c.Machine(name, now)
+			m.Foreign = true
+			l.giveBack(m, "its share's owner wants it returned")
+		}
+	}
+}
+
+// upInShare notes a machine that reports to the owner of its share.
+func (l *Lead) upInShare(name string) {
+	if m := l.c.Machines[name]; m != nil && m.Foreign {
+		l.c.Become(m, model.Up, "its share's owner says so")
+	}
+}
+
+// replyTo answers for the jobs and machines that an owner named, whoever owns them now.
+func (l *Lead) replyTo(s *share.ShareTouch, reply *share.Reply) {
+	for _, id := range s.Finished {
+		l.replyEnd(id, reply)
+	}
+	for _, x := range s.Stopped {
+		l.replyEnd(x.Job, reply)
+	}
+	for _, name := range s.Return {
+		if l.c.Departed(name) {
+			reply.Gone = append(reply.Gone, name)
+		}
+	}
+}
+
+func (l *Lead) replyEnd(id string, reply *share.Reply) {
+	end, over := l.c.Ends[id]
+	switch {
+	case !over:
+	case end.Aborted:
+		reply.Ends[id] = string(wire.JobAborted)
+	default:
+		reply.Ends[id] = string(wire.JobDone)
+	}
+}
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -279,6 +279,7 @@
 	go func() { _ = n.watchHealth(ctx) }()
 	go func() { _ = n.keepTouch(ctx) }()
 	go func() { _ = n.watchGate(ctx) }()
+	go func() { _ = n.runShares(ctx) }()
 }
 
 // kill ends the process with no signal.
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -8,6 +8,7 @@
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/model"
 	"notchmux.dev/notchmux/internal/sched"
+	"notchmux.dev/notchmux/internal/share"
 	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
 )
@@ -32,6 +33,9 @@
 		return 0, false
 	}
 	k := newKept()
+	if !l.loadAssignments(ctx, &k) {
+		return 0, false
+	}
 	if revision, ok = l.readAll(ctx, "job/", k.job); !ok {
 		return 0, false
 	}
@@ -103,6 +107,8 @@
 		if l.readFormat(it) {
 			l.raised()
 		}
+	case share.MarkerKey:
+		l.markedShares(it)
 	}
 }
 
@@ -132,6 +138,7 @@
 		}
 	}
 	l.loaded = true
+	l.resumeStops()
 }
 
 // adopt puts what was read into the model.
@@ -145,7 +152,7 @@
 	}
 	for id, job := range k.specs {
 		end, over := k.ends[id]
-		if over && len(k.chunks[id]) == 0 && len(k.compact[id]) == 0 {
+		if over && len(k.chunks[id]) == 0 && len(k.compact[id]) == 0 && k.assigned[id] == nil {
 			// Over, and none of its tasks holds a place. Polls need not read the store.
 			l.n.finals.put(finalStatus(id, end, job.Tasks))
 			continue
@@ -172,6 +179,7 @@
 				l.c.Restore(j, ch.n, &rec, uint64(ch.it.Version), now)
 			}
 		}
+		l.restoreAssigned(j, k.assigned[id])
 	}
 }
 
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -256,6 +256,9 @@
 
 // Beat answers a worker's report. Only the leader may; the others say who leads.
 func (n *Node) Beat(body []byte) front.Reply {
+	if reply, ok := n.beatOfShare(body); ok {
+		return reply
+	}
 	l := n.leading()
 	if l == nil {
 		if r, ok := n.keepLease(body); ok {
--- a/internal/model/failing.go
+++ b/internal/model/failing.go
@@ -59,6 +59,15 @@
 // Openings is how many more tasks of the job may be placed now, whatever room
 // there is. A gang starts whole or not at all.
 func (j *Job) Openings(now micro.Time) int {
+	open := j.openings(now)
+	if j.Most > 0 {
+		open = min(open, max(j.Most-j.HeldN, 0))
+	}
+	return open
+}
+
+// openings leaves out the part of the limit that the job has in a share.
+func (j *Job) openings(now micro.Time) int {
 	if j.Spec.Kind == wire.Gang || j.DoneN > 0 || len(j.Tasks) <= probes {
 		return math.MaxInt
 	}
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -19,10 +19,11 @@
 	Done
 	Aborted
 	Awaiting // for other jobs to be done
+	Assigned // to a share of the machines: its owner places it
 )
 
 func (s JobState) String() string {
-	return [...]string{"active", "finishing", "aborting", "done", "aborted", "awaiting"}[s]
+	return [...]string{"active", "finishing", "aborting", "done", "aborted", "awaiting", "assigned"}[s]
 }
 
 var jobMoves = map[[2]JobState]bool{
@@ -30,6 +31,8 @@
 	{Finishing, Aborted}: true, {Aborting, Aborted}: true, {Aborting, Done}: true,
 	{Active, Done}: true, {Active, Aborted}: true,
 	{Awaiting, Active}: true, {Awaiting, Aborting}: true, {Awaiting, Aborted}: true,
+	{Active, Assigned}: true, {Assigned, Active}: true, {Assigned, Aborting}: true,
+	{Assigned, Finishing}: true, {Assigned, Done}: true, {Assigned, Aborted}: true,
 }
 
 // Task is one task of a job.
@@ -88,6 +91,12 @@
 	Started    bool
 	Guar       bool // lies within its team's guarantee, see MarkGuarantees
 
+	Share     string // the share that it is assigned to, until its assignment's record is gone
+	Reserved  int    // tasks that count against its team's limit meanwhile
+	Most      int    // tasks that may have places at once, as the leader reserved them; 0: any number
+	SharedRun int    // tasks that run there, as its owner last said
+	SharedDid int    // tasks that are done there
+
 	fresh int     // tasks from here on were never queued
 	queue []int32 // tasks to place again
 	per   int     // tasks of a chunk
@@ -109,9 +118,13 @@
 		c.AwaitingN--
 	}
 	j.State = to
-	if to == Active {
+	switch to {
+	case Active:
 		c.enter(j)
-	} else {
+	case Assigned: // it still takes its part of its team's guarantee
+		delete(c.Pending, j)
+		delete(c.Live, j)
+	default:
 		delete(c.Pending, j)
 		delete(c.Live, j)
 		c.leaveTeam(j)
@@ -334,8 +347,10 @@
 
 // Status is what a user is told.
 func (j *Job) Status() wire.JobStatus {
-	s := wire.JobStatus{ID: j.Spec.ID, State: wire.JobPending, Done: j.DoneN, Running: j.RunningN}
+	s := wire.JobStatus{ID: j.Spec.ID, State: wire.JobPending, Done: j.DoneN + j.SharedDid, Running: j.RunningN + j.SharedRun}
 	switch {
+	case j.State == Assigned && j.SharedRun > 0:
+		s.State = wire.JobRunning
 	case j.State == Done:
 		s.State, s.Done, s.Running = wire.JobDone, len(j.Tasks), 0
 	case j.State == Aborted, j.Doomed:
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -87,6 +87,9 @@
 	HeldTo     micro.Time // when a reservation of it last ended unused
 	Gathered   bool       // reserved for a job that has waited long
 	RentalID   string
+	Foreign    bool   // another controller owns it: it is not this one's to answer or to place on
+	Clearing   bool   // it is to become another's: it takes no new tasks
+	FirstToken uint64 // lowest token since it was last given to this controller; 0: since the term began
 
 	images map[string]image // images fetched
 	told   uint64           // the token of the last answer, 0: not known
@@ -159,12 +162,40 @@
 	}
 	m.TypeName, m.Zone, m.Spot = typ, zone, spot
 	m.Type = c.Types[typ]
+	if c.Partition != nil {
+		m.Foreign, m.Clearing = c.Partition(m)
+	}
 	c.shelve(m)
 }
 
+// Repartition notes that the division of the machines among the controllers changed.
+func (c *Cluster) Repartition() {
+	for _, m := range c.List() {
+		was := m.Foreign || m.Clearing
+		m.Foreign, m.Clearing = c.Partition(m)
+		if was != (m.Foreign || m.Clearing) {
+			c.shelve(m)
+		}
+	}
+	c.Changed()
+}
+
+// Receive notes that this controller was given a machine that another owned, which may
+// have answered it until now, under tokens below the given one.
+func (c *Cluster) Receive(m *Machine, first uint64, now micro.Time) {
+	m.FirstToken, m.Prove = first, first
+	m.Answered = now
+	if m.State == Up {
+		c.Become(m, Silent, "received from another controller")
+	}
+}
+
+// firstToken is the lowest token under which orders of this controller go to a machine.
+func (c *Cluster) firstToken(m *Machine) uint64 { return max(c.BaseTok, m.FirstToken) }
+
 // Usable reports whether new tasks may be placed on the machine.
 func (m *Machine) Usable(now micro.Time) bool {
-	return m.State == Up && m.Type != nil && !m.Deaf && !m.Drained && m.NoticeAt == 0 && m.Avoid <= now
+	return m.State == Up && m.Type != nil && !m.Deaf && !m.Drained && !m.Foreign && !m.Clearing && m.NoticeAt == 0 && m.Avoid <= now
 }
 
 // Reachable reports whether orders are likely to arrive: not on a machine that
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -6,6 +6,7 @@
 package model
 
 import (
+	"math"
 	"sort"
 
 	"notchmux.dev/notchmux/internal/micro"
@@ -40,6 +41,18 @@
 		(t.GPUsMax <= 0 || t.UsedGPU+k*gpus <= t.GPUsMax+eps)
 }
 
+// Room is how many tasks the team's limits leave room for.
+func (t *Team) Room(cpus, gpus float64) int {
+	const eps = 1e-9
+	n := math.MaxInt32
+	for _, limit := range []struct{ most, used, each float64 }{{t.CPUsMax, t.UsedCPU, cpus}, {t.GPUsMax, t.UsedGPU, gpus}} {
+		if limit.most > 0 && limit.each > 0 {
+			n = min(n, int((limit.most-limit.used)/limit.each+eps))
+		}
+	}
+	return max(n, 0)
+}
+
 // Class is what has been learnt about a class of jobs.
 type Class struct {
 	Name     string
@@ -109,6 +122,10 @@
 
 	Verbose bool // log each place and exit
 
+	// Partition says whether another controller owns a machine, and whether it is to;
+	// nil: this one owns all.
+	Partition func(m *Machine) (foreign, clearing bool)
+
 	AwaitingN int // jobs that await others
 
 	after map[string][]*Job // jobs by each of those that they await
--- a/internal/model/pool.go
+++ b/internal/model/pool.go
@@ -55,7 +55,7 @@
 func (c *Cluster) shelve(m *Machine) {
 	var pool *Pool
 	row := 0
-	if m.State == Up && m.Type != nil && m.NoticeAt == 0 && !m.Deaf && !m.Drained {
+	if m.State == Up && m.Type != nil && m.NoticeAt == 0 && !m.Deaf && !m.Drained && !m.Foreign && !m.Clearing {
 		pool = c.pool(m)
 		row = RowOf(m.Type.CPUs - m.UsedScaled)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -29,6 +29,8 @@
 	Accepted = "/peer/accepted" // the same for polls, within the answering node's budget for them
 	Announce = "/peer/announce" // this node runs the caller's version; for one that the store refuses
 	Keep     = "/peer/keep"     // a keeper of leases asks the leader, see package keep
+	Share    = "/peer/share"    // an owner of shares tells the leader how it fares, see package share
+	Admin    = "/peer/admin"    // an operator's command on shares
 	Metrics  = "/metrics"       // latency histograms, for operators
 )
 
@@ -103,7 +105,7 @@
 // Serve answers the other nodes on a listener until the context ends.
 func Serve(ctx context.Context, ln net.Listener, h Handler, metrics func(io.Writer)) error {
 	mux := http.NewServeMux()
-	for _, call := range []string{Show, Shows, Withdraw, Submit, Read, Notify, Ping, Exist, Accepted, Announce, Keep} {
+	for _, call := range []string{Show, Shows, Withdraw, Submit, Read, Notify, Ping, Exist, Accepted, Announce, Keep, Share, Admin} {
 		mux.HandleFunc("POST "+call, func(w http.ResponseWriter, r *http.Request) {
 			body, err := io.ReadAll(io.LimitReader(r.Body, wire.MaxBody+1))
 			if err != nil || len(body) > wire.MaxBody {
--- a/internal/scale/demand.go
+++ b/internal/scale/demand.go
@@ -17,6 +17,31 @@
 	n     int
 	late  micro.Time
 	level int
+
+	within func(Offer) bool // the offers that serve it; nil: all that its job allows
+}
+
+// allows reports whether a machine of an offer could run the demand's tasks.
+func (d *demand) allows(t *model.Type, zone string, spot bool) bool {
+	return sched.Allowed(d.spec, t, zone, spot) && (d.within == nil || d.within(Offer{t.Name, zone, spot}))
+}
+
+// served tells the offers that help a job: those of shares only if it can still be
+// assigned to one as a whole. A service with one replica in place once had machines
+// rented into a share, again and again, for the other.
+func (p *Planner) served(j *model.Job) func(Offer) bool {
+	if j.Untouched() {
+		return nil
+	}
+	return p.Own
+}
+
+// ShareDemand is a number of tasks that wait for room in a share of the machines, which
+// another controller owns.
+type ShareDemand struct {
+	Job    *model.Job
+	Tasks  int
+	Within func(Offer) bool // the offers whose machines are in the share
 }
 
 // demands lists the tasks that found no room, and the headroom that is short.
@@ -56,11 +81,16 @@
 		if !p.pressing(j, late, now) {
 			continue
 		}
-		out = append(out, demand{j, &j.Spec, n, late, j.Level})
+		out = append(out, demand{job: j, spec: &j.Spec, n: n, late: late, level: j.Level, within: p.served(j)})
 		if j.Level == 0 {
 			first[j.Class] += n
 		}
 	}
+	if p.Shares != nil {
+		for _, s := range p.Shares() {
+			out = append(out, demand{job: s.Job, spec: &s.Job.Spec, n: s.Tasks, late: p.Goals.LatestStart(s.Job, now), level: s.Job.Level, within: s.Within})
+		}
+	}
 	out = append(out, p.spares(first, now)...)
 	out = append(out, p.headroom(now)...)
 	sort.SliceStable(out, func(a, b int) bool {
@@ -83,7 +113,7 @@
 		quick, boot := p.Goals.Quick(cl.Name), p.bootOf(cl.Last)
 		if quick > 0 && quick < boot {
 			spec := *cl.Last
-			out = append(out, demand{nil, &spec, int(math.Ceil(spareShare * float64(n))), now + boot, 0})
+			out = append(out, demand{spec: &spec, n: int(math.Ceil(spareShare * float64(n))), late: now + boot, within: p.Own})
 		}
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].spec.Class < out[b].spec.Class })
@@ -194,7 +224,7 @@
 		}
 		if have < want {
 			spec := *cl.Last
-			out = append(out, demand{nil, &spec, want - have, now + boot, level})
+			out = append(out, demand{spec: &spec, n: want - have, late: now + boot, level: level, within: p.Own})
 		}
 	}
 	return out
--- a/internal/scale/price.go
+++ b/internal/scale/price.go
@@ -229,7 +229,7 @@
 		for _, z := range t.Zones {
 			for _, spot := range []bool{false, true} {
 				o := Offer{t.Name, z, spot}
-				if p.Refused[o] > now || leftOut[o] > now || !sched.Allowed(d.spec, t, z, spot) {
+				if p.Refused[o] > now || leftOut[o] > now || !d.allows(t, z, spot) {
 					continue
 				}
 				if d.job != nil && !sched.ZoneOK(d.job, z, zoneN) {
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -32,6 +32,8 @@
 	Refused map[Offer]micro.Time // until when not to ask again
 	Dry     map[Offer]int        // refusals in a row
 	Asked   map[string]Ask       // rentals without an answer yet, by request
+	Shares  func() []ShareDemand // what waits in shares of other controllers; nil: nothing
+	Own     func(Offer) bool     // the offers whose machines are in no share; nil: all are
 
 	cut  map[string]bool // zones that are out of reach, by the last plan
 	own  bool            // operators keep machines of their own, by the last plan
@@ -92,7 +94,7 @@
 	for _, m := range again {
 		p.C.SetDrained(m, false)
 	}
-	return rentals.requests(), p.idle(now)
+	return rentals.requests(), p.Idle(now)
 }
 
 // offer is what to rent for a demand: work of the first rank at any price.
@@ -128,15 +130,15 @@
 // readyFactor is how much longer rented machines are kept where readiness wins.
 const readyFactor = 6
 
-// idle lists rented machines that nobody has needed for a while.
-func (p *Planner) idle(now micro.Time) []*model.Machine {
+// Idle lists rented machines that nobody has needed for a while.
+func (p *Planner) Idle(now micro.Time) []*model.Machine {
 	var out []*model.Machine
 	after := p.Props.IdleReturn
 	if !p.thrifty() {
 		after *= readyFactor
 	}
 	for _, m := range p.C.List() {
-		if m.State != model.Up || m.Base || len(m.Places) > 0 || m.Reserve != nil || m.NoticeAt != 0 {
+		if m.State != model.Up || m.Foreign || m.Base || len(m.Places) > 0 || m.Reserve != nil || m.NoticeAt != 0 {
 			continue
 		}
 		if m.Drained {
--- a/internal/scale/stock.go
+++ b/internal/scale/stock.go
@@ -119,7 +119,7 @@
 		if took == n {
 			break
 		}
-		if cut[g.Zone] != beyond || g.empty == 0 && len(g.parts) == 0 || !sched.Allowed(d.spec, g.typ, g.Zone, g.Spot) {
+		if cut[g.Zone] != beyond || g.empty == 0 && len(g.parts) == 0 || !d.allows(g.typ, g.Zone, g.Spot) {
 			continue
 		}
 		k := g.take(d.spec, min(n-took, zoneRoom(d, g.Zone, zoneN)))
@@ -205,7 +205,7 @@
 		if soon == n {
 			break
 		}
-		if !sched.Allowed(d.spec, b.typ, b.zone, b.spot) || d.bound(b.zone) {
+		if !d.allows(b.typ, b.zone, b.spot) || d.bound(b.zone) {
 			continue
 		}
 		v := b.by(at)
--- a/internal/share/owner.go
+++ b/internal/share/owner.go
@@ -80,9 +80,10 @@
 // Valid reports whether the owner may answer the share's machines and send orders. Its
 // right ends by its own steady clock, before the store lets its session go: only then
 // can the leader give the share to another.
-func (o *Owner) Valid(now micro.Time) bool {
-	return (o.state == Acting || o.state == Settling) && o.right.Valid(now)
-}
+func (o *Owner) Valid(now micro.Time) bool { return o.Speaks() && o.right.Valid(now) }
+
+// Speaks reports whether the owner may say anything while its session's right holds.
+func (o *Owner) Speaks() bool { return o.state == Acting || o.state == Settling }
 
 // Places reports whether new tasks may be placed.
 func (o *Owner) Places() bool { return o.state == Acting }
--- a/internal/share/record.go
+++ b/internal/share/record.go
@@ -146,6 +146,8 @@
 // Assignment is a job that the leader gave to a share. It counts against its team's
 // limit for as long as its record exists, which the share's owner deletes.
 type Assignment struct {
-	Job  wire.Job `msgpack:"job" json:"job"`
-	Stop bool     `msgpack:"stop" json:"stop"` // its tasks are to be stopped: it is being withdrawn
+	Job   wire.Job `msgpack:"job" json:"job"`
+	At    int64    `msgpack:"at" json:"at"`       // when it was assigned, wall clock, microseconds
+	Tasks int      `msgpack:"tasks" json:"tasks"` // how many of its tasks may have places at once; it only grows
+	Stop  bool     `msgpack:"stop" json:"stop"`   // its tasks are to be stopped: it is being withdrawn
 }
--- a/internal/writer/writer.go
+++ b/internal/writer/writer.go
@@ -125,3 +125,12 @@
 	sort.Strings(kinds)
 	return strings.Join(kinds, ", ")
 }
+
+// Hurry makes all that waits as urgent as can be.
+func (w *Writer) Hurry(now micro.Time) {
+	for _, e := range w.entries {
+		if e.dirty {
+			e.Touch(now, First)
+		}
+	}
+}
