--- a/cmd/notchmux/main.go
+++ b/cmd/notchmux/main.go
@@ -27,15 +27,25 @@
 	Serve   serveCmd   `cmd:"" help:"Run a controller until it is killed."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file and the properties, and say what they amount to."`
 	Job     jobCmd     `cmd:"" help:"Submit, show or withdraw a job."`
+	Share   shareCmd   `cmd:"" help:"List, show or move shares of the machines."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
 type settings struct {
 	Config     string `required:"" placeholder:"FILE" help:"The platform's settings file (TOML)."`
 	Properties string `placeholder:"FILE" env:"NOTCHMUX_PROPERTIES" help:"The operators' properties."`
+
+	Feature []string `placeholder:"FILE" sep:"none" help:"Switch a part of the service on by its file (shares.properties). May be repeated."`
 }
 
-func (s settings) load() (*config.Config, error) { return config.Load(s.Config, s.Properties) }
+func (s settings) load() (*config.Config, error) {
+	cfg, err := config.Load(s.Config, s.Properties)
+	if err != nil {
+		return nil, err
+	}
+	cfg.Features, err = config.LoadFeatures(s.Feature, cfg.Node, cfg.Peers)
+	return cfg, err
+}
 
 type serveCmd struct {
 	settings
@@ -94,6 +104,7 @@
 		return err
 	}
 	fmt.Printf("node %s in %s: %d peers, %d teams, %d objectives\n", cfg.Node, cfg.Zone, len(cfg.Peers), len(cfg.Facts.Teams), len(cfg.Facts.Objectives))
+	describeShares(cfg.Shares)
 	config.Describe(func(key string, def, least, most float64, help string) {
 		fmt.Printf("%-22s default %g, %g to %g: %s\n", key, def, least, most, help)
 	})
@@ -114,6 +125,7 @@
 		kong.BindTo(os.Stderr, (*io.Writer)(nil)))
 	ctx, err := parser.Parse(os.Args[1:])
 	parser.FatalIfErrorf(err)
+	ctx.Bind(&c)
 	if err := ctx.Run(); err != nil && !errors.Is(err, context.Canceled) {
 		fmt.Fprintf(os.Stderr, "notchmux: %v\n", err)
 		os.Exit(1)
