--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -102,7 +102,7 @@
 	from := l.n.Now()
 	rep, ok := l.ask(l.events, 2*micro.Second, func(reply func(front.Reply)) {
 		now := l.n.Now()
-		if !l.valid() {
+		if !l.valid() || l.answersNot(r) {
 			reply(front.Later(503, 1))
 			return
 		}
--- a/internal/controller/machine_watch.go
+++ b/internal/controller/machine_watch.go
@@ -137,7 +137,7 @@
 // reviewForeign gives a machine of another controller's share up that never came up, as
 // far as the list tells. All else is for the share's owner to find.
 func (l *Lead) reviewForeign(m *model.Machine, now micro.Time) {
-	if m.State != model.Unheard {
+	if m.State != model.Unheard || !l.heardOf(m, now) {
 		return
 	}
 	if l.unlisted(m) || m.ListState == wire.MachineBooting && now-m.Listed < freshList && now-m.Rented > l.bootPatience(m) {
@@ -145,6 +145,19 @@
 	}
 }
 
+// heardOf reports whether this leader would know by now that a machine of another
+// controller's share is up: the share's owner has told it of all that report, and each
+// had time to. Without that, a leader that had just taken over returned machines at work.
+func (l *Lead) heardOf(m *model.Machine, now micro.Time) bool {
+	e, ok := l.table().Of(attributes(m.TypeName, m.Zone, m.Spot))
+	if !ok || !e.Away() {
+		return false
+	}
+	settled := l.n.Cfg.Round() + l.n.Cfg.SilentAfter
+	v := l.view(e.Name)
+	return v.toldAllAt > 0 && now-v.toldAllAt > settled && l.n.Wall()-micro.Time(e.Record.At) > settled
+}
+
 // bootPatience is after how long a machine that is booting is given up.
 func (l *Lead) bootPatience(m *model.Machine) micro.Time {
 	boot := unknownBoot
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -41,7 +41,7 @@
 func (l *Lead) places() bool { return l.owner == nil || l.owner.Places() }
 
 // startOwner begins the loop of a share that this incarnation owns.
-func (n *Node) startOwner(e share.Entry, term *election.Term, self share.Controller) *Lead {
+func (n *Node) startOwner(ctx context.Context, e share.Entry, term *election.Term, self share.Controller) *Lead {
 	log := n.Log.With("share", e.Name, "version", e.Version)
 	owner := share.NewOwner(e, term, self, log.Info)
 	l := newLoop(n, term, owner.FirstToken(), log)
@@ -52,7 +52,7 @@
 		l.c.Teams[t.Name] = &model.Team{Name: t.Name}
 	}
 	l.c.SetCatalog(n.catalog.Load())
-	go l.runOwner(context.Background())
+	go l.runOwner(ctx)
 	return l
 }
 
@@ -60,6 +60,7 @@
 func (l *Lead) runOwner(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	l.stopWith(ctx)
 	from := l.n.Now()
 	if !l.loadShare(ctx) {
 		return
--- a/internal/controller/share_lead.go
+++ b/internal/controller/share_lead.go
@@ -46,6 +46,7 @@
 	empty     int
 	waiting   int
 	unreached bool
+	toldAllAt micro.Time // since when this leader knows of all machines that report to the owner; 0: not yet
 	handovers int        // moves in a row because no worker reached the owner
 	awayAt    micro.Time // the last of them
 	demand    []share.Demand
@@ -118,10 +119,24 @@
 	if !ok {
 		return false, false
 	}
-	if a := l.sharing.adopted[e.Name]; a != nil && a.taken {
-		return false, false
+	return l.foreign(e), e.Record.State == share.Forming
+}
+
+// answersNot reports whether a report comes from a machine that is not the leader's to
+// answer: another controller owns it, or a share's work is still to be read before its
+// machines are answered. Answered earlier, they were told to stop all that they ran.
+func (l *Lead) answersNot(r *wire.Report) bool {
+	if l.sharing == nil {
+		return false
 	}
-	return e.Record.State != share.Forming, e.Record.State == share.Forming
+	e, ok := l.table().Of(attributes(r.Type, r.Zone, r.Spot))
+	return ok && l.foreign(e)
+}
+
+// foreign reports whether the machines of a share are not the leader's.
+func (l *Lead) foreign(e share.Entry) bool {
+	a := l.sharing.adopted[e.Name]
+	return e.Record.State != share.Forming && (a == nil || !a.taken)
 }
 
 func (l *Lead) view(name string) *shareView {
@@ -480,6 +495,9 @@
 		for _, name := range s.Up {
 			l.upInShare(name)
 		}
+		if v.toldAllAt == 0 && len(s.Up) < maxTold {
+			v.toldAllAt = now
+		}
 	}
 	for _, name := range s.Return {
 		if !l.c.Departed(name) {
--- a/internal/controller/share_sim_test.go
+++ b/internal/controller/share_sim_test.go
@@ -103,7 +103,7 @@
 			}
 			w.until("done", 3*micro.Minute, func() bool { return stateOf(array.poll(w.any())) == wire.JobDone })
 			if service.starts() != 3 || service.running() != 3 || array.starts() != 4 {
-				t.Errorf("%d starts of 3 replicas, %d run; %d starts of 4 tasks", service.starts(), service.running(), array.starts())
+				w.t.Errorf("%d starts of 3 replicas, %d run; %d starts of 4 tasks", service.starts(), service.running(), array.starts())
 			}
 			service.cancel()
 			w.until("the replicas are gone", micro.Minute, func() bool { return service.running() == 0 })
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -27,6 +27,7 @@
 	term    atomic.Pointer[election.Term] // of the session; nil: none
 
 	mu     sync.Mutex
+	ctx    context.Context  // of the node; nil until it runs
 	owners map[string]*Lead // by share
 }
 
@@ -57,6 +58,7 @@
 	if n.shares == nil {
 		return nil
 	}
+	n.shares.begin(ctx)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return n.holdSession(ctx) })
 	g.Go(func() error { return n.followTable(ctx) })
@@ -64,6 +66,12 @@
 	return g.Wait()
 }
 
+func (s *shares) begin(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ctx = ctx
+}
+
 // holdSession holds the session once the machine types are known: without them a share
 // could be given to this node, and nobody would answer its machines.
 func (n *Node) holdSession(ctx context.Context) error {
@@ -205,13 +213,13 @@
 		}
 		l.post(func() { l.observe(e, ok) })
 	}
-	if term == nil || n.catalog.Load() == nil {
+	if term == nil || s.ctx == nil || n.catalog.Load() == nil {
 		return
 	}
 	self := share.Controller{Node: n.Cfg.Node, Session: wire.Count(term.Stamp)}
 	table.Each(func(e share.Entry) bool {
 		if s.owners[e.Name] == nil && e.Away() && e.Record.Owner == self {
-			s.owners[e.Name] = n.startOwner(e, term, self)
+			s.owners[e.Name] = n.startOwner(s.ctx, e, term, self)
 		}
 		return true
 	})
