--- a/internal/controller/share_admin.go
+++ b/internal/controller/share_admin.go
@@ -39,7 +39,7 @@
 // command carries out an operator's command.
 func (l *Lead) command(c *share.Command) share.CommandReply {
 	r, ok := l.ask(l.events, adminWait, func(reply func(front.Reply)) {
-		reply(front.Reply{Body: l.carryOut(c)})
+		l.carryOut(c, func(r share.CommandReply) { reply(front.Reply{Body: r}) })
 	})
 	if !ok {
 		return share.CommandReply{Refused: "the leader does not act now: try again"}
@@ -47,45 +47,52 @@
 	return r.Body.(share.CommandReply)
 }
 
-func (l *Lead) carryOut(c *share.Command) share.CommandReply {
+func (l *Lead) carryOut(c *share.Command, reply func(share.CommandReply)) {
 	if c.Operation == share.List {
-		return share.CommandReply{Shares: l.shareStatuses("")}
+		reply(share.CommandReply{Shares: l.shareStatuses("")})
+		return
+	}
+	answer := func(refused string) {
+		reply(share.CommandReply{Refused: refused, Shares: l.shareStatuses(c.Share)})
 	}
 	e, ok := l.table().Get(c.Share)
 	if !ok {
-		return share.CommandReply{Refused: fmt.Sprintf("there is no share %q", c.Share)}
+		answer(fmt.Sprintf("there is no share %q", c.Share))
+		return
 	}
-	refused := ""
 	switch c.Operation {
 	case share.Show:
+		answer("")
 	case share.Move:
-		refused = l.commandMove(e, c.Target)
+		to, ok := l.sharing.sessions.Controller(c.Target)
+		if !ok {
+			answer(fmt.Sprintf("%q: %v", c.Target, share.ErrNoTarget))
+			return
+		}
+		l.commandChange(e, func(wall int64) (share.Record, error) { return e.Record.Move(to, wall) }, answer)
 	case share.Cancel:
-		refused = l.commandChange(e, "an operator's command", e.Record.Cancel)
+		l.commandChange(e, e.Record.Cancel, answer)
 	default:
-		refused = fmt.Sprintf("there is no operation %q", c.Operation)
-	}
-	return share.CommandReply{Refused: refused, Shares: l.shareStatuses(c.Share)}
-}
-
-// commandMove begins a move; "" if it did, else the reason.
-func (l *Lead) commandMove(e share.Entry, target string) string {
-	to, ok := l.sharing.sessions.Controller(target)
-	if !ok {
-		return fmt.Sprintf("%q: %v", target, share.ErrNoTarget)
+		answer(fmt.Sprintf("there is no operation %q", c.Operation))
 	}
-	return l.commandChange(e, "an operator's command", func(wall int64) (share.Record, error) { return e.Record.Move(to, wall) })
 }
 
-func (l *Lead) commandChange(e share.Entry, why string, change func(wall int64) (share.Record, error)) string {
+// commandChange changes a share's record for an operator, who is told once it is stored.
+func (l *Lead) commandChange(e share.Entry, change func(wall int64) (share.Record, error), answer func(refused string)) {
 	if l.sharing.sending[e.Name] {
-		return "another change of the share is under way: try again"
+		answer("another change of the share is under way: try again")
+		return
 	}
-	if _, err := change(int64(l.n.Wall())); err != nil {
-		return err.Error()
+	err := l.changeShareThen(e, "an operator's command", change, func(err error) {
+		if err != nil {
+			answer(fmt.Sprintf("not stored (%v): try again", err))
+			return
+		}
+		answer("")
+	})
+	if err != nil {
+		answer(err.Error())
 	}
-	l.changeShare(e, why, change)
-	return ""
 }
 
 // shareStatuses tells of one share, or of all.
--- a/internal/controller/share_lead.go
+++ b/internal/controller/share_lead.go
@@ -267,17 +267,27 @@
 
 // changeShare writes a change of a share's record.
 func (l *Lead) changeShare(e share.Entry, why string, change func(wall int64) (share.Record, error)) {
+	if err := l.changeShareThen(e, why, change, func(error) {}); err != nil {
+		l.log.Info("share not changed", "share", e.Name, "why", err)
+	}
+}
+
+// changeShareThen does the same, and tells what came of the write; it returns why the
+// change is refused.
+func (l *Lead) changeShareThen(e share.Entry, why string, change func(wall int64) (share.Record, error), done func(error)) error {
 	later, err := change(int64(l.n.Wall()))
 	if err != nil {
-		l.log.Info("share not changed", "share", e.Name, "why", err)
-		return
+		return err
 	}
 	l.log.Info("share", "share", e.Name, "was", string(e.Record.State), "is", string(later.State), "owner", later.Owner.Node, "target", later.Target.Node, "why", why)
-	l.sendShare(e.Name, e.Put(later, l.term.Guard()))
+	l.sendShareThen(e.Name, e.Put(later, l.term.Guard()), done)
+	return nil
 }
 
 // sendShare sends a transaction on a share's record. What came of it shows in the table.
-func (l *Lead) sendShare(name string, txn wire.Txn) {
+func (l *Lead) sendShare(name string, txn wire.Txn) { l.sendShareThen(name, txn, func(error) {}) }
+
+func (l *Lead) sendShareThen(name string, txn wire.Txn, done func(error)) {
 	l.sharing.sending[name] = true
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), shareTxnWait)
@@ -286,6 +296,7 @@
 		if err != nil {
 			l.log.Info("share not written", "share", name, "err", err)
 		}
+		l.post(func() { done(err) })
 		time.Sleep(tablePause.Std()) // the table follows
 		l.post(func() { delete(l.sharing.sending, name) })
 	}()
