--- /dev/null
+++ b/internal/config/features_test.go
@@ -0,0 +1,112 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"notchmux.dev/notchmux/internal/micro"
+)
+
+func loadFeatureText(t *testing.T, text string) (Features, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "shares.properties")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return LoadFeatures([]string{path}, "n-0", []Peer{{Node: "n-1"}})
+}
+
+func TestSharesFileIsRead(t *testing.T) {
+	f, err := loadFeatureText(t, `
+share.gpu.type = g8
+share.gpu.teams = a, b
+share.gpu.owner = n-1
+share.cheap.kind = spot
+share.cheap.zone = z
+share.rest.kind = ordinary
+share.rest.type = small
+policy.2-back.share = gpu
+policy.2-back.owner = n-0
+policy.2-back.when = true
+policy.1-morning.share = gpu
+policy.1-morning.owner = n-1
+policy.1-morning.when = hour >= 5 and guaranteed["a"] > 0
+shares.move.least.s = 90
+shares.move.machines = 100
+`)
+	if err == nil {
+		t.Fatal("gpu and cheap overlap: a spot machine of type g8 in zone z")
+	}
+	f, err = loadFeatureText(t, `
+share.gpu.type = g8
+share.gpu.kind = ordinary
+share.gpu.teams = a, b
+share.gpu.owner = n-1
+share.cheap.kind = spot
+policy.2-back.share = gpu
+policy.2-back.owner = n-0
+policy.2-back.when = true
+policy.1-morning.share = gpu
+policy.1-morning.owner = n-1
+policy.1-morning.when = hour >= 5 and guaranteed["a"] > 0
+shares.move.least.s = 90
+shares.move.machines = 100
+`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := f.Shares
+	if len(s.Declared) != 2 || s.Declared[1].Name != "gpu" || s.Declared[1].Owner != "n-1" || len(s.Declared[1].Teams) != 2 {
+		t.Errorf("%+v", s.Declared)
+	}
+	if len(s.Policies) != 2 || s.Policies[0].Name != "1-morning" || s.LeastTime != 90*micro.Second || s.MostMoved != 100 || s.Dissolve {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Each mistake is one line with file, key and reason.
+func TestMistakesInTheSharesFileAreNamed(t *testing.T) {
+	for text, says := range map[string]string{
+		"shares.melt = 1":                                          `key "shares.melt": is unknown`,
+		"share.gpu.colour = red":                                   `key "share.gpu.colour": is unknown`,
+		"share.GPU.type = g8":                                      "small letters",
+		"fleet.gpu = g8":                                           "is unknown",
+		"share.gpu.kind = spott":                                   "not spot or ordinary",
+		"share.gpu.owner = n-9":                                    "no controller of the settings",
+		"share.gpu.teams = a":                                      "selects all machines",
+		"shares.move.least.s = 0":                                  "not a number from 1",
+		"shares.move.machines = many":                              "not a whole number",
+		"shares.dissolve = perhaps":                                "not true or false",
+		"policy.p.owner = n-0":                                     "is no share of this file",
+		"share.g.type=x\npolicy.p.share = g":                       `key "policy.p.owner": is missing`,
+		"policy.p.when = hour > ":                                  "line 1, column",
+		"policy.p.when = hours > 3":                                "unknown name hours",
+		"policy.p.when = hour":                                     "bool",
+		"share.g.type=x\npolicy.p.share = g\npolicy.p.owner = n-0": `key "policy.p.when": is missing`,
+		"share.a.type=x\nshare.b.zone=z":                           "another share selects",
+	} {
+		_, err := loadFeatureText(t, text)
+		if err == nil || !strings.Contains(err.Error(), says) || strings.Contains(err.Error(), "\n") || !strings.Contains(err.Error(), "shares.properties") {
+			t.Errorf("%q: %v, nothing said of %q", text, err, says)
+		}
+	}
+	if _, err := LoadFeatures([]string{"/nowhere/melting.properties"}, "n-0", nil); err == nil || !strings.Contains(err.Error(), `no feature "melting"`) {
+		t.Errorf("%v", err)
+	}
+	if _, err := LoadFeatures([]string{"/nowhere/shares.properties"}, "n-0", nil); err == nil {
+		t.Error("a missing file is none")
+	}
+	if f, err := LoadFeatures(nil, "n-0", nil); err != nil || f.Shares != nil {
+		t.Errorf("%+v, %v without any file", f, err)
+	}
+}
+
+// The file that is deployed is sound, and declares no share.
+func TestDeployedSharesFileIsSound(t *testing.T) {
+	f, err := LoadFeatures([]string{filepath.Join("..", "..", "deploy", "shares.properties")}, "n-0", nil)
+	if err != nil || f.Shares == nil || len(f.Shares.Declared) > 0 || f.Shares.Dissolve {
+		t.Errorf("%+v, %v", f.Shares, err)
+	}
+}
