--- a/internal/controller/adopt.go
+++ b/internal/controller/adopt.go
@@ -96,7 +96,7 @@
 // takenBack goes on with a job of a share that was taken back, as with any other.
 func (l *Lead) takenBack(x *assignedJob, now micro.Time) {
 	j := x.job
-	l.c.TakenBack(j, now)
+	l.c.RestoredJob(j, now)
 	if x.zones = nil; j.Over() && j.HeldN > 0 {
 		l.unproven[j] = true
 	}
--- a/internal/model/record.go
+++ b/internal/model/record.go
@@ -136,17 +136,22 @@
 // Restored completes a takeover: all records have been read.
 func (c *Cluster) Restored(now micro.Time) {
 	for _, j := range c.Jobs {
-		switch {
-		case j.Over():
-			for _, p := range j.AllPlaces() {
-				c.Stop(p, "job over", 0, now)
-			}
-		case j.State == Active && j.DoneN == len(j.Tasks):
-			c.become(j, Finishing)
-			c.Finished(j)
-		case j.State == Active && j.Spec.Kind == wire.Gang && j.HeldN > 0 && j.HeldN < len(j.Tasks):
-			// Only part of the attempt was written: it never started whole.
-			c.gangLost(j, now)
+		c.RestoredJob(j, now)
+	}
+}
+
+// RestoredJob goes on with a job all of whose records have been read.
+func (c *Cluster) RestoredJob(j *Job, now micro.Time) {
+	switch {
+	case j.Over():
+		for _, p := range j.AllPlaces() {
+			c.Stop(p, "job over", 0, now)
 		}
+	case j.State == Active && j.DoneN == len(j.Tasks):
+		c.become(j, Finishing)
+		c.Finished(j)
+	case j.State == Active && j.Spec.Kind == wire.Gang && j.HeldN > 0 && j.HeldN < len(j.Tasks):
+		// Only part of the attempt was written: it never started whole.
+		c.gangLost(j, now)
 	}
 }
