--- a/internal/controller/random_test.go
+++ b/internal/controller/random_test.go
@@ -158,11 +158,14 @@
 // The same days with a share of the machines, which an operator moves to and fro all the
 // time: its owners, the leader and the machines meet the same troubles.
 func TestRandomDaysWithSharesKeepTheRules(t *testing.T) {
+	seeds := []uint64{5326} // four nodes whose machines are all dead handed the lead round for ever
 	for i := range *simulatedDays {
-		seed := *firstSeed + uint64(i)
-		if *onlySeed > 0 {
-			seed = *onlySeed
-		}
+		seeds = append(seeds, *firstSeed+uint64(i))
+	}
+	if *onlySeed > 0 {
+		seeds = []uint64{*onlySeed}
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			play(t, seed, []int{3, 4, 5}[seed%3], func(w *simCluster) {
@@ -179,9 +182,6 @@
 				randomDay(w)
 			})
 		})
-		if *onlySeed > 0 {
-			break
-		}
 	}
 }
 
--- a/internal/controller/reachability.go
+++ b/internal/controller/reachability.go
@@ -58,9 +58,15 @@
 // maxHandovers leaves each of the others its chance, whoever is elected first.
 const maxHandovers = 2
 
+// longestVainTerm is how long a term lasts beside the time until machines count as silent
+// where no worker reaches the leader: election, takeover and hand-over. With 5 s for it,
+// four nodes whose machines were all dead came round just too late to remember that they
+// had handed over before, and none ever stayed.
+const longestVainTerm = 10 * micro.Second
+
 // handoverSpan is how soon this node leads again if none of the others hears more.
 func (n *Node) handoverSpan() micro.Time {
-	return micro.Time(len(n.Cfg.Peers)+1) * (n.Cfg.SilentAfter + 5*micro.Second)
+	return micro.Time(len(n.Cfg.Peers)+1) * (n.Cfg.SilentAfter + longestVainTerm)
 }
 
 // silence watches for a spell in which no worker at all reports. Single machines
