Tokens of a released share hold for machines that are not known yet

Need: a machine that was another owner's may be heard of only after its share was taken back; what is found on it may have been started under a token above this term's. Read, not met: the lowest token of the term rises with the take-back, in place of a field of the machines known then.

--- a/internal/controller/adopt.go
+++ b/internal/controller/adopt.go
@@ -70,10 +70,11 @@
 	now := l.n.Now()
 	first := e.Version << tokenBits
 	l.token = max(l.token, first)
+	l.c.RaiseBase(first)
 	a.taken = true
 	for _, m := range l.c.List() {
 		if m.Foreign && e.Record.Selector.Matches(attributes(m.TypeName, m.Zone, m.Spot)) {
-			l.c.Receive(m, first, now)
+			l.c.Receive(m, now)
 		}
 	}
 	l.c.Repartition()
@@ -83,7 +84,7 @@
 		}
 	}
 	for _, it := range items {
-		l.takeAllocationBack(it, first, a, now)
+		l.takeAllocationBack(it, a, now)
 	}
 	for _, x := range l.sharing.assigned {
 		if x.share == e.Name {
@@ -109,7 +110,7 @@
 
 // takeAllocationBack takes the places of a record into the leader's own, which is
 // written before that is deleted.
-func (l *Lead) takeAllocationBack(it wire.Item, first uint64, a *adoption, now micro.Time) {
+func (l *Lead) takeAllocationBack(it wire.Item, a *adoption, now micro.Time) {
 	id, alloc, ok := readAllocation(it)
 	entry := l.records.Entry(it.Key)
 	entry.SetVersion(uint64(it.Version))
@@ -119,7 +120,7 @@
 	if ok && j != nil && alloc.chunk < len(j.Chunks) {
 		ch = j.Chunks[alloc.chunk]
 		if !ch.Stored { // else an earlier leader has moved it
-			l.c.TakeBack(j, alloc.chunk, &alloc.record, first, now)
+			l.c.TakeBack(j, alloc.chunk, &alloc.record, now)
 			l.records.chunk(ch).Touch(now, writer.Soon)
 		}
 	}
--- a/internal/model/assign.go
+++ b/internal/model/assign.go
@@ -102,9 +102,8 @@
 }
 
 // TakeBack reads a record of a share's owner into a job whose places are this
-// controller's from now on, under tokens from the given one on. The record of its own is
-// still to be written.
-func (c *Cluster) TakeBack(j *Job, chunk int, rec *CompactRecord, first uint64, now micro.Time) {
+// controller's from now on. The record of its own is still to be written.
+func (c *Cluster) TakeBack(j *Job, chunk int, rec *CompactRecord, now micro.Time) {
 	if chunk < 0 || chunk >= len(j.Chunks) {
 		return
 	}
@@ -114,7 +113,7 @@
 		return
 	}
 	for _, r := range plain.Places {
-		c.Receive(c.Machine(r.Machine, now), first, now)
+		c.Receive(c.Machine(r.Machine, now), now)
 	}
 	c.restore(j, &plain, func(i int) bool { return i >= 0 && i < len(j.Tasks) && i/j.per == chunk }, now)
 	j.Chunks[chunk].Ver++
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -87,9 +87,8 @@
 	HeldTo     micro.Time // when a reservation of it last ended unused
 	Gathered   bool       // reserved for a job that has waited long
 	RentalID   string
-	Foreign    bool   // another controller owns it: it is not this one's to answer or to place on
-	Clearing   bool   // it is to become another's: it takes no new tasks
-	FirstToken uint64 // lowest token since it was last given to this controller; 0: since the term began
+	Foreign    bool // another controller owns it: it is not this one's to answer or to place on
+	Clearing   bool // it is to become another's: it takes no new tasks
 
 	images map[string]image // images fetched
 	told   uint64           // the token of the last answer, 0: not known
@@ -180,19 +179,21 @@
 	c.Changed()
 }
 
+// RaiseBase notes that this controller was given machines that another owned, under
+// tokens below the given one. What is found on a machine from now on may have been
+// started under one of those, also on machines that are not known yet.
+func (c *Cluster) RaiseBase(first uint64) { c.BaseTok = max(c.BaseTok, first) }
+
 // Receive notes that this controller was given a machine that another owned, which may
-// have answered it until now, under tokens below the given one.
-func (c *Cluster) Receive(m *Machine, first uint64, now micro.Time) {
-	m.FirstToken, m.Prove = first, first
+// have answered it until now.
+func (c *Cluster) Receive(m *Machine, now micro.Time) {
+	m.Prove = c.BaseTok
 	m.Answered = now
 	if m.State == Up {
 		c.Become(m, Silent, "received from another controller")
 	}
 }
 
-// firstToken is the lowest token under which orders of this controller go to a machine.
-func (c *Cluster) firstToken(m *Machine) uint64 { return max(c.BaseTok, m.FirstToken) }
-
 // Usable reports whether new tasks may be placed on the machine.
 func (m *Machine) Usable(now micro.Time) bool {
 	return m.State == Up && m.Type != nil && !m.Deaf && !m.Drained && !m.Foreign && !m.Clearing && m.NoticeAt == 0 && m.Avoid <= now
--- a/internal/model/record.go
+++ b/internal/model/record.go
@@ -126,7 +126,7 @@
 		}
 		p := &Place{
 			Job: j, Index: r.Index, Name: wire.TaskName(j.Spec.ID, r.Index), Attempt: uint64(r.Attempt),
-			Machine: m, Session: uint64(r.Session), State: Starting, Direct: c.firstToken(m) - 1,
+			Machine: m, Session: uint64(r.Session), State: Starting, Direct: c.BaseTok - 1,
 			Scaled: j.Spec.CPUs, Planned: now, known: true, Restored: true,
 		}
 		c.hold(p)
--- a/internal/model/report.go
+++ b/internal/model/report.go
@@ -180,7 +180,7 @@
 // adopt makes a place for a task that a worker has and the records lack. It
 // holds its room until it is gone.
 func (c *Cluster) adopt(m *Machine, key PlaceKey) *Place {
-	p := &Place{Name: key.Task, Attempt: key.Attempt, Machine: m, Session: m.Session, State: Starting, Direct: c.firstToken(m) - 1}
+	p := &Place{Name: key.Task, Attempt: key.Attempt, Machine: m, Session: m.Session, State: Starting, Direct: c.BaseTok - 1}
 	if id, index, ok := wire.SplitTask(key.Task); ok {
 		if j := c.Jobs[id]; j != nil && index < len(j.Tasks) {
 			p.Job, p.Index, p.known = j, index, true
@@ -203,7 +203,7 @@
 	if m.exits[key] != nil {
 		return
 	}
-	x := &exit{direct: c.firstToken(m) - 1}
+	x := &exit{direct: c.BaseTok - 1}
 	m.exits[key] = x
 	p := m.Places[key]
 	if p != nil {
