--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -63,6 +63,7 @@
 	l.stopWith(ctx)
 	from := l.n.Now()
 	if !l.loadShare(ctx) {
+		l.stop() // begun anew with the next look at the table
 		return
 	}
 	l.serving.Store(true)
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -232,19 +232,22 @@
 	return s.owners[name]
 }
 
-// beatOfShare answers a report of a machine that is in a share.
-func (n *Node) beatOfShare(body []byte) (front.Reply, bool) {
-	if n.shares == nil {
-		return front.Reply{}, false
-	}
+// beatWithShares answers a report, whoever's machine it comes from.
+func (n *Node) beatWithShares(body []byte) front.Reply {
 	if len(body) > wire.MaxBody {
-		return front.Fail(400, "too large"), true
+		return front.Fail(400, "too large")
 	}
 	r, err := wire.DecodeReport(body)
 	if err != nil {
-		return front.Fail(400, err.Error()), true
+		return front.Fail(400, err.Error())
+	}
+	if reply, ok := n.routeReport(r); ok {
+		return reply
+	}
+	if l := n.leading(); l != nil {
+		return l.beat(r)
 	}
-	return n.routeReport(r)
+	return n.beatElsewhere(body)
 }
 
 // routeReport answers a report of a machine that is in a share; false if it is in none,
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -254,21 +254,15 @@
 	return r
 }
 
-// Beat answers a worker's report. Only the leader may; the others say who leads.
+// Beat answers a worker's report. Only the leader may, and with shares their owners; the
+// others say whom to ask.
 func (n *Node) Beat(body []byte) front.Reply {
-	if reply, ok := n.beatOfShare(body); ok {
-		return reply
+	if n.shares != nil {
+		return n.beatWithShares(body)
 	}
 	l := n.leading()
 	if l == nil {
-		if r, ok := n.keepLease(body); ok {
-			return r
-		}
-		leader := n.election.Leader()
-		if leader == "" || leader == n.Cfg.Node || n.lost(leader) {
-			return front.Later(503, 1)
-		}
-		return front.Reply{Status: 421, Body: wire.Redirect{Leader: leader}}
+		return n.beatElsewhere(body)
 	}
 	if len(body) > wire.MaxBody {
 		return front.Fail(400, "too large")
@@ -279,3 +273,15 @@
 	}
 	return l.beat(r)
 }
+
+// beatElsewhere answers a report that is the leader's to answer, at another node.
+func (n *Node) beatElsewhere(body []byte) front.Reply {
+	if r, ok := n.keepLease(body); ok {
+		return r
+	}
+	leader := n.election.Leader()
+	if leader == "" || leader == n.Cfg.Node || n.lost(leader) {
+		return front.Later(503, 1)
+	}
+	return front.Reply{Status: 421, Body: wire.Redirect{Leader: leader}}
+}
