--- a/internal/share/property_test.go
+++ b/internal/share/property_test.go
@@ -47,9 +47,6 @@
 	frozen bool // it stands still, or reaches nothing: its session is not renewed
 }
 
-// sentTxn is a transaction that the network holds back.
-type sentTxn struct{ txn wire.Txn }
-
 // answered is an answer that a machine was given.
 type answered struct {
 	first uint64 // of the ownership under which it was given
@@ -63,7 +60,7 @@
 	store    *fake.Store
 	nodes    map[string]*standIn
 	machines map[string]*fake.Worker
-	delayed  []sentTxn
+	delayed  []wire.Txn // that the network holds back
 	orders   []heldOrder
 	answers  []answered
 	runs     map[string]map[string]bool // task: machines that it is on
@@ -134,15 +131,11 @@
 
 // entry reads the share's record.
 func (w *world) entry() share.Entry {
-	it, err := w.store.Get(context.Background(), store.Routine, share.RecordKey(shareName))
-	if err != nil {
-		w.fail("%v", err)
-	}
-	e := share.Entry{Name: shareName, Version: uint64(it.Version)}
-	if err := wire.Unmarshal(it.Value, &e.Record); err != nil {
-		w.fail("%v", err)
+	all, err := readShares(context.Background(), w.store)
+	if err != nil || len(all) != 1 {
+		w.fail("%d records, %v", len(all), err)
 	}
-	return e
+	return all[0]
 }
 
 // refresh lets a controller read the record.
@@ -188,7 +181,7 @@
 	case "unanswered":
 		_, _ = w.commit(txn)
 	case "late":
-		w.delayed = append(w.delayed, sentTxn{txn})
+		w.delayed = append(w.delayed, txn)
 	case "refused":
 		return 0, store.ErrRefused
 	}
@@ -313,11 +306,9 @@
 
 // sessions reads who has a session.
 func (w *world) sessions() share.Sessions {
-	out := share.Sessions{}
-	for _, node := range controllers {
-		if it, err := w.store.Get(context.Background(), store.Routine, share.SessionKey(node)); err == nil {
-			out[node] = it.Version
-		}
+	out, err := readSessions(context.Background(), w.store)
+	if err != nil {
+		w.fail("%v", err)
 	}
 	return out
 }
@@ -390,7 +381,7 @@
 		w.register(n.self.Node)
 	case "late txn":
 		if len(w.delayed) > 0 {
-			_, _ = w.commit(w.delayed[0].txn)
+			_, _ = w.commit(w.delayed[0])
 			w.delayed = w.delayed[1:]
 		}
 	case "late order":
