Tests: a leader that one agent reaches hands over because of machines long dead

All machines die while their tasks hold a team's quota; in each term one machine comes up for something else and is returned as idle. The leader then hands over although that agent had just reached it, and the next leader does the same: no term is long enough to prove the leases of the dead machines expired, and jobs that wait for the quota are not served for as long as this goes on.

--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -254,3 +254,71 @@
 		}
 	}
 }
+
+// A leader whose dead machines have not expired yet returned the one machine that was up, and
+// took it for a sign that no agent reaches it: it handed over, and the next leaders did the
+// same, for ever. Machines that were suspect while another reached this node say nothing of
+// that; see TestLeaderIsReachedByOneAgentWhileDeadMachinesHoldTheQuota.
+func TestMachinesThatWereSuspectWhileAnotherReachedTheLeaderAreNoReasonToHandOver(t *testing.T) {
+	for name, row := range map[string]struct {
+		lastHeartbeat micro.Time // of the one machine that is up for a while, after the others' last
+		returned      bool       // it is returned; else it falls silent as well
+		handovers     int
+	}{
+		"returned, after the others were suspect": {lastHeartbeat: 20 * micro.Second, returned: true},
+		"silent, after the others were suspect":   {lastHeartbeat: 20 * micro.Second},
+		"silent at about the time of the others":  {lastHeartbeat: 5 * micro.Second, handovers: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			test := newTestDetector()
+			last := termStart + row.lastHeartbeat
+			test.addMachines(0, 4, test.heardAt(termStart))
+			test.addMachines(4, 5, test.heardAt(last))
+			reached := test.cluster.Machines["i-000004"]
+			at := termStart
+			sweepUntil := func(end micro.Time) {
+				for ; at < end; at += sweepInterval {
+					test.ObserveLease(true, at)
+					test.Sweep(at)
+				}
+			}
+			sweepUntil(last)
+			if row.returned {
+				test.cluster.TransitionMachine(reached, cluster.Terminating, "idle")
+			}
+			sweepUntil(last + test.config.SuspectAfter + minUnreachableTime + 2*sweepInterval)
+			if test.host.handovers != row.handovers {
+				t.Errorf("%d handovers, want %d", test.host.handovers, row.handovers)
+			}
+		})
+	}
+}
+
+// One machine that comes up for a moment does not make a leader forget that it handed over in
+// vain: in fleets that boot at once, each term saw one, and none of the nodes ever stayed.
+func TestHandoversAreForgottenOnlyOnceAgentsReachThisNodeForAWhile(t *testing.T) {
+	for name, row := range map[string]struct {
+		reachedFor micro.Time
+		forgotten  bool
+	}{
+		"a moment":                         {reachedFor: 3 * micro.Second},
+		"longer than until one is suspect": {reachedFor: 20 * micro.Second, forgotten: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			test := newTestDetector()
+			const window = 10 * micro.Minute
+			for range MaxHandovers {
+				test.handovers.Begin(termStart, termStart, window)
+			}
+			test.addMachines(0, 1, test.heardAt(termStart))
+			for at := termStart; at < termStart+row.reachedFor; at += sweepInterval {
+				test.cluster.Machines["i-000000"].LastHeartbeat = at
+				test.ObserveLease(true, at)
+				test.Sweep(at)
+			}
+			if got := test.handovers.Begin(termStart, termStart, window); got != row.forgotten {
+				t.Errorf("may hand over: %v, want %v", got, row.forgotten)
+			}
+		})
+	}
+}
