detector: machines that were suspect while another reached the leader are no reason to hand over

Cause: each leader requested a machine, was reached by it, returned it as idle and took the dead ones, which count as suspect, for a sign that no agent reaches it. It handed over 1.3 to 1.5 s after it had returned the machine: 26 and 20 times in a row. Since that machine had been up, Handovers was reset in each term, so that no node stayed; and in terms of 9 to 19 s no lease of 30 s is proven expired.

Change: a machine counts as a sign against this node only if it was not suspect already when the last agent reached the node, for as long as a lease lasts from that contact. Handovers, and moves of a shard that no agent reaches, are forgotten only once machines were up for longer than until others are suspect: with machines that boot at once, the contact is too short for the first rule. A random scenario that leaves jobs unserved now prints what became of them at the leader, at the shard's owner, on the machines and in the store.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -26,6 +26,7 @@
 	renewalBound   *leasekeeper.RenewalBound
 	cancellations  *cancellation.Manager
 	failover       *recovery.Failover
+	staysUnreached bool                     // it was said that no agent reaches this node and it stays
 	recovered      bool                     // the failover has read everything
 	coordinator    *coordinator.Coordinator // the leader's part in shards; nil: the feature is off
 }
--- a/internal/controller/random_test.go
+++ b/internal/controller/random_test.go
@@ -109,6 +109,7 @@
 		}
 		if sim.now() > calmSince+4*micro.Minute {
 			sim.t.Errorf("%.1f s: four minutes after the last trouble not served: %v", sim.now().Seconds(), left)
+			sim.describeUnserved(left)
 			return
 		}
 		time.Sleep(time.Second)
--- /dev/null
+++ b/internal/controller/unserved_test.go
@@ -0,0 +1,179 @@
+package controller
+
+import (
+	"fmt"
+	"strings"
+
+	"notchmux.dev/notchmux/internal/cluster"
+	"notchmux.dev/notchmux/internal/eventloop"
+	"notchmux.dev/notchmux/internal/keys"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/shard"
+	"notchmux.dev/notchmux/internal/store"
+)
+
+// What became of jobs that a scenario left unserved: as the leader sees them, as the owner of
+// the shard does, on the machines, and in the store.
+
+// maxDescribedJobs bounds what a failure prints.
+const maxDescribedJobs = 6
+
+// describeUnserved prints all that is known of jobs that were not served.
+func (w *simCluster) describeUnserved(ids []string) {
+	w.t.Helper()
+	for _, line := range w.describeLeadership() {
+		w.t.Log(line)
+	}
+	for _, id := range ids[:min(len(ids), maxDescribedJobs)] {
+		w.t.Logf("%s: %s", id, w.describeOnMachines(id))
+		for _, loop := range w.controlLoops() {
+			w.t.Logf("%s at %s", id, loop.describe(id))
+		}
+		w.t.Logf("%s in the store: %s", id, w.describeStored(id))
+	}
+	if w.logs == nil {
+		w.t.Log("-sim.log=DIRECTORY keeps the nodes' logs")
+	}
+}
+
+// describeLeadership says who leads, how often the lead changed, and who owns the shard.
+func (w *simCluster) describeLeadership() []string {
+	var lines []string
+	for _, controller := range w.controllers {
+		node := controller.runningNode()
+		if node == nil {
+			lines = append(lines, controller.name+" does not run")
+			continue
+		}
+		line := fmt.Sprintf("%s: follows %q", controller.name, node.election.Leader())
+		if leader := node.activeLeader(); leader != nil {
+			line = fmt.Sprintf(
+				"%s: leads, version %d of the leader's key, for %.1f s", controller.name, leader.term.FencingRevision,
+				(node.Now() - leader.cluster.TermStartedAt).Seconds(),
+			)
+		}
+		lines = append(lines, line)
+	}
+	if entry, ok := w.shardRecord(); ok {
+		lines = append(lines, fmt.Sprintf(
+			"shard %s: %s, owner %q, target %q, version %d, %d changes of owner", entry.Name, entry.Record.State,
+			entry.Record.Owner.Node, entry.Record.Target.Node, entry.Version, entry.Record.OwnerChanges,
+		))
+	}
+	return lines
+}
+
+// inspectedLoop is the loop of a leader or of a shard's owner, by name.
+type inspectedLoop struct {
+	name string
+	*controlLoop
+}
+
+// controlLoops lists the loops that run.
+func (w *simCluster) controlLoops() []inspectedLoop {
+	var loops []inspectedLoop
+	for _, controller := range w.controllers {
+		node := controller.runningNode()
+		if node == nil {
+			continue
+		}
+		if leader := node.activeLeader(); leader != nil {
+			loops = append(loops, inspectedLoop{controller.name + ", leader", leader.controlLoop})
+		}
+		if node.shards == nil {
+			continue
+		}
+		if owner, ok := node.shards.Of("east"); ok {
+			loops = append(loops, inspectedLoop{controller.name + ", owner", owner.controlLoop})
+		}
+	}
+	return loops
+}
+
+// loopInspected has the loop's own goroutine describe a job.
+type loopInspected struct {
+	loop  inspectedLoop
+	job   string
+	reply eventloop.Reply[string]
+}
+
+// Apply describes the job.
+func (e loopInspected) Apply() { e.reply.Send(e.loop.describeJob(e.job)) }
+
+// describe says what a loop knows of a job.
+func (l inspectedLoop) describe(id string) string {
+	description, ok := eventloop.Call(
+		l.loop, eventloop.Events, micro.Second,
+		func(reply eventloop.Reply[string]) eventloop.Event { return loopInspected{l, id, reply} },
+	)
+	if !ok {
+		description = "the loop does not answer"
+	}
+	return l.name + ": " + description
+}
+
+// describeJob runs on the loop's goroutine.
+func (l inspectedLoop) describeJob(id string) string {
+	now := l.node.Now()
+	job := l.cluster.Jobs[id]
+	if job == nil {
+		return "not known"
+	}
+	text := &strings.Builder{}
+	fmt.Fprintf(
+		text, "%v, %s, %s, team %s, %d tasks, %d done, %d run, %d wait", job.State, job.Spec.Kind, job.Spec.Priority,
+		job.Spec.Team, len(job.Tasks), job.DoneTasks, job.RunningTasks, job.PendingTasks(),
+	)
+	if job.Shard != "" {
+		fmt.Fprintf(text, ", in shard %s, at most %d at once, %d reserved", job.Shard, job.MaxAllocations, job.ReservedTasks)
+	}
+	if job.PendingTasks() > 0 && job.State == cluster.Active {
+		fmt.Fprintf(
+			text, ", waits for %.0f s: %v", (now - job.WaitingSince).Seconds(), l.scheduler.ExplainPending(job, now),
+		)
+	}
+	if team := l.cluster.Teams[job.Spec.Team]; team != nil {
+		fmt.Fprintf(text, "; its team uses %g of %g CPUs", team.UsedCPU, team.CPULimit)
+	}
+	for _, allocation := range job.Allocations() {
+		machine := allocation.Machine
+		fmt.Fprintf(
+			text, "; %s attempt %d %v, stopping %v, observed %v, on %s, %v, last heard %.1f s ago", allocation.TaskName,
+			allocation.Attempt, allocation.State, allocation.Stopping, allocation.Observed, machine.Name, machine.State,
+			(now - machine.LastHeartbeat).Seconds(),
+		)
+	}
+	return text.String()
+}
+
+// describeOnMachines says where a job's tasks are in truth, and what its user knows.
+func (w *simCluster) describeOnMachines(id string) string {
+	job := &userJob{w, id, nil}
+	names := []string{}
+	for _, machine := range job.machines() {
+		names = append(names, machine.agent.Name)
+	}
+	known := job.knowledge()
+	return fmt.Sprintf(
+		"accepted %v, done %v, aborted %v; %d tasks run on machines that are up: %v", known.accepted, known.done,
+		known.aborted, job.runningTasks(), names,
+	)
+}
+
+// describeStored lists the records of a job.
+func (w *simCluster) describeStored(id string) string {
+	prefixes := []string{keys.JobPrefixFor(id), keys.ChunkPrefix + id + "/"}
+	found := []string{}
+	for _, prefix := range append(prefixes, shard.AssignmentPrefixFor("east"), shard.AllocationPrefixFor("east")) {
+		page, err := w.store.Range(w.ctx, store.Routine, prefix, "", 1000)
+		if err != nil {
+			found = append(found, fmt.Sprintf("%s: %v", prefix, err))
+		}
+		for _, item := range page.Items {
+			if strings.Contains(item.Key+"/", "/"+id+"/") {
+				found = append(found, fmt.Sprintf("%s at revision %d", item.Key, uint64(item.Version)))
+			}
+		}
+	}
+	return strings.Join(found, ", ")
+}
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -51,12 +51,12 @@
 	handovers       *Handovers
 	host            Host
 
-	listening        listening
-	suspectedZones   map[string]micro.Time // when a zone last missed too many for dead machines
-	unreachableSince micro.Time            // since when no agent sends heartbeats; 0: some do
-	heartbeats       uint64                // heartbeats received
-	gap              heartbeatGap          // for how long there was none
-	overrunCursor    int                   // next machine to check for tasks that overrun
+	listening      listening
+	suspectedZones map[string]micro.Time // when a zone last missed too many for dead machines
+	reachability   reachability
+	heartbeats     uint64       // heartbeats received
+	gap            heartbeatGap // for how long there was none
+	overrunCursor  int          // next machine to check for tasks that overrun
 }
 
 // New makes a Detector.
--- a/internal/detector/reachability.go
+++ b/internal/detector/reachability.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"notchmux.dev/notchmux/internal/cluster"
 	"notchmux.dev/notchmux/internal/config"
 	"notchmux.dev/notchmux/internal/micro"
 )
@@ -15,24 +16,75 @@
 	minUnreachableTime = micro.Second
 )
 
+// reachability is what this node's machines showed of whether agents reach it.
+type reachability struct {
+	lastContact      micro.Time // last heartbeat of a machine that was up, in this term; 0: none was
+	unreachableSince micro.Time // since when no agent sends heartbeats; 0: some do
+	lastSweep        heartbeatSummary
+}
+
+// Reachability is by what a Detector judges whether agents reach this node.
+type Reachability struct {
+	Up                   int        // machines whose agents reach it
+	Suspect              int        // machines whose heartbeats are missing
+	SuspectBeforeContact int        // those of them that were suspect when the last agent reached it
+	SinceContact         micro.Time // since the last heartbeat of a machine that was up, or since the term began
+}
+
+// Reachability is what the last sweep found.
+func (d *Detector) Reachability(now micro.Time) Reachability {
+	last := &d.reachability.lastSweep
+	return Reachability{
+		Up: last.up, Suspect: last.suspect, SuspectBeforeContact: last.suspectBeforeContact,
+		SinceContact: now - max(d.reachability.lastContact, d.cluster.TermStartedAt),
+	}
+}
+
+// silentBeforeContact reports whether a machine was suspect already when the last agent
+// reached this node: its silence since then says nothing of this node. A leader once returned
+// the only machine that was up, took the dead ones for a sign that no agent reaches it, and
+// handed over. So did the next ones: no term was long enough to prove the dead machines
+// expired, and what waited for the quota that they held was never served. Once leases have run
+// out since that contact, all machines count again: what is not expired by then is alive
+// beyond a partition.
+func (d *Detector) silentBeforeContact(sinceHeartbeat, now micro.Time) bool {
+	sinceContact := now - d.reachability.lastContact
+	return sinceHeartbeat-sinceContact > d.config.SuspectAfter && sinceContact <= d.cluster.LeaseDuration
+}
+
+// observeContact takes in the last heartbeat of a machine that is up.
+func (d *Detector) observeContact(machine *cluster.Machine) {
+	d.reachability.lastContact = max(d.reachability.lastContact, machine.LastHeartbeat)
+}
+
+// reachedForAWhile reports whether agents reached this node for longer than it takes until
+// machines that send no heartbeats are suspect. A single one that came up for a moment
+// does not show that the next handover would be for another reason than the last.
+func (d *Detector) reachedForAWhile() bool {
+	listeningSince := max(d.cluster.TermStartedAt, d.listening.resumedAt)
+	return d.reachability.lastContact-listeningSince > d.config.SuspectAfter
+}
+
 // checkReachability hands over to another node if no agent reaches this one: it may
 // be partitioned from them, and their leases run.
-func (d *Detector) checkReachability(up, suspect int, now micro.Time) {
+func (d *Detector) checkReachability(summary *heartbeatSummary, now micro.Time) {
+	d.reachability.lastSweep = *summary
+	up, newlySuspect := summary.up, summary.suspect-summary.suspectBeforeContact
 	gapExceeded := d.gap.exceeded(d.heartbeats, up, now, d.config.MaxHeartbeatInterval())
-	if up > 0 && !gapExceeded {
+	if up > 0 && !gapExceeded && d.reachedForAWhile() {
 		d.handovers.Reset()
 	}
-	if len(d.config.Peers) == 0 || !gapExceeded && (up > 0 || suspect < minSuspectMachines) {
-		d.unreachableSince = 0
+	if len(d.config.Peers) == 0 || !gapExceeded && (up > 0 || newlySuspect < minSuspectMachines) {
+		d.reachability.unreachableSince = 0
 		return
 	}
-	if d.unreachableSince == 0 {
-		d.unreachableSince = now
+	if d.reachability.unreachableSince == 0 {
+		d.reachability.unreachableSince = now
 	}
-	if !gapExceeded && now-d.unreachableSince <= minUnreachableTime {
+	if !gapExceeded && now-d.reachability.unreachableSince <= minUnreachableTime {
 		return
 	}
-	d.unreachableSince = 0
+	d.reachability.unreachableSince = 0
 	d.host.HandOver(now)
 }
 
--- a/internal/detector/sweep.go
+++ b/internal/detector/sweep.go
@@ -24,6 +24,8 @@
 	up            int
 	suspect       int
 	responsesLost int // up, but their agents seem not to receive responses
+
+	suspectBeforeContact int // those of the suspect that were so when the last agent reached this node
 }
 
 // zone returns the counts of a zone.
@@ -45,7 +47,7 @@
 			d.suspectedZones[name] = now
 		}
 	}
-	d.checkReachability(summary.up, summary.suspect, now)
+	d.checkReachability(summary, now)
 	d.checkOverruns(now)
 	for _, machine := range d.cluster.SortedMachines() {
 		d.evaluateMachine(machine, summary, now)
@@ -68,7 +70,7 @@
 			d.cluster.TransitionMachine(machine, cluster.Suspect, "no heartbeats")
 		}
 		if d.heartbeatExpected(machine, sinceHeartbeat, now) {
-			d.countMachine(machine, zone, summary, sinceHeartbeat)
+			d.countMachine(machine, zone, summary, sinceHeartbeat, now)
 		}
 	}
 	return summary
@@ -85,7 +87,7 @@
 }
 
 func (d *Detector) countMachine(
-	machine *cluster.Machine, zone *zoneHeartbeats, summary *heartbeatSummary, sinceHeartbeat micro.Time,
+	machine *cluster.Machine, zone *zoneHeartbeats, summary *heartbeatSummary, sinceHeartbeat, now micro.Time,
 ) {
 	zone.expected++
 	// A machine is missing once a heartbeat is overdue, well before it counts as
@@ -96,18 +98,28 @@
 	switch machine.State {
 	case cluster.Up:
 		summary.up++
+		d.observeContact(machine)
 		if machine.ResponsesLikelyLost() {
 			summary.responsesLost++
 		}
 	case cluster.Suspect:
-		summary.suspect++
+		d.countSuspect(summary, sinceHeartbeat, now)
 	case cluster.Registering:
 		if len(machine.Allocations) > 0 && sinceHeartbeat > d.config.SuspectAfter {
-			summary.suspect++ // not one heartbeat since the failover
+			d.countSuspect(summary, sinceHeartbeat, now) // not one heartbeat since the failover
 		}
 	}
 }
 
+// countSuspect counts a machine whose heartbeats are missing, and whether they were already
+// when another agent reached this node.
+func (d *Detector) countSuspect(summary *heartbeatSummary, sinceHeartbeat, now micro.Time) {
+	summary.suspect++
+	if d.silentBeforeContact(sinceHeartbeat, now) {
+		summary.suspectBeforeContact++
+	}
+}
+
 // machinesLookDead reports whether a zone's suspect machines look dead rather than partitioned.
 // A zone that was partitioned comes back one heartbeat at a time: what is still
 // missing when most of it is heard again is late, not dead. In the moment a partition
--- a/internal/shard/coordinator/coordinator_test.go
+++ b/internal/shard/coordinator/coordinator_test.go
@@ -210,6 +210,29 @@
 	}
 }
 
+// A machine that is up just after a move does not show that the move was of use: in each
+// ownership one came up for a moment, and the shard went round.
+func TestMovesOfAShardAreForgottenOnlyOnceItsOwnerWasReachedForAWhile(t *testing.T) {
+	test := newTestCoordinator(t)
+	test.Config.SuspectAfter = 8 * micro.Second
+	for name, row := range map[string]struct {
+		after micro.Time // the move
+		want  int
+	}{
+		"at once": {after: 2 * micro.Second, want: maxHandovers},
+		"later":   {after: test.Config.SuspectAfter + 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			view := &shardView{handovers: maxHandovers, handedOverAt: test.at}
+			update := &shard.ShardUpdate{MachineCount: 1}
+			view.observe(update, test.at+row.after, test.Config.SuspectAfter)
+			if view.handovers != row.want {
+				t.Errorf("%d moves are remembered, want %d", view.handovers, row.want)
+			}
+		})
+	}
+}
+
 // A late write of an assignment that its owner has deleted once had a cancelled job run: a
 // job that was handed back waits until the shard's record has changed, and then until the
 // assignment is looked up.
--- a/internal/shard/coordinator/status.go
+++ b/internal/shard/coordinator/status.go
@@ -63,7 +63,7 @@
 // applyShardUpdate takes in what the owner of a shard tells of it.
 func (c *Coordinator) applyShardUpdate(entry shard.Entry, update *shard.ShardUpdate, term uint64, now micro.Time) {
 	view := c.viewOf(entry.Name)
-	view.observe(update, now)
+	view.observe(update, now, c.Config.SuspectAfter)
 	for _, id := range update.FinishedJobs {
 		if job := c.Cluster.Jobs[id]; job != nil && job.Shard == entry.Name {
 			c.Cluster.FinishAssigned(job)
@@ -90,12 +90,14 @@
 	}
 }
 
-// observe takes in what an update says of the shard as a whole.
-func (view *shardView) observe(update *shard.ShardUpdate, now micro.Time) {
+// observe takes in what an update says of the shard as a whole. Machines that are up within
+// reachedTime after a move do not show that it was of use: dead ones are not suspect anew by
+// then, and a single machine that came up in each ownership once kept a shard going round.
+func (view *shardView) observe(update *shard.ShardUpdate, now, reachedTime micro.Time) {
 	view.machineCount, view.idleMachines = update.MachineCount, update.IdleMachines
 	view.pendingTasks = update.PendingTasks
 	view.unreachable, view.demand = update.Unreachable, update.Demand
-	if update.MachineCount > 0 {
+	if update.MachineCount > 0 && now-view.handedOverAt > reachedTime {
 		view.handovers = 0
 	}
 	if update.AssignmentRevision >= view.assignedRevision {
