coordinator: a machine known by its allocations alone is the leader's, whatever a shard selects

Cause: after a failover a machine that neither the inventory nor a record of an instance request shows (a terminated one that a late heartbeat had brought back into the records) has no type. ClassifyMachine matched what it had of it, "not spot", with a shard that selects on-demand machines. As the machine of another controller the detector left it out; that controller had never heard of it, so its lease was never found expired.

Change: a machine that was never described is the leader's, since no shard is given a machine with allocations of the leader's; while a shard is being taken back it is left alone until that is done. Looked at for the same: the other matches by attributes (heartbeats carry their own; offers are described; forming counts machines without a type already) and the owners' loops, which own all machines that they know.

--- a/internal/shard/coordinator/coordinator.go
+++ b/internal/shard/coordinator/coordinator.go
@@ -167,6 +167,9 @@
 
 // ClassifyMachine says whether another controller owns a machine, and whether it is to.
 func (c *Coordinator) ClassifyMachine(machine *cluster.Machine) (ownedElsewhere, transferPending bool) {
+	if machine.TypeName == "" {
+		return c.undescribedOwnedElsewhere(), false
+	}
 	entry, ok := c.table().ShardOf(machineAttributes(machine))
 	if !ok {
 		return false, false
@@ -174,6 +177,21 @@
 	return c.ownedElsewhere(entry), entry.Record.State == shard.Forming
 }
 
+// undescribedOwnedElsewhere classifies a machine that was never described: the leader knows of
+// it by allocations in its own records alone. A shard gets no machine that has any, so it is
+// the leader's, unless the leader before was still taking a shard back. By what is not known of
+// it, such a machine once matched a shard of on-demand machines: nobody found its lease
+// expired, what it held of its team's quota was never released, and users of cancelled jobs with
+// tasks there were never told.
+func (c *Coordinator) undescribedOwnedElsewhere() bool {
+	reclaiming := false
+	c.table().Each(func(entry shard.Entry) bool {
+		reclaiming = entry.Record.State == shard.Released && c.ownedElsewhere(entry)
+		return !reclaiming
+	})
+	return reclaiming
+}
+
 // RefusesHeartbeat reports whether a heartbeat comes from a machine that is not the leader's to
 // answer: another controller owns it, or a shard's work is still to be read before its
 // machines are answered. Answered earlier, they were told to stop all that they ran.
--- a/internal/shard/coordinator/guards_test.go
+++ b/internal/shard/coordinator/guards_test.go
@@ -120,3 +120,34 @@
 		t.Errorf("the shard's record becomes %v, and is not deleted", value)
 	}
 }
+
+// A machine without a type is known by allocations of the leader's own records: a shard that
+// selects by kind alone would match what is not known of it. While a shard is being taken
+// back, it may be one of those.
+func TestUndescribedMachineIsTheLeadersUnlessAShardIsBeingTakenBack(t *testing.T) {
+	for name, row := range map[string]struct {
+		state     shard.State
+		reclaimed bool
+		want      bool
+	}{
+		"owned":               {state: shard.Owned},
+		"forming":             {state: shard.Forming},
+		"released":            {state: shard.Released, want: true},
+		"released, reclaimed": {state: shard.Released, reclaimed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			test := newTestCoordinator(t)
+			record := shard.NewRecord(shard.Selector{Kind: shard.OnDemandOnly}, nil, 0)
+			record.State = row.state
+			test.put(shard.RecordKey("east"), record)
+			if _, err := test.Table.Read(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			test.reclaims["east"] = &reclaim{reclaimed: row.reclaimed}
+			machine := test.Cluster.EnsureMachine("i-1", test.at)
+			if owned, pending := test.ClassifyMachine(machine); owned != row.want || pending {
+				t.Errorf("owned elsewhere %v, want %v; transfer pending %v", owned, row.want, pending)
+			}
+		})
+	}
+}
