--- a/internal/controller/shard_faults_test.go
+++ b/internal/controller/shard_faults_test.go
@@ -524,3 +524,38 @@
 	}
 	return false
 }
+
+// A job waits in a shard for machines of a zone where none come up. Jobs for another zone wait
+// at the leader, and the shard has empty machines there.
+//
+// What happened: an owner reported no free capacity while any job waited in its shard, also
+// one that could not use it. The leader assigned nothing, the empty machines were returned as
+// idle and others requested, for as long as the first job waited.
+//
+// Seen in TestRandomScenariosWithShardsKeepTheRules, seed 200487: from 284 to 397 s j-0007
+// waited in the shard ("job waits ... reason="insufficient resources""), bound to zone b; the
+// owner's "leader status" said "small a ordinary 15, 15 empty", the leader's pending=12 tasks=41,
+// and no task was allocated from 292 to 397 s.
+func TestJobThatCannotUseAShardsFreeMachinesKeepsNoOtherFromThem(t *testing.T) {
+	runScenario(t, 48, 3, func(sim *simCluster) {
+		withShard(sim)
+		sim.config.Shards.Declared[0].Selector = shard.Selector{Kind: shard.OnDemandOnly}
+	}, func(sim *simCluster) {
+		sim.waitShardOwned("n-2", 2*micro.Minute)
+		waiting := sim.newJob(jobRequest{kind: wire.Service, tasks: 1, cpus: 4, zone: "b"}).submit()
+		sim.waitRunning(waiting, 1)
+		sim.mu.Lock()
+		sim.cloud.failsBoot = func(request wire.InstanceRequest) bool { return request.Zone == "b" }
+		sim.mu.Unlock()
+		waiting.machines()[0].terminate()
+		sim.sleep(45 * micro.Second) // by then the machine's lease is proven expired, and the task waits
+		other := sim.newJob(
+			jobRequest{kind: wire.JobArray, tasks: 2, cpus: 4, runTime: 5 * micro.Second, zone: "a", team: "other"},
+		).submit()
+		go other.watchUntilFinal()
+		sim.waitUntil("the other job is done", servedWithin, func() bool { return other.knowledge().done })
+		if waiting.runningTasks() > 0 {
+			sim.t.Error("the first job did not wait meanwhile")
+		}
+	})
+}
