shard/update: only machines that waiting jobs of the shard could use are kept from others

Cause: an owner reported no free capacity while any job of its shard waited. A gang bound to zone b, where the cloud had nothing, kept the machines of zone a from the leader's jobs; these were returned as idle, and others requested for the same jobs, which took up what the cloud had. The same held for an array that ran with all that the quota allows it: the rest of its tasks count as waiting.

Change: free capacity leaves out the pools that a waiting job may use, by type, zone, kind and its rules on zones, and a job counts as waiting only if it may have more allocations now.

--- a/internal/shard/update/update.go
+++ b/internal/shard/update/update.go
@@ -84,16 +84,16 @@
 }
 
 // FreeCapacity lists what is free, by like machines, the largest first. What waits for capacity
-// in the shard comes before jobs that are yet to be assigned: while any does, none is.
+// in the shard comes before jobs that are yet to be assigned: machines that it could use are left
+// out. Those that it could not are not kept from others: for one job that waited for another
+// zone, or beyond its part of a quota, all machines of a shard once stood idle.
 func FreeCapacity(state *cluster.State, now micro.Time) []shard.FreeCapacity {
-	for job := range state.PendingJobs {
-		if job.PendingTasks() > 0 && !job.InBackoff(now) {
-			return nil
-		}
-	}
+	waiting := schedulableJobs(state, now)
 	counts := map[capacityKey]int{}
 	for _, pool := range state.Pools {
-		countFreeCapacity(pool, counts, now)
+		if !usableByAny(waiting, pool) {
+			countFreeCapacity(pool, counts, now)
+		}
 	}
 	capacity := make([]shard.FreeCapacity, 0, len(counts))
 	for key, count := range counts {
@@ -108,6 +108,27 @@
 	return capacity[:min(len(capacity), maxCapacityKinds)]
 }
 
+// schedulableJobs lists the jobs that would be given more allocations now if machines had room.
+func schedulableJobs(state *cluster.State, now micro.Time) []*cluster.Job {
+	var jobs []*cluster.Job
+	for job := range state.PendingJobs {
+		if min(job.PendingTasks(), job.SchedulableTasks(now)) > 0 && !job.InBackoff(now) {
+			jobs = append(jobs, job)
+		}
+	}
+	return jobs
+}
+
+// usableByAny reports whether one of some jobs may use the machines of a pool.
+func usableByAny(jobs []*cluster.Job, pool *cluster.MachinePool) bool {
+	for _, job := range jobs {
+		if scheduler.Allowed(&job.Spec, pool.Type, pool.Zone, pool.Spot) && scheduler.ZoneAllowed(job, pool.Zone, nil) {
+			return true
+		}
+	}
+	return false
+}
+
 // countFreeCapacity adds the machines of a pool that take tasks, by what is free on them.
 func countFreeCapacity(pool *cluster.MachinePool, counts map[capacityKey]int, now micro.Time) {
 	for row := range pool.Rows() {
