peer, jobapi: one late answer of a peer does not keep the users of a refused node out

Symptom: a node that the store refuses answers submissions with 503 for two seconds though its peers could take them (TestDependenciesMustHaveBeenAccepted).

Cause: a peer that gave no answer to one call was not called again for 2 s, by requests that have no other way as well, and no answer ended that. In the product, two things set the backoff without a peer being gone: a late answer, and a cancellation passed on to the leader, which holds it for up to 1.5 s while its caller waits for 0.9 s. After a relay that had failed, the user was also held for another 500 ms for nothing.

Change: peer.Backoff. Nodes that are left alone are asked last, one call at a time, within the time of one call together; any answer ends the backoff. The three loops over the peers in jobapi are one (askPeers), which logs what became of each call. The leader answers a relayed cancellation within 0.7 s (503, as its caller answered after 0.9 s before). A failed relay is known at once. No limit on time was raised.

--- a/internal/cancellation/cancellation.go
+++ b/internal/cancellation/cancellation.go
@@ -21,9 +21,6 @@
 	"notchmux.dev/notchmux/wire"
 )
 
-// responseTimeout is how long the user of a cancelled job waits at the leader for its end.
-const responseTimeout = 1500 * micro.Millisecond
-
 // Shards is the leader's part in shards.
 type Shards interface {
 	// BeginCancellation begins the cancellation of a job that was assigned to a shard.
@@ -68,13 +65,13 @@
 	}
 }
 
-// Cancel cancels a job: its end is created before anyone is told. 503 if that took too long,
-// or the leadership lease lapsed meanwhile.
-func (m *Manager) Cancel(id string) httpapi.Reply {
+// Cancel cancels a job: its end is created before anyone is told. 503 if that was not done
+// within the given time, or the leadership lease lapsed meanwhile.
+func (m *Manager) Cancel(id string, within micro.Time) httpapi.Reply {
 	event := func(reply eventloop.Reply[httpapi.Reply]) eventloop.Event {
 		return cancellationRequested{m, id, reply}
 	}
-	answer, ok := eventloop.Call(m.deps.Loop, eventloop.Events, responseTimeout, event)
+	answer, ok := eventloop.Call(m.deps.Loop, eventloop.Events, within, event)
 	// The lease may have lapsed meanwhile: then nothing may be said.
 	if !ok || !m.deps.HoldsLease() {
 		return httpapi.RetryReply(http.StatusServiceUnavailable, 1)
--- a/internal/controller/job_api.go
+++ b/internal/controller/job_api.go
@@ -61,7 +61,14 @@
 func (o otherNodes) CallRegardless(
 	ctx context.Context, node, call string, body []byte, timeout micro.Time,
 ) (int, []byte, error) {
-	return o.node.Peers.Call(ctx, node, call, body, timeout)
+	return o.node.peerBackoff.CallRegardless(ctx, node, call, body, timeout)
+}
+
+// Retry calls a node also if it lately gave no answer, one call at a time.
+func (o otherNodes) Retry(
+	ctx context.Context, node, call string, body []byte, timeout micro.Time,
+) (int, []byte, error) {
+	return o.node.peerBackoff.Retry(ctx, node, call, body, timeout)
 }
 
 // LeaderFirst lists the other nodes.
--- a/internal/controller/leader_jobs.go
+++ b/internal/controller/leader_jobs.go
@@ -66,5 +66,8 @@
 // AddJob takes in a job that was accepted.
 func (l *Leader) AddJob(job wire.Job) { l.intake.PostJob(job) }
 
-// CancelJob cancels a job, and waits until that is certain; 404 if it is not in memory.
-func (l *Leader) CancelJob(id string) httpapi.Reply { return l.cancellations.Cancel(id) }
+// CancelJob cancels a job, and waits for so long until that is certain; 404 if it is not in
+// memory.
+func (l *Leader) CancelJob(id string, within micro.Time) httpapi.Reply {
+	return l.cancellations.Cancel(id, within)
+}
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -8,7 +8,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,14 +52,14 @@
 type Node struct {
 	Dependencies
 
-	election         *election.Election
-	leader           atomic.Pointer[Leader]
-	catalog          atomic.Pointer[wire.Catalog]
-	peerBackoffUntil sync.Map // node: time until which it is not asked
-	health           *health.Monitor
-	leaseProxy       leasekeeper.Proxy
-	formatGate       *formatgate.Gate
-	handovers        detector.Handovers
+	election    *election.Election
+	leader      atomic.Pointer[Leader]
+	catalog     atomic.Pointer[wire.Catalog]
+	peerBackoff *peer.Backoff
+	health      *health.Monitor
+	leaseProxy  leasekeeper.Proxy
+	formatGate  *formatgate.Gate
+	handovers   detector.Handovers
 
 	jobs      *jobapi.Service
 	peerCalls map[string]peerCallHandler     // by the names of the calls
@@ -89,6 +88,7 @@
 // NewWith makes a node that speaks to the given services.
 func NewWith(deps Dependencies) *Node {
 	n := &Node{Dependencies: deps}
+	n.peerBackoff = peer.NewBackoff(n.callPeerOnce, n.Now)
 	n.health = health.New(health.Config{
 		Store: n.Store, Peers: n.Peers, Log: n.Log, PeerNames: n.peerNames, Now: n.Now,
 	})
--- a/internal/controller/peer_backoff_test.go
+++ b/internal/controller/peer_backoff_test.go
@@ -36,7 +36,7 @@
 		}
 		sim.sleep(600 * micro.Millisecond) // the second peer is asked for as long as the first
 		for _, controller := range peers {
-			if !refused.runningNode().backingOff(controller.name) {
+			if !refused.runningNode().peerBackoff.BackingOff(controller.name) {
 				sim.t.Fatalf("%s answered in time", controller.name)
 			}
 			sim.delayPeerAnswers(controller, 0)
@@ -69,7 +69,7 @@
 		if reply := job.cancelOnce(refused); reply.Status != http.StatusServiceUnavailable {
 			sim.t.Fatalf("a cancellation whose tasks run beyond a cut: %+v", reply)
 		}
-		if refused.runningNode().backingOff(leader.name) {
+		if refused.runningNode().peerBackoff.BackingOff(leader.name) {
 			sim.t.Error("the leader counts as out of reach")
 		}
 		next := sim.newJob(jobRequest{kind: wire.JobArray, tasks: 1, runTime: micro.Second})
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -12,29 +12,16 @@
 // peerCallTimeout is how long a node waits for a peer before it helps itself.
 const peerCallTimeout = jobapi.PeerCallTimeout
 
-// peerBackoff is for how long a peer is left alone that did not answer.
-const peerBackoff = 2 * micro.Second
+// callPeerOnce calls a peer, whatever became of earlier calls.
+func (n *Node) callPeerOnce(
+	ctx context.Context, node, call string, body []byte, timeout micro.Time,
+) (int, []byte, error) {
+	return n.Peers.Call(ctx, node, call, body, timeout)
+}
 
 // callPeer calls a peer, and leaves one alone for a while that did not answer.
 func (n *Node) callPeer(ctx context.Context, node, call string, body []byte, timeout micro.Time) (int, []byte, error) {
-	if n.backingOff(node) {
-		return 0, nil, peer.ErrUnreachable
-	}
-	status, out, err := n.Peers.Call(ctx, node, call, body, timeout)
-	if err != nil {
-		n.peerBackoffUntil.Store(node, n.Now()+peerBackoff)
-	}
-	return status, out, err
-}
-
-// backingOff reports whether a peer is left alone, since it lately did not answer.
-func (n *Node) backingOff(node string) bool {
-	value, ok := n.peerBackoffUntil.Load(node)
-	if !ok {
-		return false
-	}
-	until, ok := value.(micro.Time)
-	return ok && n.Now() < until
+	return n.peerBackoff.Call(ctx, node, call, body, timeout)
 }
 
 // peerNames lists the other nodes.
--- a/internal/jobapi/admission.go
+++ b/internal/jobapi/admission.go
@@ -155,19 +155,14 @@
 	if err == nil || !relay {
 		return accepted, err
 	}
-	for _, node := range s.peers.LeaderFirst() {
-		status, body, peerErr := s.peers.Call(
-			context.Background(), node, peer.AcceptedJobs, wire.MustMarshal(ids), PeerCallTimeout,
-		)
-		if peerErr != nil || status != http.StatusOK {
-			continue
-		}
-		var found []string
-		if wire.Unmarshal(body, &found) == nil {
-			return setOf(found), nil
-		}
-	}
-	return nil, err
+	var found []string
+	answered := s.askPeers(peer.AcceptedJobs, wire.MustMarshal(ids), func(status int, body []byte) bool {
+		return status == http.StatusOK && wire.Unmarshal(body, &found) == nil
+	})
+	if !answered {
+		return nil, err
+	}
+	return setOf(found), nil
 }
 
 // setOf is the set of some IDs.
--- a/internal/jobapi/golden_test.go
+++ b/internal/jobapi/golden_test.go
@@ -40,6 +40,12 @@
 	return p.Call(ctx, node, call, body, timeout)
 }
 
+func (p *recordedPeers) Retry(
+	ctx context.Context, node, call string, body []byte, timeout micro.Time,
+) (int, []byte, error) {
+	return p.Call(ctx, node, call, body, timeout)
+}
+
 func (p *recordedPeers) LeaderFirst() []string { return []string{"n-1"} }
 
 // last is the latest call; "": none.
@@ -61,11 +67,11 @@
 // emptyLeader has no job in its state.
 type emptyLeader struct{}
 
-func (emptyLeader) Statuses([]string) []wire.JobStatus { return nil }
-func (emptyLeader) KnowsJob(string) bool               { return false }
-func (emptyLeader) PendingTasks() int                  { return 0 }
-func (emptyLeader) AddJob(wire.Job)                    {}
-func (emptyLeader) CancelJob(string) httpapi.Reply     { return httpapi.Reply{Status: 404} }
+func (emptyLeader) Statuses([]string) []wire.JobStatus         { return nil }
+func (emptyLeader) KnowsJob(string) bool                       { return false }
+func (emptyLeader) PendingTasks() int                          { return 0 }
+func (emptyLeader) AddJob(wire.Job)                            {}
+func (emptyLeader) CancelJob(string, micro.Time) httpapi.Reply { return httpapi.Reply{Status: 404} }
 
 type reachable struct{}
 
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -32,6 +32,15 @@
 	relayTimeout = 900 * micro.Millisecond
 )
 
+// How long the leader waits for the end of a cancelled job before it answers that it is not
+// certain yet. A node that asks on behalf of its user must have that answer in time: the leader
+// once held it for longer than the caller waited, and was left alone for two seconds by that
+// node, submissions included.
+const (
+	cancelTimeout        = 1500 * micro.Millisecond
+	relayedCancelTimeout = relayTimeout - 200*micro.Millisecond
+)
+
 // storeReadTimeout is how long the store may take over the reads that answer one question.
 const storeReadTimeout = 900 * micro.Millisecond
 
@@ -46,8 +55,9 @@
 	PendingTasks() int
 	// AddJob takes in a job that was accepted.
 	AddJob(job wire.Job)
-	// CancelJob cancels a job, and waits until that is certain; 404 if it is not in memory.
-	CancelJob(id string) httpapi.Reply
+	// CancelJob cancels a job, and waits for so long until that is certain; 404 if it is not in
+	// memory, 503 if it was not certain in time.
+	CancelJob(id string, within micro.Time) httpapi.Reply
 }
 
 // Leadership says who leads.
@@ -61,8 +71,11 @@
 // Peers are the other nodes.
 type Peers interface {
 	// Call makes a call of package peer. A node that lately gave no answer is not called:
-	// peer.ErrUnreachable.
+	// peer.ErrBackingOff.
 	Call(ctx context.Context, node, call string, body []byte, timeout micro.Time) (int, []byte, error)
+	// Retry also calls a node that lately gave no answer, unless another such call is under way:
+	// peer.ErrBackingOff.
+	Retry(ctx context.Context, node, call string, body []byte, timeout micro.Time) (int, []byte, error)
 	// CallRegardless is Call, but also calls a node that lately gave no answer.
 	CallRegardless(ctx context.Context, node, call string, body []byte, timeout micro.Time) (int, []byte, error)
 	// LeaderFirst lists the names of the other nodes.
--- a/internal/jobapi/peer_calls.go
+++ b/internal/jobapi/peer_calls.go
@@ -1,7 +1,6 @@
 package jobapi
 
 import (
-	"context"
 	"net/http"
 
 	"notchmux.dev/notchmux/internal/httpapi"
@@ -12,17 +11,17 @@
 
 // relay hands a request to another node, the leader first.
 func (s *Service) relay(call string, body []byte) (httpapi.Reply, bool) {
-	for _, node := range s.peers.LeaderFirst() {
-		status, out, err := s.peers.Call(context.Background(), node, call, body, PeerCallTimeout)
-		if err != nil || status >= http.StatusInternalServerError ||
-			status == http.StatusTooManyRequests || status == http.StatusMisdirectedRequest {
-			continue
+	var reply httpapi.Reply
+	answered := s.askPeers(call, body, func(status int, out []byte) bool {
+		if status >= http.StatusInternalServerError || status == http.StatusTooManyRequests ||
+			status == http.StatusMisdirectedRequest {
+			return false
 		}
-		if reply, ok := decodeReply(status, out); ok {
-			return reply, true
-		}
-	}
-	return httpapi.Reply{}, false
+		decoded, ok := decodeReply(status, out)
+		reply = decoded
+		return ok
+	})
+	return reply, answered
 }
 
 // PeerHandler answers a call of another node with an HTTP status and a body.
@@ -179,7 +178,7 @@
 	if !wire.ValidJobID(string(body)) {
 		return http.StatusBadRequest, nil
 	}
-	return encodeReply(s.cancelAsLeader(leader, string(body)))
+	return encodeReply(s.cancelAsLeader(leader, string(body), relayedCancelTimeout))
 }
 
 // jobAcceptedByPeer takes in a job that another node accepted.
--- a/internal/jobapi/status.go
+++ b/internal/jobapi/status.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"notchmux.dev/notchmux/internal/httpapi"
+	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/peer"
 	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
@@ -99,7 +100,7 @@
 		return statusReply(final)
 	}
 	if leader := s.leadership.ActiveLeader(); leader != nil {
-		return s.cancelAsLeader(leader, id)
+		return s.cancelAsLeader(leader, id, cancelTimeout)
 	}
 	leader, ok := s.otherLeader()
 	if !ok {
@@ -118,9 +119,9 @@
 	return reply
 }
 
-// cancelAsLeader cancels a job on the node that leads.
-func (s *Service) cancelAsLeader(leader Leader, id string) httpapi.Reply {
-	reply := leader.CancelJob(id)
+// cancelAsLeader cancels a job on the node that leads, and waits for so long until that is certain.
+func (s *Service) cancelAsLeader(leader Leader, id string, within micro.Time) httpapi.Reply {
+	reply := leader.CancelJob(id, within)
 	if reply.Status != http.StatusNotFound {
 		s.cacheFinal(reply)
 		return reply
--- a/internal/jobapi/status_batcher_test.go
+++ b/internal/jobapi/status_batcher_test.go
@@ -79,6 +79,13 @@
 	return s.Call(ctx, node, call, body, wait)
 }
 
+// Retry answers as Call does.
+func (s *slowLeader) Retry(
+	ctx context.Context, node, call string, body []byte, wait micro.Time,
+) (int, []byte, error) {
+	return s.Call(ctx, node, call, body, wait)
+}
+
 // LeaderFirst lists the leader alone.
 func (s *slowLeader) LeaderFirst() []string { return []string{"n-0"} }
 
--- a/internal/jobapi/status_lookup.go
+++ b/internal/jobapi/status_lookup.go
@@ -1,7 +1,6 @@
 package jobapi
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"sync"
@@ -308,17 +307,15 @@
 // acceptedByPeers asks the other nodes, which answer within their own budgets.
 func (s *Service) acceptedByPeers(ids []string) (map[string]bool, error) {
 	err := peer.ErrUnreachable
-	body := wire.MustMarshal(ids)
-	for _, node := range s.peers.LeaderFirst() {
-		status, reply, peerErr := s.peers.Call(context.Background(), node, peer.AcceptedJobsBudgeted, body, PeerCallTimeout)
-		var found []string
-		switch {
-		case peerErr != nil:
-		case status == http.StatusNotFound:
+	var found []string
+	answered := s.askPeers(peer.AcceptedJobsBudgeted, wire.MustMarshal(ids), func(status int, reply []byte) bool {
+		if status == http.StatusNotFound {
 			err = errCallUnsupported
-		case status == http.StatusOK && wire.Unmarshal(reply, &found) == nil:
-			return setOf(found), nil
 		}
+		return status == http.StatusOK && wire.Unmarshal(reply, &found) == nil
+	})
+	if !answered {
+		return nil, err
 	}
-	return nil, err
+	return setOf(found), nil
 }
--- a/internal/jobapi/submission.go
+++ b/internal/jobapi/submission.go
@@ -42,12 +42,10 @@
 	}
 	job.SubmittedAt = int64(s.wall())
 	attempt := s.storeSubmission(job, bytes.Clone(body), relay) // a peer may be asked for longer than the request lasts
-	select {
-	case err = <-attempt.stored:
-	case reply := <-attempt.relayed:
-		return reply
-	}
+	reply, answered, err := attempt.wait()
 	switch {
+	case answered:
+		return reply
 	case err == nil:
 		s.notifyAccepted(job)
 		return httpapi.Reply{Status: http.StatusCreated, Body: wire.JobStatus{ID: job.ID, State: wire.JobPending}}
@@ -71,16 +69,38 @@
 // storeAttempt is an attempt to store the description of a job.
 type storeAttempt struct {
 	body         []byte
-	stored       chan error         // what came of this node's own write
-	relayed      chan httpapi.Reply // the answer of a peer that was asked as well
-	relayStarted bool               // a peer was asked
+	stored       chan error        // what came of this node's own write
+	relayed      chan relayOutcome // what came of asking the peers as well
+	relayStarted bool              // they were asked
+	relayFailed  bool              // none of them gave an answer
+}
+
+// wait waits for this node's own write, or for a peer's answer if that comes first.
+func (a *storeAttempt) wait() (reply httpapi.Reply, answered bool, err error) {
+	for {
+		select {
+		case err := <-a.stored:
+			return httpapi.Reply{}, false, err
+		case outcome := <-a.relayed:
+			if outcome.answered {
+				return outcome.reply, true, nil
+			}
+			a.relayFailed = true
+		}
+	}
+}
+
+// relayOutcome is what came of handing a submission to the peers.
+type relayOutcome struct {
+	reply    httpapi.Reply
+	answered bool // false: no peer gave an answer
 }
 
 // storeSubmission begins to store a description. If that takes long, it asks a peer
 // as well: the store may be out of this node's reach alone. Whichever way is first
 // creates the key; the other finds it.
 func (s *Service) storeSubmission(job *wire.Job, body []byte, relay bool) *storeAttempt {
-	attempt := &storeAttempt{body: body, stored: make(chan error, 1), relayed: make(chan httpapi.Reply, 1)}
+	attempt := &storeAttempt{body: body, stored: make(chan error, 1), relayed: make(chan relayOutcome, 1)}
 	go func() { attempt.stored <- s.storeSpec(job) }()
 	if !relay {
 		return attempt
@@ -97,9 +117,8 @@
 	case <-hedge.C:
 		attempt.relayStarted = true
 		go func() {
-			if reply, ok := s.relay(peer.Submit, body); ok {
-				attempt.relayed <- reply
-			}
+			reply, answered := s.relay(peer.Submit, body)
+			attempt.relayed <- relayOutcome{reply, answered}
 		}()
 	}
 	return attempt
@@ -108,15 +127,15 @@
 // relayedReply is a peer's answer to a submission that this node could not store:
 // the store may refuse this node alone.
 func (s *Service) relayedReply(attempt *storeAttempt, relay bool) (httpapi.Reply, bool) {
-	if !attempt.relayStarted {
-		if !relay {
-			return httpapi.Reply{}, false
-		}
+	switch {
+	case attempt.relayFailed || !relay:
+		return httpapi.Reply{}, false
+	case !attempt.relayStarted:
 		return s.relay(peer.Submit, attempt.body)
 	}
 	select {
-	case reply := <-attempt.relayed:
-		return reply, true
+	case outcome := <-attempt.relayed:
+		return outcome.reply, outcome.answered
 	case <-time.After(PeerCallTimeout.Duration()):
 		return httpapi.Reply{}, false
 	}
