--- a/internal/controller/shard_faults_test.go
+++ b/internal/controller/shard_faults_test.go
@@ -559,3 +559,38 @@
 		}
 	})
 }
+
+// The leader owns a shard whose agents reach it, and all of its other machines die.
+//
+// What happened: it handed over, for no agent reached its loop, though some reached its node as
+// the owner. So did the others in turn; and wherever the shard was by then, its machines made the
+// node forget that it had handed over. The lead went round for 100 s and more.
+//
+// Seen in TestRandomScenariosWithShardsKeepTheRules, seeds 2000697 and 2000081: 12 and 10 times
+// "handover hands_over=true up=0 suspect=3", the former with hands_over=false at 221.96 s and
+// hands_over=true on the same node and in the same term at 223.46 s.
+func TestLeaderThatAgentsOfItsShardReachDoesNotHandOver(t *testing.T) {
+	runScenario(t, 49, 3, func(sim *simCluster) {
+		withShard(sim)
+		sim.config.Shards.Declared[0].Selector = shard.Selector{Kind: shard.OnDemandOnly}
+	}, func(sim *simCluster) {
+		sim.waitShardOwned("n-2", 2*micro.Minute)
+		owner := sim.controllerNamed("n-2")
+		for sim.leader() != owner {
+			sim.replaceLeader(20 * micro.Second)
+		}
+		sharded := sim.newJob(jobRequest{kind: wire.Service, tasks: 1, cpus: 4, team: "other"}).submit()
+		sim.waitRunning(sharded, 1)
+		const tasks = teamMaxCPUs / 4
+		spot := sim.newJob(jobRequest{kind: wire.Service, tasks: tasks, cpus: 4, spot: true}).submit()
+		sim.waitRunning(spot, tasks)
+		term := sim.currentTerm()
+		for _, machine := range spot.machines() {
+			machine.terminate()
+		}
+		sim.waitUntil("the tasks run again", servedWithin, func() bool { return spot.runningTasks() == tasks })
+		if sim.currentTerm() != term {
+			sim.t.Error("the leader handed over")
+		}
+	})
+}
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -322,3 +322,34 @@
 		})
 	}
 }
+
+// A leader and the owner of a shard on one node are reached by the same network: an agent that
+// reaches the owner shows that those that the leader misses are dead, or partitioned by
+// themselves. The leader handed over nevertheless, and since the owner's machines were up, the
+// node forgot each time that it had.
+func TestAgentThatReachesAShardOwnerOnThisNodeIsNoReasonToHandOverTheLead(t *testing.T) {
+	for name, row := range map[string]struct{ reached, handsOver bool }{
+		"the owner is reached":     {reached: true},
+		"the owner is not reached": {handsOver: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leader, owner := newTestDetector(), newTestDetector()
+			owner.handovers = leader.handovers
+			leader.addMachines(0, 4, leader.heardAt(termStart))
+			owner.addMachines(0, 1, owner.heardAt(termStart))
+			end := termStart + leader.config.SuspectAfter + minUnreachableTime + 10*sweepInterval
+			for at := termStart; at < end; at += sweepInterval {
+				if row.reached {
+					owner.cluster.Machines["i-000000"].LastHeartbeat = at
+				}
+				for _, test := range []*testDetector{owner, leader} {
+					test.ObserveLease(true, at)
+					test.Sweep(at)
+				}
+			}
+			if handedOver := leader.host.handovers > 0; handedOver != row.handsOver {
+				t.Errorf("handed over: %v, want %v", handedOver, row.handsOver)
+			}
+		})
+	}
+}
