detector: an agent that reaches any loop of a node shows that agents reach the node

Cause: the leader's loop and that of a shard's owner on the same node each judged by their own machines. The leader handed over though agents of the shard reached its node; and the owner, whose machines were up, made the node forget that it had handed over: in one term the log has hands_over=false at 221.96 s and hands_over=true at 223.46 s.

Change: the last contact is kept by the node (Handovers, which both loops share), and no node hands over within the time until machines count as suspect from it.

--- a/internal/detector/reachability.go
+++ b/internal/detector/reachability.go
@@ -18,7 +18,7 @@
 
 // reachability is what this node's machines showed of whether agents reach it.
 type reachability struct {
-	lastContact      micro.Time // last heartbeat of a machine that was up, in this term; 0: none was
+	lastContact      micro.Time // last heartbeat of a machine that was up here, in this term; 0: none was
 	unreachableSince micro.Time // since when no agent sends heartbeats; 0: some do
 	lastSweep        heartbeatSummary
 }
@@ -28,7 +28,7 @@
 	Up                   int        // machines whose agents reach it
 	Suspect              int        // machines whose heartbeats are missing
 	SuspectBeforeContact int        // those of them that were suspect when the last agent reached it
-	SinceContact         micro.Time // since the last heartbeat of a machine that was up, or since the term began
+	SinceContact         micro.Time // since an agent last reached this node, or since the term began
 }
 
 // Reachability is what the last sweep found.
@@ -36,7 +36,7 @@
 	last := &d.reachability.lastSweep
 	return Reachability{
 		Up: last.up, Suspect: last.suspect, SuspectBeforeContact: last.suspectBeforeContact,
-		SinceContact: now - max(d.reachability.lastContact, d.cluster.TermStartedAt),
+		SinceContact: now - max(d.handovers.LastContact(), d.cluster.TermStartedAt),
 	}
 }
 
@@ -48,13 +48,14 @@
 // out since that contact, all machines count again: what is not expired by then is alive
 // beyond a partition.
 func (d *Detector) silentBeforeContact(sinceHeartbeat, now micro.Time) bool {
-	sinceContact := now - d.reachability.lastContact
+	sinceContact := now - d.handovers.LastContact()
 	return sinceHeartbeat-sinceContact > d.config.SuspectAfter && sinceContact <= d.cluster.LeaseDuration
 }
 
 // observeContact takes in the last heartbeat of a machine that is up.
 func (d *Detector) observeContact(machine *cluster.Machine) {
 	d.reachability.lastContact = max(d.reachability.lastContact, machine.LastHeartbeat)
+	d.handovers.ObserveContact(machine.LastHeartbeat)
 }
 
 // reachedForAWhile reports whether agents reached this node for longer than it takes until
@@ -74,7 +75,9 @@
 	if up > 0 && !gapExceeded && d.reachedForAWhile() {
 		d.handovers.Reset()
 	}
-	if len(d.config.Peers) == 0 || !gapExceeded && (up > 0 || newlySuspect < minSuspectMachines) {
+	// Another loop of this node may be reached: what is up there counts as it does here.
+	reached := up > 0 || now-d.handovers.LastContact() <= d.config.SuspectAfter
+	if len(d.config.Peers) == 0 || !gapExceeded && (reached || newlySuspect < minSuspectMachines) {
 		d.reachability.unreachableSince = 0
 		return
 	}
@@ -88,12 +91,16 @@
 	d.host.HandOver(now)
 }
 
-// Handovers remembers, across a node's terms, when it last handed the leadership over because
-// no agent reached it, and how often in a row. Where all machines had died, the nodes once
+// Handovers remembers, across a node's terms and for all of its loops, when an agent last reached
+// the node, when it last handed the leadership over because none did, and how often in a row.
+// A leader and the owner of a shard on one node are reached by the same network. Where all machines had died, the nodes once
 // handed the leadership round for ever: no term lasted long enough to find them dead, and to
 // request others. One that has tried the others in vain stays. The zero value is ready; any
 // goroutine may call it.
-type Handovers struct{ last atomic.Pointer[handover] }
+type Handovers struct {
+	last        atomic.Pointer[handover]
+	lastContact atomic.Int64 // in microseconds of the node's steady clock
+}
 
 type handover struct {
 	at    micro.Time
@@ -114,6 +121,19 @@
 	return micro.Time(len(cfg.Peers)+1) * (cfg.SuspectAfter + maxUnreachableTerm)
 }
 
+// ObserveContact notes that an agent reached this node at a time.
+func (h *Handovers) ObserveContact(at micro.Time) {
+	for {
+		latest := h.lastContact.Load()
+		if int64(at) <= latest || h.lastContact.CompareAndSwap(latest, int64(at)) {
+			return
+		}
+	}
+}
+
+// LastContact is when an agent last reached this node; 0: none did.
+func (h *Handovers) LastContact() micro.Time { return micro.Time(h.lastContact.Load()) }
+
 // Reset notes that agents reach this node.
 func (h *Handovers) Reset() { h.last.Store(nil) }
 
