--- a/internal/ci/known_red_test.go
+++ b/internal/ci/known_red_test.go
@@ -68,7 +68,8 @@
 	if err := os.WriteFile(filepath.Join(dir, ".ci", "lint"), []byte("echo linted\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	const two = "TestBroken breaks by design, issue 1\nTestTorn panics, issue 2"
+	const two = "TestBroken `go test -run TestBroken ./...` breaks by design, issue 1\n" +
+		"TestTorn `go test -run TestTorn ./...` panics, issue 2"
 	for _, c := range []struct {
 		name, list, env string
 		ok              bool
@@ -76,7 +77,7 @@
 	}{
 		{"nothing listed", "", "", false, []string{"--- FAIL: TestBroken "}},
 		{
-			"all that fail are listed", two + "\nTestMended was red, issue 3\n\n", "", true,
+			"all that fail are listed", two + "\nTestMended `go test -run TestMended ./...` was red, issue 3\n\n", "", true,
 			[]string{
 				"known red: TestBroken failed", "known red: TestTorn failed",
 				"known red: TestMended passed", "ok  \ttiny/internal/x",
@@ -87,16 +88,28 @@
 			[]string{"known red: TestTorn failed", "--- FAIL: TestBrokenNoMore "},
 		},
 		{
-			"one that fails is not listed", "TestTorn panics, issue 2\n", "", false,
+			"one that fails is not listed", "TestTorn `go test -run TestTorn ./...` panics, issue 2\n", "", false,
 			[]string{"--- FAIL: TestBroken "},
 		},
-		{"no such test", "TestBroke breaks, issue 1\n", "", false, []string{"no such test: TestBroke"}},
+		{"no such test", "TestBroke `go test -run TestBroke ./...` breaks, issue 1\n", "", false, []string{"no such test: TestBroke"}},
 		{"no cause", "TestBroken\n", "", false, []string{"not a test, its cause and its issue"}},
+		{
+			"no command", "TestBroken breaks by design, issue 1\n", "", false,
+			[]string{"no command (go test …) or no issue: TestBroken"},
+		},
+		{
+			"no issue", "TestBroken `go test -run TestBroken ./...` breaks by design\n", "", false,
+			[]string{"no command (go test …) or no issue: TestBroken"},
+		},
+		{
+			"an issue without its number", "TestBroken `go test -run TestBroken ./...` breaks, issue\n", "", false,
+			[]string{"no command (go test …) or no issue: TestBroken"},
+		},
 		{
 			"a pattern", "TestBroken|TestTorn both, issue 1\n", "", false,
 			[]string{"not a test, its cause and its issue"},
 		},
-		{"too many", two + "\nTestMended x\nTestBrokenNoMore y\n", "", false, []string{"at most three"}},
+		{"too many", two + "\nTestMended `go test ./...` x, issue 3\nTestBrokenNoMore `go test ./...` y, issue 4\n", "", false, []string{"at most three"}},
 	} {
 		list := filepath.Join(dir, "KNOWN-RED.txt")
 		if c.list == "" {
