--- a/internal/ci/known_red_test.go
+++ b/internal/ci/known_red_test.go
@@ -61,6 +61,61 @@
 	return dir
 }
 
+// listCase is a list of known failures, and what the script makes of it.
+type listCase struct {
+	name, list, env string
+	ok              bool
+	says            []string
+}
+
+const twoListed = "TestBroken `go test -run TestBroken ./...` breaks by design, issue 1\n" +
+	"TestTorn `go test -run TestTorn ./...` panics, issue 2"
+
+var listCases = []listCase{
+	{"nothing listed", "", "", false, []string{"--- FAIL: TestBroken "}},
+	{
+		"all that fail are listed", twoListed + "\nTestMended `go test -run TestMended ./...` was red, issue 3\n\n", "", true,
+		[]string{
+			"known red: TestBroken failed", "known red: TestTorn failed",
+			"known red: TestMended passed", "ok  \ttiny/internal/x",
+		},
+	},
+	{
+		"another fails", twoListed + "\n", "OTHER_FAILS=1", false,
+		[]string{"known red: TestTorn failed", "--- FAIL: TestBrokenNoMore "},
+	},
+	{
+		"one that fails is not listed", "TestTorn `go test -run TestTorn ./...` panics, issue 2\n", "", false,
+		[]string{"--- FAIL: TestBroken "},
+	},
+	{
+		"no such test", "TestBroke `go test -run TestBroke ./...` breaks, issue 1\n", "", false,
+		[]string{"no such test: TestBroke"},
+	},
+	{"no cause", "TestBroken\n", "", false, []string{"not a test, its cause and its issue"}},
+	{
+		"no command", "TestBroken breaks by design, issue 1\n", "", false,
+		[]string{"no command (go test …) or no issue: TestBroken"},
+	},
+	{
+		"no issue", "TestBroken `go test -run TestBroken ./...` breaks by design\n", "", false,
+		[]string{"no command (go test …) or no issue: TestBroken"},
+	},
+	{
+		"an issue without its number", "TestBroken `go test -run TestBroken ./...` breaks, issue\n", "", false,
+		[]string{"no command (go test …) or no issue: TestBroken"},
+	},
+	{
+		"a pattern", "TestBroken|TestTorn both, issue 1\n", "", false,
+		[]string{"not a test, its cause and its issue"},
+	},
+	{
+		"too many",
+		twoListed + "\nTestMended `go test ./...` x, issue 3\nTestBrokenNoMore `go test ./...` y, issue 4\n", "", false,
+		[]string{"at most three"},
+	},
+}
+
 // The linters have tests of their own: here the script that runs them only says that it ran.
 func TestOnlyListedTestsMayFail(t *testing.T) {
 	t.Parallel()
@@ -68,49 +123,7 @@
 	if err := os.WriteFile(filepath.Join(dir, ".ci", "lint"), []byte("echo linted\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	const two = "TestBroken `go test -run TestBroken ./...` breaks by design, issue 1\n" +
-		"TestTorn `go test -run TestTorn ./...` panics, issue 2"
-	for _, c := range []struct {
-		name, list, env string
-		ok              bool
-		says            []string
-	}{
-		{"nothing listed", "", "", false, []string{"--- FAIL: TestBroken "}},
-		{
-			"all that fail are listed", two + "\nTestMended `go test -run TestMended ./...` was red, issue 3\n\n", "", true,
-			[]string{
-				"known red: TestBroken failed", "known red: TestTorn failed",
-				"known red: TestMended passed", "ok  \ttiny/internal/x",
-			},
-		},
-		{
-			"another fails", two + "\n", "OTHER_FAILS=1", false,
-			[]string{"known red: TestTorn failed", "--- FAIL: TestBrokenNoMore "},
-		},
-		{
-			"one that fails is not listed", "TestTorn `go test -run TestTorn ./...` panics, issue 2\n", "", false,
-			[]string{"--- FAIL: TestBroken "},
-		},
-		{"no such test", "TestBroke `go test -run TestBroke ./...` breaks, issue 1\n", "", false, []string{"no such test: TestBroke"}},
-		{"no cause", "TestBroken\n", "", false, []string{"not a test, its cause and its issue"}},
-		{
-			"no command", "TestBroken breaks by design, issue 1\n", "", false,
-			[]string{"no command (go test …) or no issue: TestBroken"},
-		},
-		{
-			"no issue", "TestBroken `go test -run TestBroken ./...` breaks by design\n", "", false,
-			[]string{"no command (go test …) or no issue: TestBroken"},
-		},
-		{
-			"an issue without its number", "TestBroken `go test -run TestBroken ./...` breaks, issue\n", "", false,
-			[]string{"no command (go test …) or no issue: TestBroken"},
-		},
-		{
-			"a pattern", "TestBroken|TestTorn both, issue 1\n", "", false,
-			[]string{"not a test, its cause and its issue"},
-		},
-		{"too many", two + "\nTestMended `go test ./...` x, issue 3\nTestBrokenNoMore `go test ./...` y, issue 4\n", "", false, []string{"at most three"}},
-	} {
+	for _, c := range listCases {
 		list := filepath.Join(dir, "KNOWN-RED.txt")
 		if c.list == "" {
 			_ = os.Remove(list)
--- a/internal/controller/shard_faults_test.go
+++ b/internal/controller/shard_faults_test.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"bytes"
 	"fmt"
 	"strings"
 	"testing"
@@ -9,7 +8,6 @@
 
 	"notchmux.dev/notchmux/internal/config"
 	"notchmux.dev/notchmux/internal/fake"
-	"notchmux.dev/notchmux/internal/keys"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/policy"
 	"notchmux.dev/notchmux/internal/shard"
@@ -466,131 +464,3 @@
 		}
 	})
 }
-
-// A spot machine dies, its tasks are placed elsewhere, and a late copy of its heartbeat reaches
-// the next leader, which counts what that shows until it is proven gone. The leader after that
-// knows of the machine by its allocations alone, which hold no type.
-//
-// What happened: where a shard selects on-demand machines, the machine matched it, since what
-// is not known of one reads as on-demand. The leader left it to the shard's owner, which knew
-// nothing of it: its lease was never found expired. What it had held stayed taken of the
-// team's quota, and the user of a job with a task there was never told of a cancellation.
-//
-// Seen in TestRandomScenariosWithShardsKeepTheRules, seed 100339: the tasks of j-0016 were told
-// to stop at 171.4 s, two of their machines were returned as idle, and of i-000009, which was
-// gone since 61.8 s and adopted at 85.2 s (reason="not in the records"), no line follows until
-// the end at 446.6 s; the last "leader status" has live=0 known=1.
-func TestMachineKnownByItsAllocationsAloneIsNotLeftToAShard(t *testing.T) {
-	runScenario(t, 47, 3, func(sim *simCluster) {
-		withShard(sim)
-		sim.config.Shards.Declared[0].Selector = shard.Selector{Kind: shard.OnDemandOnly}
-	}, func(sim *simCluster) {
-		sim.waitShardOwned("n-2", 2*micro.Minute)
-		sim.startRecording()
-		job := sim.newJob(jobRequest{kind: wire.Service, tasks: 1, cpus: 4, spot: true}).submit()
-		sim.waitRunning(job, 1)
-		dead := job.machines()[0]
-		if !dead.agent.Spot {
-			sim.t.Fatalf("%s is no spot machine", dead.agent.Name)
-		}
-		sim.sleep(5 * micro.Second)
-		dead.terminate()
-		sim.waitUntil("it runs elsewhere", micro.Minute, func() bool { return job.runningTasks() == 1 })
-		sim.waitUntil("no record of its request is left", 2*micro.Minute, func() bool { return !sim.requestStored(dead) })
-		sim.replaceLeader(5 * micro.Second)
-		dead.replayHeartbeatWith(job)
-		sim.waitUntil("what the copy shows is stored", micro.Minute, func() bool {
-			return sim.allocationStored(dead.agent.Name, fake.AttemptKey{Task: job.id + "/0", Attempt: 1})
-		})
-		sim.replaceLeader(5 * micro.Second)
-		go job.cancel()
-		sim.waitUntil("the user is told", servedWithin, func() bool { return job.knowledge().aborted })
-		const tasks = teamMaxCPUs / 4
-		next := sim.newJob(jobRequest{kind: wire.Service, tasks: tasks, cpus: 4}).submit()
-		sim.waitUntil("the whole quota is used again", servedWithin, func() bool { return next.runningTasks() == tasks })
-	})
-}
-
-// requestStored reports whether the store holds the instance request that a machine came of.
-func (w *simCluster) requestStored(machine *fakeMachine) bool {
-	page, err := w.store.Range(w.ctx, store.Routine, keys.InstanceRequestPrefix, "", 1000)
-	if err != nil {
-		w.t.Error(err)
-	}
-	for _, item := range page.Items {
-		if bytes.Contains(item.Value, []byte(machine.agent.Name)) {
-			return true
-		}
-	}
-	return false
-}
-
-// A job waits in a shard for machines of a zone where none come up. Jobs for another zone wait
-// at the leader, and the shard has empty machines there.
-//
-// What happened: an owner reported no free capacity while any job waited in its shard, also
-// one that could not use it. The leader assigned nothing, the empty machines were returned as
-// idle and others requested, for as long as the first job waited.
-//
-// Seen in TestRandomScenariosWithShardsKeepTheRules, seed 200487: from 284 to 397 s j-0007
-// waited in the shard ("job waits ... reason="insufficient resources""), bound to zone b; the
-// owner's "leader status" said "small a ordinary 15, 15 empty", the leader's pending=12 tasks=41,
-// and no task was allocated from 292 to 397 s.
-func TestJobThatCannotUseAShardsFreeMachinesKeepsNoOtherFromThem(t *testing.T) {
-	runScenario(t, 48, 3, func(sim *simCluster) {
-		withShard(sim)
-		sim.config.Shards.Declared[0].Selector = shard.Selector{Kind: shard.OnDemandOnly}
-	}, func(sim *simCluster) {
-		sim.waitShardOwned("n-2", 2*micro.Minute)
-		waiting := sim.newJob(jobRequest{kind: wire.Service, tasks: 1, cpus: 4, zone: "b"}).submit()
-		sim.waitRunning(waiting, 1)
-		sim.mu.Lock()
-		sim.cloud.failsBoot = func(request wire.InstanceRequest) bool { return request.Zone == "b" }
-		sim.mu.Unlock()
-		waiting.machines()[0].terminate()
-		sim.sleep(45 * micro.Second) // by then the machine's lease is proven expired, and the task waits
-		other := sim.newJob(
-			jobRequest{kind: wire.JobArray, tasks: 2, cpus: 4, runTime: 5 * micro.Second, zone: "a", team: "other"},
-		).submit()
-		go other.watchUntilFinal()
-		sim.waitUntil("the other job is done", servedWithin, func() bool { return other.knowledge().done })
-		if waiting.runningTasks() > 0 {
-			sim.t.Error("the first job did not wait meanwhile")
-		}
-	})
-}
-
-// The leader owns a shard whose agents reach it, and all of its other machines die.
-//
-// What happened: it handed over, for no agent reached its loop, though some reached its node as
-// the owner. So did the others in turn; and wherever the shard was by then, its machines made the
-// node forget that it had handed over. The lead went round for 100 s and more.
-//
-// Seen in TestRandomScenariosWithShardsKeepTheRules, seeds 2000697 and 2000081: 12 and 10 times
-// "handover hands_over=true up=0 suspect=3", the former with hands_over=false at 221.96 s and
-// hands_over=true on the same node and in the same term at 223.46 s.
-func TestLeaderThatAgentsOfItsShardReachDoesNotHandOver(t *testing.T) {
-	runScenario(t, 49, 3, func(sim *simCluster) {
-		withShard(sim)
-		sim.config.Shards.Declared[0].Selector = shard.Selector{Kind: shard.OnDemandOnly}
-	}, func(sim *simCluster) {
-		sim.waitShardOwned("n-2", 2*micro.Minute)
-		owner := sim.controllerNamed("n-2")
-		for sim.leader() != owner {
-			sim.replaceLeader(20 * micro.Second)
-		}
-		sharded := sim.newJob(jobRequest{kind: wire.Service, tasks: 1, cpus: 4, team: "other"}).submit()
-		sim.waitRunning(sharded, 1)
-		const tasks = teamMaxCPUs / 4
-		spot := sim.newJob(jobRequest{kind: wire.Service, tasks: tasks, cpus: 4, spot: true}).submit()
-		sim.waitRunning(spot, tasks)
-		term := sim.currentTerm()
-		for _, machine := range spot.machines() {
-			machine.terminate()
-		}
-		sim.waitUntil("the tasks run again", servedWithin, func() bool { return spot.runningTasks() == tasks })
-		if sim.currentTerm() != term {
-			sim.t.Error("the leader handed over")
-		}
-	})
-}
--- a/internal/detector/reachability.go
+++ b/internal/detector/reachability.go
@@ -93,10 +93,10 @@
 
 // Handovers remembers, across a node's terms and for all of its loops, when an agent last reached
 // the node, when it last handed the leadership over because none did, and how often in a row.
-// A leader and the owner of a shard on one node are reached by the same network. Where all machines had died, the nodes once
-// handed the leadership round for ever: no term lasted long enough to find them dead, and to
-// request others. One that has tried the others in vain stays. The zero value is ready; any
-// goroutine may call it.
+// A leader and the owner of a shard on one node are reached by the same network. Where all
+// machines had died, the nodes once handed the leadership round for ever: no term lasted long
+// enough to find them dead, and to request others. A node that has tried the others in vain
+// stays. The zero value is ready; any goroutine may call it.
 type Handovers struct {
 	last        atomic.Pointer[handover]
 	lastContact atomic.Int64 // in microseconds of the node's steady clock
--- a/internal/peer/backoff_test.go
+++ b/internal/peer/backoff_test.go
@@ -75,9 +75,9 @@
 func TestOneRetryAtATimeWaitsForANodeThatMayBeGone(t *testing.T) {
 	test := newTestBackoff()
 	inside := errors.New("no retry was under way")
-	test.call = func(context.Context, string, string, []byte, micro.Time) (int, []byte, error) {
+	test.call = func(ctx context.Context, node, call string, _ []byte, timeout micro.Time) (int, []byte, error) {
 		test.call = nil // a second call would panic
-		inside = test.ask(test.Retry)
+		_, _, inside = test.Retry(ctx, node, call, nil, timeout)
 		return 0, nil, ErrUnreachable
 	}
 	_ = test.ask(test.Retry)
--- a/internal/shard/update/update_test.go
+++ b/internal/shard/update/update_test.go
@@ -1,6 +1,7 @@
 package update
 
 import (
+	"slices"
 	"testing"
 
 	"notchmux.dev/notchmux/internal/cluster"
@@ -21,7 +22,9 @@
 // twoZones is a shard with one empty machine in each of two zones.
 func twoZones() *cluster.State {
 	state := cluster.New(noEffects{})
-	state.SetCatalog(&wire.Catalog{Types: []wire.MachineType{{Name: "m", CPUs: 16, MemoryGB: 64, Zones: []string{"a", "b"}}}})
+	state.SetCatalog(&wire.Catalog{
+		Types: []wire.MachineType{{Name: "m", CPUs: 16, MemoryGB: 64, Zones: []string{"a", "b"}}},
+	})
 	for name, zone := range map[string]string{"i-1": "a", "i-2": "b"} {
 		machine := state.EnsureMachine(name, now)
 		state.DescribeMachine(machine, "m", zone, false)
@@ -48,27 +51,30 @@
 		t.Run(name, func(t *testing.T) {
 			state := twoZones()
 			if row.waiting != nil {
-				spec := *row.waiting
-				spec.ID, spec.Kind, spec.Tasks = "j-1", wire.JobArray, 3
-				job := state.AddJob(spec, 0, 0)
-				job.MaxAllocations = row.maxAllocations
-				job.AllocationCount = 1 // of an array that runs already
+				addArray(state, *row.waiting, row.maxAllocations)
 			}
-			zones := map[string]int{}
-			for _, free := range FreeCapacity(state, now) {
-				zones[free.Zone] += free.Count
-			}
-			for _, zone := range []string{"a", "b"} {
-				want := 0
-				for _, each := range row.want {
-					if each == zone {
-						want++
-					}
-				}
-				if zones[zone] != want {
-					t.Errorf("zone %s: %d machines are free, want %d", zone, zones[zone], want)
-				}
+			if got := freeZones(state); !slices.Equal(got, row.want) {
+				t.Errorf("machines are free in zones %v, want %v", got, row.want)
 			}
 		})
 	}
 }
+
+// addArray adds an array of three tasks, one of which runs; it may have so many allocations at once.
+func addArray(state *cluster.State, spec wire.Job, maxAllocations int) {
+	spec.ID, spec.Kind, spec.Tasks = "j-1", wire.JobArray, 3
+	job := state.AddJob(spec, 0, 0)
+	job.MaxAllocations, job.AllocationCount = maxAllocations, 1
+}
+
+// freeZones lists the zones of the free machines, one for each.
+func freeZones(state *cluster.State) []string {
+	var zones []string
+	for _, free := range FreeCapacity(state, now) {
+		for range free.Count {
+			zones = append(zones, free.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
