--- a/internal/controller/store_faults_test.go
+++ b/internal/controller/store_faults_test.go
@@ -354,12 +354,13 @@
 
 // Jobs are cancelled, asked for and submitted again at the end of their last task,
 // with no other trouble; the store and the agents take their usual time. Each has one end, and all
-// nodes name it for ever.
+// nodes name it for ever. The leader hears of the end by as much later as agents take.
 func TestCancellationMeetsTheEndOfTheLastTask(t *testing.T) {
+	const agentLatency = 100 * micro.Millisecond
 	runScenario(t, 6, 3, nil, func(sim *simCluster) {
 		sim.waitForRestoredLeader()
 		sim.slowStore(150*micro.Millisecond, 10*micro.Minute)
-		sim.slowAgents(100*micro.Millisecond, 10*micro.Minute)
+		sim.slowAgents(agentLatency, 10*micro.Minute)
 		var jobs []*userJob
 		var wg sync.WaitGroup
 		for i := range 60 {
@@ -372,7 +373,7 @@
 			go func() {
 				defer wg.Done()
 				sim.waitUntil(job.id+" runs", 3*micro.Minute, func() bool { return job.runningTasks() > 0 })
-				time.Sleep(3*time.Second - 300*time.Millisecond + before)
+				time.Sleep(3*time.Second + agentLatency.Duration() - 300*time.Millisecond + before)
 				go job.queryRapidly()
 				job.cancel()
 				job.queryRapidly()
