referral: a leader hands over only if agents look for it at its peers

What callers saw: accepted jobs not served four minutes after the last fault.

Cause: a leader all of whose machines are silent cannot tell dead machines from a network that keeps its agents from it, and handed over in either case, up to twice on each node. Each term begins the proof of expired leases anew, so what the dead machines held of quotas and of the cloud's capacity stayed taken.

Why this works: agents that do not reach the leader go to its peers, which refer them back. A peer that had none since the leader was last reached, says so; if all say so, no agent is there to be reached. With a peer that does not answer, or a heartbeat gap, it hands over as before. The owner of a shard asks the same.

--- a/internal/controller/control_loop.go
+++ b/internal/controller/control_loop.go
@@ -46,6 +46,7 @@
 	lastSchedule     micro.Time
 	scheduleInterval micro.Time // least time between passes, by what the last one took
 	lastStatusLog    micro.Time
+	referralsAsked   bool // the peers are being asked for agents that look for this node
 }
 
 // duties are what a leader's loop and that of a shard's owner do each in its own way. Only
--- a/internal/controller/detector_host.go
+++ b/internal/controller/detector_host.go
@@ -2,7 +2,6 @@
 
 import (
 	"notchmux.dev/notchmux/internal/cluster"
-	"notchmux.dev/notchmux/internal/detector"
 	"notchmux.dev/notchmux/internal/micro"
 )
 
@@ -28,35 +27,3 @@
 func (l *Leader) ShardMachinesKnown(machine *cluster.Machine, now micro.Time) bool {
 	return l.coordinator.MachinesKnown(machine, now)
 }
-
-// HandOver resigns in favour of another node, unless that was tried in vain.
-func (l *Leader) HandOver(now micro.Time) {
-	window := detector.HandoverWindow(l.node.Cfg)
-	handsOver := l.node.handovers.Begin(now, l.cluster.TermStartedAt, window)
-	l.logHandover(handsOver, now)
-	if !handsOver {
-		return
-	}
-	// Two nodes that no agent reached once won elections in turn, until both had
-	// handed over as often as they do, and one stayed: the third never led.
-	l.node.election.DeferCampaign(window)
-	l.resign("no agent reaches this node")
-}
-
-// logHandover says that this node hands over; that it does not, since it did so in vain, is
-// said once a term.
-func (l *Leader) logHandover(handsOver bool, now micro.Time) {
-	if !handsOver && l.staysUnreached {
-		return
-	}
-	l.staysUnreached = !handsOver
-	reason := "others are to be tried"
-	if !handsOver {
-		reason = "the others were tried in vain"
-	}
-	evidence := l.detector.Reachability(now)
-	l.log.Info(
-		"handover", "hands_over", handsOver, "reason", reason, "up", evidence.Up, "suspect", evidence.Suspect,
-		"suspect_before_contact", evidence.SuspectBeforeContact, "since_contact_s", evidence.SinceContact.Seconds(),
-	)
-}
--- /dev/null
+++ b/internal/controller/handover.go
@@ -0,0 +1,102 @@
+package controller
+
+import (
+	"context"
+
+	"notchmux.dev/notchmux/internal/detector"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/referral"
+)
+
+// What a leader, or the owner of a shard, does that no agent seems to reach. Silence alone does
+// not tell a network that keeps its agents from it from machines that are dead. The peers
+// know: agents that do not reach this node come to them, and are referred back to it.
+
+// HandOver resigns in favour of another node, if that may be reached by the agents and was not
+// tried in vain.
+func (l *Leader) HandOver(now micro.Time) {
+	evidence := l.detector.Reachability(now)
+	if evidence.HeartbeatGap {
+		l.handOver(evidence, now) // so many live agents at once do not die
+		return
+	}
+	l.askForReferrals(now, func(answer referral.Answer) { l.considerHandover(evidence, answer) })
+}
+
+// considerHandover hands over if agents look for this node elsewhere.
+func (l *Leader) considerHandover(evidence detector.Reachability, answer referral.Answer) {
+	if !answer.ReferredWithin(evidence.SinceContact) {
+		l.logHandover(false, "no peer was asked for this node", evidence)
+		return
+	}
+	l.handOver(evidence, l.node.Now())
+}
+
+// handOver resigns in favour of another node, unless that was tried in vain.
+func (l *Leader) handOver(evidence detector.Reachability, now micro.Time) {
+	window := detector.HandoverWindow(l.node.Cfg)
+	if !l.node.handovers.Begin(now, l.cluster.TermStartedAt, window) {
+		l.logHandover(false, "the others were tried in vain", evidence)
+		return
+	}
+	l.logHandover(true, "others are to be tried", evidence)
+	// Two nodes that no agent reached once won elections in turn, until both had
+	// handed over as often as they do, and one stayed: the third never led.
+	l.node.election.DeferCampaign(window)
+	l.resign("no agent reaches this node")
+}
+
+// logHandover says that this node hands over; that it does not is said once a term.
+func (l *Leader) logHandover(handsOver bool, reason string, evidence detector.Reachability) {
+	if !handsOver && l.staysUnreached {
+		return
+	}
+	l.staysUnreached = !handsOver
+	l.log.Info(
+		"handover", "hands_over", handsOver, "reason", reason, "up", evidence.Up, "suspect", evidence.Suspect,
+		"suspect_before_contact", evidence.SuspectBeforeContact, "since_contact_s", evidence.SinceContact.Seconds(),
+	)
+}
+
+// HandOver has the leader told that no agent reaches this node, if another may be reached: it
+// moves the shard.
+func (o *ShardOwner) HandOver(now micro.Time) {
+	evidence := o.detector.Reachability(now)
+	if evidence.HeartbeatGap {
+		o.unreachable = true
+		return
+	}
+	o.askForReferrals(now, func(answer referral.Answer) {
+		o.unreachable = answer.ReferredWithin(evidence.SinceContact)
+	})
+}
+
+// askForReferrals asks the peers whether they referred agents to this node, and has the loop go
+// on with their answer, unless an agent has reached the node meanwhile. Only one question is
+// under way at a time.
+func (l *controlLoop) askForReferrals(now micro.Time, then func(referral.Answer)) {
+	if l.referralsAsked {
+		return
+	}
+	l.referralsAsked = true
+	go func() {
+		answer := referral.Ask(context.Background(), l.node.Peers, l.node.peerNames(), l.node.Cfg.Node)
+		l.loop.Post(referralsAnswered{l, answer, now, then})
+	}()
+}
+
+// referralsAnswered brings what the peers know of agents that were referred to this node.
+type referralsAnswered struct {
+	loop    *controlLoop
+	answer  referral.Answer
+	askedAt micro.Time
+	then    func(referral.Answer)
+}
+
+// Apply goes on with the answer.
+func (e referralsAnswered) Apply() {
+	e.loop.referralsAsked = false
+	if e.loop.holdsLease() && e.loop.node.handovers.LastContact() <= e.askedAt {
+		e.then(e.answer)
+	}
+}
--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -63,3 +63,65 @@
 		}
 	}
 }
+
+// All machines die at once, and the work on them takes three quarters of the time within which
+// the users want it served.
+//
+// What happened: every node found only dead machines, and none could tell that from a network
+// that keeps the agents from it. So the lead went round, twice to each node, before one
+// stayed: 50 to 97 s with three to five nodes, in which no term was long enough to prove the
+// leases of the dead machines expired.
+func TestLeadDoesNotGoRoundWhereAllMachinesDied(t *testing.T) {
+	for _, nodes := range []int{3, 4, 5} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			t.Parallel()
+			runScenario(t, 2, nodes, nil, func(sim *simCluster) {
+				const tasksAtOnce = teamMaxCPUs / 4
+				const runTime = servedWithin / 4
+				job := sim.newJob(
+					jobRequest{kind: wire.JobArray, tasks: 3 * tasksAtOnce, cpus: 4, runTime: runTime, team: "team"},
+				).submit()
+				go job.watchUntilFinal()
+				sim.waitUntil("the first tasks run", micro.Minute, func() bool { return job.runningTasks() == tasksAtOnce })
+				term := sim.currentTerm()
+				for _, machine := range sim.liveMachines() {
+					machine.terminate()
+				}
+				sim.waitUntil("the job is done", servedWithin, func() bool { return job.knowledge().done })
+				if sim.currentTerm() != term {
+					sim.t.Error("the lead changed, though agents reach no other node either")
+				}
+			})
+		})
+	}
+}
+
+// The machines of a shard die at once, all others live.
+//
+// What happened: the owner told the leader that no agent reached it, and the leader moved the shard
+// twice, for the same reason: neither asked whether agents looked for the owner elsewhere.
+func TestShardDoesNotGoRoundWhereAllItsMachinesDied(t *testing.T) {
+	runShardScenario(t, 3, 3, func(sim *simCluster) {
+		sim.waitShardOwned("n-2", 2*micro.Minute)
+		const tasks = teamMaxCPUs / 4
+		var services []*userJob
+		for _, team := range []string{"team", "other"} {
+			service := sim.newJob(jobRequest{kind: wire.Service, tasks: tasks, cpus: 4, zone: "b", team: team}).submit()
+			sim.waitRunning(service, tasks)
+			services = append(services, service)
+		}
+		sim.sleep(10 * micro.Second) // what was requested beside is up
+		before, _ := sim.shardRecord()
+		for _, machine := range sim.liveMachines() {
+			if machine.agent.Zone == "b" {
+				machine.terminate()
+			}
+		}
+		for _, service := range services {
+			sim.waitUntil("the tasks run again", servedWithin, func() bool { return service.runningTasks() == tasks })
+		}
+		if after, _ := sim.shardRecord(); after.Record.OwnerChanges != before.Record.OwnerChanges {
+			sim.t.Error("the shard was moved, though agents reach no other node either")
+		}
+	})
+}
--- a/internal/controller/heartbeat_routing.go
+++ b/internal/controller/heartbeat_routing.go
@@ -29,10 +29,11 @@
 
 // heartbeatAsFollower answers a heartbeat that is the leader's to answer, at another node.
 func (n *Node) heartbeatAsFollower(body []byte) httpapi.Reply {
+	leader := n.election.Leader()
+	n.referrals.Record(leader, n.Now())
 	if r, ok := n.proxyHeartbeat(body); ok {
 		return r
 	}
-	leader := n.election.Leader()
 	if leader == "" || leader == n.Cfg.Node || n.leaderUnreachable(leader) {
 		return httpapi.RetryReply(http.StatusServiceUnavailable, 1)
 	}
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -26,6 +26,7 @@
 	"notchmux.dev/notchmux/internal/metrics"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/peer"
+	"notchmux.dev/notchmux/internal/referral"
 	"notchmux.dev/notchmux/internal/shard/ownership"
 	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
@@ -60,6 +61,7 @@
 	leaseProxy  leasekeeper.Proxy
 	formatGate  *formatgate.Gate
 	handovers   detector.Handovers
+	referrals   referral.Log
 
 	jobs      *jobapi.Service
 	peerCalls map[string]peerCallHandler     // by the names of the calls
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -61,6 +61,7 @@
 		peer.LeaseProxy: func(_ context.Context, body []byte) (int, []byte) { return n.handleLeaseProxy(body) },
 		peer.ShardAdmin: func(_ context.Context, body []byte) (int, []byte) { return n.handleAdmin(body) },
 		peer.ShardOwner: func(_ context.Context, body []byte) (int, []byte) { return n.handleShardOwner(body) },
+		peer.Referral:   func(_ context.Context, body []byte) (int, []byte) { return n.referrals.Handle(body, n.Now()) },
 	}
 	for call, handle := range n.jobs.PeerCalls() {
 		calls[call] = func(_ context.Context, body []byte) (int, []byte) { return handle(body) }
--- a/internal/controller/peers_test.go
+++ b/internal/controller/peers_test.go
@@ -43,6 +43,7 @@
 		{peer.AnnounceVersion, garbage, http.StatusBadRequest, http.StatusBadRequest},
 		{peer.LeaseProxy, garbage, http.StatusBadRequest, http.StatusMisdirectedRequest},
 		{peer.ShardAdmin, garbage, http.StatusBadRequest, http.StatusBadRequest},
+		{peer.Referral, garbage, http.StatusBadRequest, http.StatusBadRequest},
 		{"/peer/later", garbage, http.StatusNotFound, http.StatusNotFound},
 	} {
 		for node, want := range map[*Node]int{leader: test.leader, follower: test.follower} {
--- a/internal/controller/shard_node.go
+++ b/internal/controller/shard_node.go
@@ -83,6 +83,7 @@
 	}
 	node := entry.Record.Owner.Node
 	if node != n.Cfg.Node {
+		n.referrals.Record(node, n.Now())
 		if n.activeLeader() == nil && n.proxiesLease(heartbeat) {
 			return leaseProxyReply(heartbeat), true
 		}
--- a/internal/controller/shard_owner_duties.go
+++ b/internal/controller/shard_owner_duties.go
@@ -45,9 +45,6 @@
 	o.reports.urgent = true
 }
 
-// HandOver has the leader told that no agent reaches this node: it moves the shard.
-func (o *ShardOwner) HandOver(micro.Time) { o.unreachable = true }
-
 // How the records of an owner are written.
 
 // Preconditions are that the shard is still owned.
--- a/internal/detector/reachability.go
+++ b/internal/detector/reachability.go
@@ -29,6 +29,7 @@
 	Suspect              int        // machines whose heartbeats are missing
 	SuspectBeforeContact int        // those of them that were suspect when the last agent reached it
 	SinceContact         micro.Time // since an agent last reached this node, or since the term began
+	HeartbeatGap         bool       // heartbeats of all machines at once stopped coming
 }
 
 // Reachability is what the last sweep found.
@@ -36,7 +37,7 @@
 	last := &d.reachability.lastSweep
 	return Reachability{
 		Up: last.up, Suspect: last.suspect, SuspectBeforeContact: last.suspectBeforeContact,
-		SinceContact: now - max(d.handovers.LastContact(), d.cluster.TermStartedAt),
+		SinceContact: now - max(d.handovers.LastContact(), d.cluster.TermStartedAt), HeartbeatGap: last.gapExceeded,
 	}
 }
 
@@ -69,9 +70,10 @@
 // checkReachability hands over to another node if no agent reaches this one: it may
 // be partitioned from them, and their leases run.
 func (d *Detector) checkReachability(summary *heartbeatSummary, now micro.Time) {
-	d.reachability.lastSweep = *summary
 	up, newlySuspect := summary.up, summary.suspect-summary.suspectBeforeContact
 	gapExceeded := d.gap.exceeded(d.heartbeats, up, now, d.config.MaxHeartbeatInterval())
+	summary.gapExceeded = gapExceeded
+	d.reachability.lastSweep = *summary
 	if up > 0 && !gapExceeded && d.reachedForAWhile() {
 		d.handovers.Reset()
 	}
--- a/internal/detector/sweep.go
+++ b/internal/detector/sweep.go
@@ -26,6 +26,8 @@
 	responsesLost int // up, but their agents seem not to receive responses
 
 	suspectBeforeContact int // those of the suspect that were so when the last agent reached this node
+
+	gapExceeded bool // no heartbeat at all came for too long
 }
 
 // zone returns the counts of a zone.
--- a/internal/peer/golden_test.go
+++ b/internal/peer/golden_test.go
@@ -18,6 +18,7 @@
 		{"keep", LeaseProxy, "/peer/keep"},
 		{"share", ShardOwner, "/peer/share"},
 		{"admin", ShardAdmin, "/peer/admin"},
+		{"referral", Referral, "/peer/referral"},
 		{"metrics", Metrics, "/metrics"},
 	} {
 		if c.got != c.want {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -31,6 +31,7 @@
 	LeaseProxy           = "/peer/keep"     // a lease proxy asks the leader, see package leasekeeper
 	ShardOwner           = "/peer/share"    // an owner of shares tells the leader how it fares, see package share
 	ShardAdmin           = "/peer/admin"    // an operator's command on shares
+	Referral             = "/peer/referral" // when an agent was last referred to the caller, see package referral
 	Metrics              = "/metrics"       // latency histograms, for operators
 )
 
