leasekeeper: a fence is an answer, confirmed, so that leases there expire in time

What callers saw: jobs waited 76 s of each term, not 31, for quota and machines that dead machines held, and with handovers beside it were not served within four minutes.

Cause: while a cancelled job's user was told and its tasks were not proven gone, the lease proxies of their zone got no answer. A leader that does not answer learns nothing: it took them to renew leases until the window of an answer from just before its term was over (1.5 leases).

Evidence: TestRandomScenariosWithShardsKeepTheRules: all five proxies isolated from 168 to 364 s with no fault left since 205 s; the last term begins at 286.4 s, its first machine is expired at 362.7 s, 45 + 31 s later.

Why this works: the fence tells a proxy to renew nothing until its next ordinary answer, and the proxy confirms it; from then on no renewal has to be assumed. A confirmation of a fence from before the last ordinary answer is not believed. A version before does as before on either side.

--- a/internal/controller/lease_proxy.go
+++ b/internal/controller/lease_proxy.go
@@ -7,6 +7,7 @@
 
 	"notchmux.dev/notchmux/internal/httpapi"
 	"notchmux.dev/notchmux/internal/leasekeeper"
+	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/peer"
 	"notchmux.dev/notchmux/wire"
 )
@@ -37,9 +38,8 @@
 		body := wire.MustMarshal(n.leaseProxy.Request(sentAt))
 		status, reply, err := n.Peers.Call(ctx, leader, peer.LeaseProxy, body, leasekeeper.ResponseTimeout)
 		answered = err == nil && status != http.StatusMisdirectedRequest // it leads, even if it grants nothing now
-		var timestamp leasekeeper.LeaderTimestamp
-		if err == nil && status == http.StatusOK && wire.Unmarshal(reply, &timestamp) == nil {
-			n.leaseProxy.HandleResponse(sentAt, n.Now(), timestamp)
+		if err == nil {
+			n.handleLeaseProxyReply(ctx, leader, status, reply, sentAt)
 		}
 	}
 	if n.leaseProxy.RenewalWindow > 0 && n.leaseProxy.Disconnected(n.Now()) {
@@ -52,6 +52,30 @@
 	}
 }
 
+// handleLeaseProxyReply takes in the leader's answer to a request that was sent at a time.
+func (n *Node) handleLeaseProxyReply(ctx context.Context, leader string, status int, reply []byte, sentAt micro.Time) {
+	var timestamp leasekeeper.LeaderTimestamp
+	var fence leasekeeper.Fence
+	switch {
+	case status == http.StatusOK && wire.Unmarshal(reply, &timestamp) == nil:
+		n.leaseProxy.HandleResponse(sentAt, n.Now(), timestamp)
+	case status == http.StatusServiceUnavailable && wire.Unmarshal(reply, &fence) == nil:
+		if n.leaseProxy.HandleFence(sentAt) {
+			n.confirmFence(ctx, leader, fence)
+		}
+	}
+}
+
+// confirmFence tells the leader that this node renews no lease. If that does not arrive, the
+// leader fences it again with its next request.
+func (n *Node) confirmFence(ctx context.Context, leader string, fence leasekeeper.Fence) {
+	body := wire.MustMarshal(leasekeeper.FenceConfirmation{Node: n.Cfg.Node, Fence: fence})
+	_, _, err := n.Peers.Call(ctx, leader, peer.LeaseProxyFenced, body, leasekeeper.ResponseTimeout)
+	if err != nil {
+		n.Log.Debug("fence not confirmed", "leader", leader, "err", err)
+	}
+}
+
 // pingPeer reports whether another node answers.
 func (n *Node) pingPeer(ctx context.Context, node string) bool {
 	_, _, err := n.Peers.Call(ctx, node, peer.Ping, nil, peerCallTimeout)
@@ -103,7 +127,7 @@
 	}
 	for _, other := range n.Cfg.Peers {
 		if other.Node == request.Node && l.cancellations.ZoneFenced(other.Zone) {
-			return http.StatusServiceUnavailable, nil
+			return http.StatusServiceUnavailable, wire.MustMarshal(l.renewalBound.Fence(n.Now()))
 		}
 	}
 	timestamp := l.renewalBound.HandleRequest(request, n.Now())
@@ -112,3 +136,18 @@
 	}
 	return http.StatusOK, wire.MustMarshal(timestamp)
 }
+
+// handleFenceConfirmation takes in, while this node leads, that another node's lease proxy keeps
+// to a fence; it gives the HTTP status of the answer.
+func (n *Node) handleFenceConfirmation(body []byte) int {
+	l := n.activeLeader()
+	if l == nil {
+		return http.StatusMisdirectedRequest
+	}
+	var confirmation leasekeeper.FenceConfirmation
+	if wire.Unmarshal(body, &confirmation) != nil {
+		return http.StatusBadRequest
+	}
+	l.renewalBound.HandleConfirmation(confirmation, n.Now())
+	return http.StatusOK
+}
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -59,6 +59,9 @@
 			return n.formatGate.HandleAnnounce(ctx, body), nil
 		},
 		peer.LeaseProxy: func(_ context.Context, body []byte) (int, []byte) { return n.handleLeaseProxy(body) },
+		peer.LeaseProxyFenced: func(_ context.Context, body []byte) (int, []byte) {
+			return n.handleFenceConfirmation(body), nil
+		},
 		peer.ShardAdmin: func(_ context.Context, body []byte) (int, []byte) { return n.handleAdmin(body) },
 		peer.ShardOwner: func(_ context.Context, body []byte) (int, []byte) { return n.handleShardOwner(body) },
 		peer.Referral:   func(_ context.Context, body []byte) (int, []byte) { return n.referrals.Handle(body, n.Now()) },
--- a/internal/controller/peers_test.go
+++ b/internal/controller/peers_test.go
@@ -42,6 +42,7 @@
 		{peer.StoredStatus, "j-000001", http.StatusNotFound, http.StatusNotFound},
 		{peer.AnnounceVersion, garbage, http.StatusBadRequest, http.StatusBadRequest},
 		{peer.LeaseProxy, garbage, http.StatusBadRequest, http.StatusMisdirectedRequest},
+		{peer.LeaseProxyFenced, garbage, http.StatusBadRequest, http.StatusMisdirectedRequest},
 		{peer.ShardAdmin, garbage, http.StatusBadRequest, http.StatusBadRequest},
 		{peer.Referral, garbage, http.StatusBadRequest, http.StatusBadRequest},
 		{"/peer/later", garbage, http.StatusNotFound, http.StatusNotFound},
--- a/internal/controller/unserved_faults_test.go
+++ b/internal/controller/unserved_faults_test.go
@@ -142,3 +142,47 @@
 		}
 	})
 }
+
+// The user of a cancelled job was told while its tasks were on machines of a zone whose nodes were
+// out of the leader's reach; the machines are dead, and hold the team's quota. The nodes are back,
+// and another leader begins.
+//
+// What happened: so that tasks of the cancelled job end in time, the lease proxies of the zone got
+// no answer. The leader then knew nothing of them, and took them to renew leases for as long as an
+// answer of the term before could allow: no lease was proven expired until 76 s of the term had
+// gone.
+//
+// Seen in TestRandomScenariosWithShardsKeepTheRules, seed 4001567: "lease proxy from=connected
+// to=isolated" on five nodes at 168 s, "to=connected" at 364 s, in no partition since 205 s; the
+// last term begins at 286.4 s, and the first machine is expired at 362.7 s.
+func TestLeasesOfAFencedZoneAreProvenExpiredInTime(t *testing.T) {
+	runScenario(t, 50, 4, nil, func(sim *simCluster) {
+		const tasksAtOnce = teamMaxCPUs / 4
+		const runTime = servedWithin / 4
+		cancelled := sim.newJob(jobRequest{kind: wire.Service, tasks: tasksAtOnce, cpus: 4, zone: "a"}).submit()
+		sim.waitRunning(cancelled, tasksAtOnce)
+		live := sim.newJob(jobRequest{kind: wire.Service, tasks: 4, cpus: 1, zone: "b", team: "other"}).submit()
+		sim.waitRunning(live, 4)
+		for sim.leader().zone != "b" {
+			sim.replaceLeader(10 * micro.Second)
+		}
+		sim.sleep(20 * micro.Second)
+		for _, controller := range sim.controllers {
+			if controller.zone == "a" {
+				sim.partitionNode(controller, 45*micro.Second, "peers")
+			}
+		}
+		for _, machine := range cancelled.machines() {
+			machine.terminate()
+		}
+		go cancelled.cancel()
+		sim.waitUntil("the user is told", 45*micro.Second, func() bool { return cancelled.knowledge().aborted })
+		sim.waitUntil("all faults are over", micro.Minute, sim.noActiveFaults)
+		waiting := sim.newJob(
+			jobRequest{kind: wire.JobArray, tasks: 3 * tasksAtOnce, cpus: 4, runTime: runTime},
+		).submit()
+		sim.replaceLeader(5 * micro.Second)
+		go waiting.watchUntilFinal()
+		sim.waitUntil("the waiting job is done", servedWithin, func() bool { return waiting.knowledge().done })
+	})
+}
--- a/internal/leasekeeper/proxy.go
+++ b/internal/leasekeeper/proxy.go
@@ -6,7 +6,9 @@
 // lease. So a proxy asks the leader every second; it may renew leases only after it has been
 // disconnected for a few seconds, and only within a window that begins when it *sent* the
 // last request that was answered in time; and its requests say whether it did. RenewalBound
-// is the leader's side, which bounds until when leases may have been renewed.
+// is the leader's side, which bounds until when leases may have been renewed. Where leases of a
+// zone must not be renewed, the leader answers with a Fence instead: the proxy renews nothing
+// until its next ordinary answer, and confirms that.
 package leasekeeper
 
 import (
@@ -40,9 +42,10 @@
 	Connected State = iota // the leader answers, or this node leads
 	Isolated               // the leader does not answer
 	Renewing               // nor does any node outside the zone: leases are renewed here
+	Fenced                 // the leader has forbidden to renew leases
 )
 
-func (s State) String() string { return [...]string{"connected", "isolated", "renewing"}[s] }
+func (s State) String() string { return [...]string{"connected", "isolated", "renewing", "fenced"}[s] }
 
 // LeaderTimestamp is the leader's answer to a lease proxy, which the next request carries.
 type LeaderTimestamp struct {
@@ -57,6 +60,19 @@
 	RenewedLeases bool            `msgpack:"k"` // a lease was renewed since the request that it answered
 }
 
+// Fence is the leader's answer to a lease proxy that is to renew no lease until its next ordinary
+// answer.
+type Fence struct {
+	Term uint64 `msgpack:"t"`
+	At   int64  `msgpack:"a"` // by the leader's steady clock
+}
+
+// FenceConfirmation tells the leader that a lease proxy keeps to a Fence.
+type FenceConfirmation struct {
+	Node  string `msgpack:"n"`
+	Fence Fence  `msgpack:"f"`
+}
+
 // Proxy is a node's own side. Its methods may be called by any goroutine.
 type Proxy struct {
 	Node          string
@@ -69,6 +85,8 @@
 	lastTimestamp   LeaderTimestamp
 	lastRenewal     micro.Time // when a lease was last renewed; 0: never
 	lastRequest     micro.Time // when the latest request was made
+	fenced          bool       // no lease is renewed until the next answer
+	lastFenced      micro.Time // when the last request was sent that was answered with a fence; 0: none was
 	zonePartitioned bool       // while disconnected, only this zone's nodes answered
 	lastProbe       micro.Time
 }
@@ -96,18 +114,31 @@
 func (p *Proxy) HandleResponse(sent, now micro.Time, timestamp LeaderTimestamp) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now-sent > ResponseTimeout || sent <= p.lastAnswered {
+	if now-sent > ResponseTimeout || sent <= p.lastAnswered || sent <= p.lastFenced {
 		return // the leader counts on answers that came in time
 	}
-	p.lastAnswered, p.lastTimestamp, p.zonePartitioned = sent, timestamp, false
+	p.lastAnswered, p.lastTimestamp, p.zonePartitioned, p.fenced = sent, timestamp, false, false
 	p.transition(Connected)
 }
 
+// HandleFence takes in a fence that answered a request that was sent at a time. It reports
+// whether the fence holds, and so is to be confirmed.
+func (p *Proxy) HandleFence(sent micro.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if sent <= p.lastAnswered || sent <= p.lastFenced {
+		return false // a later request was answered already
+	}
+	p.fenced, p.lastFenced = true, sent
+	p.transition(Fenced)
+	return true
+}
+
 // NoteLeading notes that this node itself holds the leadership lease now.
 func (p *Proxy) NoteLeading(now micro.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastAnswered, p.lastTimestamp, p.zonePartitioned = now, LeaderTimestamp{}, false
+	p.lastAnswered, p.lastTimestamp, p.zonePartitioned, p.fenced = now, LeaderTimestamp{}, false, false
 	p.transition(Connected)
 }
 
@@ -133,6 +164,9 @@
 }
 
 func (p *Proxy) stateAt(now micro.Time) State {
+	if p.fenced {
+		return Fenced
+	}
 	since := now - p.lastAnswered
 	if p.lastAnswered > 0 && since >= renewAfter && since < p.RenewalWindow && p.zonePartitioned &&
 		now-p.lastProbe < probeMaxAge {
--- a/internal/leasekeeper/renewal_bound.go
+++ b/internal/leasekeeper/renewal_bound.go
@@ -23,7 +23,8 @@
 type nodeContact struct {
 	lastAnswer    micro.Time // the latest answer: the node's window may begin with it
 	lastConfirmed micro.Time // the latest answer that surely arrived in time
-	renewedUntil  micro.Time // until when it may have renewed leases, as far as it was connected since
+	renewedUntil  micro.Time // until when it may have renewed leases, as far as it was connected or fenced since
+	fencedAt      micro.Time // when it last confirmed a fence; 0: not since it was last answered
 }
 
 // NewRenewalBound starts a term: answers of earlier terms went out before. Nodes gives the
@@ -71,10 +72,36 @@
 		// What a process did that was not connected in this term is not known.
 		contact.renewedUntil = now
 	}
-	contact.lastAnswer = now
+	contact.lastAnswer, contact.fencedAt = now, 0
 	return LeaderTimestamp{Term: b.term, At: int64(now)}
 }
 
+// Fence is the answer to a request of a node that is to renew no lease.
+func (b *RenewalBound) Fence(now micro.Time) Fence { return Fence{Term: b.term, At: int64(now)} }
+
+// HandleConfirmation takes in that a node keeps to a fence: it renews no lease until its next
+// ordinary answer. A confirmation of a fence from before the last such answer is a late copy.
+func (b *RenewalBound) HandleConfirmation(confirmation FenceConfirmation, now micro.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	contact := b.contacts[confirmation.Node]
+	if contact == nil || confirmation.Fence.Term != b.term || micro.Time(confirmation.Fence.At) <= contact.lastAnswer {
+		return
+	}
+	if contact.fencedAt == 0 {
+		contact.renewedUntil = now // what it did until then is not known
+	}
+	contact.fencedAt = now
+}
+
+// fenced reports whether a node surely renews no lease until it is answered.
+func (c *nodeContact) fenced() bool { return c.fencedAt > 0 }
+
+// reachable reports whether the leader was in contact with a node just now.
+func (c *nodeContact) reachable(now micro.Time) bool {
+	return c.connected(now) || c.fenced() && now < c.fencedAt+renewAfter
+}
+
 // connected reports whether a node surely renews no lease now: it received the answer given
 // at lastConfirmed within ResponseTimeout of its request, renews nothing for renewAfter from
 // that request on, and its next request told whether it had renewed any until then.
@@ -90,7 +117,7 @@
 	var until micro.Time
 	b.eachContact(zone, func(contact *nodeContact) {
 		renewedUntil := contact.renewedUntil
-		if !contact.connected(now) {
+		if !contact.connected(now) && !contact.fenced() {
 			renewedUntil = max(renewedUntil, min(now, contact.lastAnswer+b.window+clockDrift(b.window)))
 		}
 		until = max(until, renewedUntil)
@@ -111,7 +138,7 @@
 	disconnected := now-b.termStart > contactGrace
 	for _, node := range b.zones[zone] {
 		contact := b.contacts[node]
-		if contact.connected(now) {
+		if contact.reachable(now) {
 			return false
 		}
 		disconnected = disconnected || contact.lastConfirmed > 0
@@ -129,6 +156,9 @@
 		limit = now + b.window + clockDrift(b.window) // the leader may become a lease proxy itself
 	}
 	b.eachContact(zone, func(contact *nodeContact) {
+		if contact.fenced() {
+			return
+		}
 		renewableUntil := contact.lastAnswer + b.window + clockDrift(b.window)
 		if contact.connected(now) {
 			renewableUntil = now + b.window + clockDrift(b.window)
--- a/internal/peer/golden_test.go
+++ b/internal/peer/golden_test.go
@@ -16,6 +16,7 @@
 		{"accepted", AcceptedJobsBudgeted, "/peer/accepted"},
 		{"announce", AnnounceVersion, "/peer/announce"},
 		{"keep", LeaseProxy, "/peer/keep"},
+		{"fenced", LeaseProxyFenced, "/peer/fenced"},
 		{"share", ShardOwner, "/peer/share"},
 		{"admin", ShardAdmin, "/peer/admin"},
 		{"referral", Referral, "/peer/referral"},
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -29,6 +29,7 @@
 	AcceptedJobsBudgeted = "/peer/accepted" // the same for status queries, within the answering node's budget for them
 	AnnounceVersion      = "/peer/announce" // this node runs the caller's version; for one that the store refuses
 	LeaseProxy           = "/peer/keep"     // a lease proxy asks the leader, see package leasekeeper
+	LeaseProxyFenced     = "/peer/fenced"   // a lease proxy confirms that it renews no lease
 	ShardOwner           = "/peer/share"    // an owner of shares tells the leader how it fares, see package share
 	ShardAdmin           = "/peer/admin"    // an operator's command on shares
 	Referral             = "/peer/referral" // when an agent was last referred to the caller, see package referral
