--- a/internal/controller/unserved_faults_test.go
+++ b/internal/controller/unserved_faults_test.go
@@ -15,6 +15,19 @@
 // Scenarios with a shard in which accepted jobs were not served for good. The random scenarios
 // found them; docs/incidents has the postmortems.
 
+// runOnDemandShardScenario plays a scenario on three nodes, once n-2 owns a shard of all on-demand
+// machines.
+func runOnDemandShardScenario(t *testing.T, seed uint64, scenario func(sim *simCluster)) {
+	t.Helper()
+	runScenario(t, seed, 3, func(sim *simCluster) {
+		withShard(sim)
+		sim.config.Shards.Declared[0].Selector = shard.Selector{Kind: shard.OnDemandOnly}
+	}, func(sim *simCluster) {
+		sim.waitShardOwned("n-2", 2*micro.Minute)
+		scenario(sim)
+	})
+}
+
 // A spot machine dies, its tasks are placed elsewhere, and a late copy of its heartbeat reaches
 // the next leader, which counts what that shows until it is proven gone. The leader after that
 // knows of the machine by its allocations alone, which hold no type.
@@ -29,11 +42,7 @@
 // gone since 61.8 s and adopted at 85.2 s (reason="not in the records"), no line follows until
 // the end at 446.6 s; the last "leader status" has live=0 known=1.
 func TestMachineKnownByItsAllocationsAloneIsNotLeftToAShard(t *testing.T) {
-	runScenario(t, 47, 3, func(sim *simCluster) {
-		withShard(sim)
-		sim.config.Shards.Declared[0].Selector = shard.Selector{Kind: shard.OnDemandOnly}
-	}, func(sim *simCluster) {
-		sim.waitShardOwned("n-2", 2*micro.Minute)
+	runOnDemandShardScenario(t, 47, func(sim *simCluster) {
 		sim.startRecording()
 		job := sim.newJob(jobRequest{kind: wire.Service, tasks: 1, cpus: 4, spot: true}).submit()
 		sim.waitRunning(job, 1)
@@ -85,11 +94,7 @@
 // owner's "leader status" said "small a ordinary 15, 15 empty", the leader's pending=12 tasks=41,
 // and no task was allocated from 292 to 397 s.
 func TestJobThatCannotUseAShardsFreeMachinesKeepsNoOtherFromThem(t *testing.T) {
-	runScenario(t, 48, 3, func(sim *simCluster) {
-		withShard(sim)
-		sim.config.Shards.Declared[0].Selector = shard.Selector{Kind: shard.OnDemandOnly}
-	}, func(sim *simCluster) {
-		sim.waitShardOwned("n-2", 2*micro.Minute)
+	runOnDemandShardScenario(t, 48, func(sim *simCluster) {
 		waiting := sim.newJob(jobRequest{kind: wire.Service, tasks: 1, cpus: 4, zone: "b"}).submit()
 		sim.waitRunning(waiting, 1)
 		sim.mu.Lock()
@@ -118,11 +123,7 @@
 // "handover hands_over=true up=0 suspect=3", the former with hands_over=false at 221.96 s and
 // hands_over=true on the same node and in the same term at 223.46 s.
 func TestLeaderThatAgentsOfItsShardReachDoesNotHandOver(t *testing.T) {
-	runScenario(t, 49, 3, func(sim *simCluster) {
-		withShard(sim)
-		sim.config.Shards.Declared[0].Selector = shard.Selector{Kind: shard.OnDemandOnly}
-	}, func(sim *simCluster) {
-		sim.waitShardOwned("n-2", 2*micro.Minute)
+	runOnDemandShardScenario(t, 49, func(sim *simCluster) {
 		owner := sim.controllerNamed("n-2")
 		for sim.leader() != owner {
 			sim.replaceLeader(20 * micro.Second)
@@ -260,11 +261,7 @@
 // on-demand one in zone b, and five spread services wait, one for 244 s.
 func TestSpreadServiceHasMachinesRequestedOnlyInTheZoneThatItsShardLacks(t *testing.T) {
 	const tasks = 3
-	runScenario(t, 53, 3, func(sim *simCluster) {
-		withShard(sim)
-		sim.config.Shards.Declared[0].Selector = shard.Selector{Kind: shard.OnDemandOnly}
-	}, func(sim *simCluster) {
-		sim.waitShardOwned("n-2", 2*micro.Minute)
+	runOnDemandShardScenario(t, 53, func(sim *simCluster) {
 		first := sim.newJob(jobRequest{kind: wire.Service, tasks: 4, cpus: 4, zone: "a", team: "other"}).submit()
 		sim.waitRunning(first, 4)
 		first.cancel()
