Tests: a scenario that gives up keeps its logs as well

-sim.log kept the nodes' logs only where the simulation's own T had failed. A row of a table that gives up on the T of its row ended without: the failure of TestCancelledByTheNextLeaderBeforeAnOutage left nothing to read.

--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -66,6 +66,7 @@
 	recording            bool                                            // reports are kept, so that copies can come late
 	newLogger            func(node string) *slog.Logger
 	logs                 *logBuffer
+	gaveUp               bool // the scenario was not played to its end: it failed, perhaps on another T than this one's
 }
 
 const (
@@ -93,7 +94,9 @@
 		// Also after a scenario that gave up: a simulation that goes on would hide why.
 		defer sim.close(stop)
 		go sim.runMachines(ctx)
+		sim.gaveUp = true
 		scenario(sim)
+		sim.gaveUp = false
 	})
 }
 
@@ -108,7 +111,7 @@
 	for _, v := range w.checker.violations {
 		w.t.Error(v)
 	}
-	if w.t.Failed() {
+	if w.gaveUp || w.t.Failed() {
 		w.saveLogs()
 	}
 }
