leasekeeper: a confirmed fence does not bring a user's answer forward

What callers saw: a job cancelled within 1.5 s of a failover was reported aborted at once, with its tasks running; its zone's lease proxies were fenced for 28 s, in which a cut kills all tasks there.

Cause: since RenewalLimit, which decides when a user may be told, took a confirmed fence for proof that no lease is renewed. Proxies confirm fences of other reasons too, as at a term's start.

TestRenewalLimitDoesNotCountOnAFence failed before (0, at least 48 s wanted).

--- a/internal/leasekeeper/renewal_bound.go
+++ b/internal/leasekeeper/renewal_bound.go
@@ -147,7 +147,8 @@
 }
 
 // RenewalLimit is until when a lease proxy of a zone may yet renew a lease, if none is
-// answered from now on; 0: it has none.
+// answered from now on; 0: it has none. A confirmed fence does not shorten it: a fence that ends
+// before the user of a cancelled job is told must not let them be told while its tasks run.
 func (b *RenewalBound) RenewalLimit(zone string, now micro.Time) micro.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -156,9 +157,6 @@
 		limit = now + b.window + clockDrift(b.window) // the leader may become a lease proxy itself
 	}
 	b.eachContact(zone, func(contact *nodeContact) {
-		if contact.fenced() {
-			return
-		}
 		renewableUntil := contact.lastAnswer + b.window + clockDrift(b.window)
 		if contact.connected(now) {
 			renewableUntil = now + b.window + clockDrift(b.window)
