lease proxies: a new term fences nobody before it knows which zones to

What callers saw: a zone cut off within a second of a failover had no leases renewed; its tasks were killed after 30 s and started anew.

Since a fence is an answer that proxies keep to until their next ordinary one, so each failover took their right to renew.

Evidence: proxies log connected to fenced 81 ms after an election with no job cancelled.

Why this works: until the zones are known a proxy gets no answer, and goes by the one it had.

--- a/internal/cancellation/cancellation.go
+++ b/internal/cancellation/cancellation.go
@@ -4,8 +4,8 @@
 //
 // A Manager belongs to one term of leadership. It owns the cancelled jobs whose users are not
 // told yet, those whose users were told while tasks may still run, the users that wait, and the
-// zones that are fenced: their lease proxies get no answer. Only the goroutine of the term's
-// loop may call its methods, but for Cancel and ZoneFenced, which any may.
+// zones that are fenced: their lease proxies must not renew leases. Only the goroutine of the
+// term's loop may call its methods, but for Cancel, FencedZonesKnown and ZoneFenced, which any may.
 package cancellation
 
 import (
@@ -183,7 +183,7 @@
 	delete(m.waiters, job.Spec.ID)
 }
 
-// UpdateFencedZones notes which zones' lease proxies are not answered: where a user was told
+// UpdateFencedZones notes which zones' lease proxies must not renew leases: where a user was told
 // of a job's end, an agent that may still run its tasks must not be kept alive past the time
 // for that.
 func (m *Manager) UpdateFencedZones() {
@@ -204,6 +204,10 @@
 // FenceZones replaces the set of fenced zones; "" stands for a zone that is not known.
 func (m *Manager) FenceZones(zones map[string]bool) { m.fenced.Store(&zones) }
 
+// FencedZonesKnown reports whether the fenced zones were determined in this term. Until then no
+// lease proxy is answered, nor forbidden to renew leases.
+func (m *Manager) FencedZonesKnown() bool { return m.fenced.Load() != nil }
+
 // ZoneFenced reports whether the lease proxies of a zone are not to renew leases.
 func (m *Manager) ZoneFenced(zone string) bool {
 	fenced := m.fenced.Load()
--- a/internal/controller/lease_proxy.go
+++ b/internal/controller/lease_proxy.go
@@ -125,6 +125,9 @@
 	if wire.Unmarshal(body, &request) != nil {
 		return http.StatusBadRequest, nil
 	}
+	if !l.cancellations.FencedZonesKnown() {
+		return http.StatusServiceUnavailable, nil // it goes by the answer that it had of the last leader
+	}
 	for _, other := range n.Cfg.Peers {
 		if other.Node == request.Node && l.cancellations.ZoneFenced(other.Zone) {
 			return http.StatusServiceUnavailable, wire.MustMarshal(l.renewalBound.Fence(n.Now()))
--- a/internal/controller/zone_cut_test.go
+++ b/internal/controller/zone_cut_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"notchmux.dev/notchmux/internal/detector"
+	"notchmux.dev/notchmux/internal/leasekeeper"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/wire"
 )
@@ -198,3 +199,40 @@
 		}
 	}
 }
+
+// Each failover fenced the lease proxies of all zones until their next request: a zone that was
+// cut off within that second had no leases renewed, and lost its tasks.
+func TestZonePartitionedRightAfterAFailoverKeepsItsTasks(t *testing.T) {
+	const cut = 43 * micro.Second // longer than a lease, and within what lease proxies renew
+	const firstMoments = 100 * micro.Millisecond
+	runSeeds(t, 4, 5, func(sim *simCluster) {
+		job := sim.newJob(jobRequest{kind: wire.Service, tasks: 4, cpus: 2, zone: "b"}).submit()
+		sim.waitRunning(job, 4)
+		sim.fillBothZones()
+		sim.failOverOutside("b", func() bool { return sim.now()%leasekeeper.RequestInterval > leasekeeper.RequestInterval-firstMoments })
+		sim.sleep(2 * firstMoments) // lease proxies have asked the new leader once
+		sim.partitionZone("b", cut)
+		sim.sleep(cut - micro.Second)
+		if job.runningTasks() != 4 {
+			sim.t.Errorf("%d of 4 tasks run: their leases were not renewed", job.runningTasks())
+		}
+		sim.waitUntil("the cut is over", 2*micro.Minute, sim.noActiveFaults)
+		sim.sleep(20 * micro.Second)
+		if job.runningTasks() != 4 || job.startCount() != 4 {
+			sim.t.Errorf("%d of 4 tasks run, %d starts", job.runningTasks(), job.startCount())
+		}
+	})
+}
+
+// failOverOutside replaces the leader until one outside a zone begins its term at a wanted time.
+func (w *simCluster) failOverOutside(zone string, wanted func() bool) {
+	w.t.Helper()
+	for range 200 {
+		w.sleep(10*micro.Second + w.randomTime(0, micro.Second)) // lease proxies are in touch with the leader
+		w.replaceLeader(5 * micro.Second)
+		if wanted() && w.leader().zone != zone {
+			return
+		}
+	}
+	w.t.Fatal("no failover at the wanted time")
+}
