peer: the calls for referrals and confirmed fences are served over the network

Simulated nodes call the registry directly.

Evidence: TestEveryPeerCallIsServedOverTheNetwork failed before: 404 for /peer/referral and /peer/fenced, where the node answers 400.

Why this works: both are in the list, and the test sends every call of the registry over a connection.

--- a/internal/controller/peers_test.go
+++ b/internal/controller/peers_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"testing"
 
+	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/peer"
 	"notchmux.dev/notchmux/wire"
 )
@@ -58,3 +59,23 @@
 		t.Errorf("no job found is %q, want %q", out, want)
 	}
 }
+
+// Calls that were added to the registry alone were answered 404 over the network: nodes asked
+// their peers in vain whether agents look for them.
+func TestEveryPeerCallIsServedOverTheNetwork(t *testing.T) {
+	env := newTestCluster(t)
+	node, _ := env.startNode("n-0")
+	waitUntil(t, "leading", func() bool { return node.activeLeader() != nil && node.activeLeader().serving.Load() })
+	client := peer.NewClient(map[string]string{"n-0": env.servePeer(node)})
+	if len(node.peerCalls) == 0 {
+		t.Fatal("no calls")
+	}
+	const garbage = "\xc1"
+	for call := range node.peerCalls {
+		want, _ := node.handlePeerCall(context.Background(), call, []byte(garbage))
+		status, _, err := client.Call(context.Background(), "n-0", call, []byte(garbage), micro.Minute)
+		if err != nil || status != want {
+			t.Errorf("%s: status %d, %v; the node's own answer is %d", call, status, err, want)
+		}
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -107,7 +107,7 @@
 // calls are all calls that a node answers.
 var calls = []string{
 	Status, StatusBatch, Cancel, Submit, StoredStatus, JobAccepted, Ping, AcceptedJobs, AcceptedJobsBudgeted,
-	AnnounceVersion, LeaseProxy, ShardOwner, ShardAdmin,
+	AnnounceVersion, LeaseProxy, LeaseProxyFenced, ShardOwner, ShardAdmin, Referral,
 }
 
 // Serve answers the other nodes on a listener until the context ends.
