eventloop: a call whose queue is full ends at its timeout

What callers saw: a status query, cancellation or heartbeat that found the queue full at its timeout was not answered before the term ended.

Cause: Call waits twice on one timer; where the first wait took its tick the second had none.

Evidence: TestCallEndsAtItsTimeoutWhereTheQueueIsFull failed before for both queues.

Why this works: an event that was not handed over is never answered, so the call ends there.

--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -173,7 +173,9 @@
 	select {
 	case to <- event(reply):
 	case <-l.done:
+		return answer, false
 	case <-timer.C:
+		return answer, false
 	}
 	select {
 	case answer = <-reply.answers:
--- /dev/null
+++ b/internal/eventloop/eventloop_test.go
@@ -0,0 +1,74 @@
+package eventloop
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"notchmux.dev/notchmux/internal/micro"
+)
+
+// nothing is an event without effect.
+type nothing struct{}
+
+func (nothing) Apply() {}
+
+// A call whose queue was full at its timeout waited until the loop ended: its user got no answer
+// for the rest of the term.
+func TestCallEndsAtItsTimeoutWhereTheQueueIsFull(t *testing.T) {
+	for name, queue := range map[string]Queue{"events": Events, "queries": Queries} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				loop := New() // nothing serves it
+				defer loop.Stop()
+				for range cap(loop.events) {
+					loop.events <- nothing{}
+				}
+				for range cap(loop.queries) {
+					loop.queries <- nothing{}
+				}
+				const timeout = 2 * micro.Second
+				returned := make(chan bool, 1)
+				go func() {
+					_, ok := Call(loop, queue, timeout, func(Reply[int]) Event { return nothing{} })
+					returned <- ok
+				}()
+				time.Sleep(timeout.Duration() + time.Millisecond)
+				synctest.Wait()
+				select {
+				case ok := <-returned:
+					if ok {
+						t.Error("answered by nobody")
+					}
+				default:
+					t.Error("waits beyond its timeout")
+				}
+			})
+		})
+	}
+}
+
+// A call that the loop took in and never answers ends at its timeout; one beyond a stop, at once.
+func TestCallEndsAtItsTimeoutOrWithTheLoop(t *testing.T) {
+	for name, stopped := range map[string]bool{"timeout": false, "stopped": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				loop := New()
+				defer loop.Stop()
+				if stopped {
+					loop.Stop()
+				}
+				const timeout = 2 * micro.Second
+				want := timeout.Duration()
+				if stopped {
+					want = 0
+				}
+				from := time.Now()
+				_, ok := Call(loop, Events, timeout, func(Reply[int]) Event { return nothing{} })
+				if took := time.Since(from); ok || took != want {
+					t.Errorf("answered %v after %v, want %v", ok, took, want)
+				}
+			})
+		})
+	}
+}
