store: a change that the read budget holds back costs no writes

What callers saw: a node short of reads ran out of writes as well, and held back submissions and cancellations that the service would have taken.

Cause: a call took its writes, then asked for a read; refused there, the writes were lost.

Why this works: a call takes from both limiters or from neither, under one lock.

--- a/internal/store/budget_test.go
+++ b/internal/store/budget_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
@@ -122,3 +123,33 @@
 	commit()
 	limit(50) // never up
 }
+
+// A change that the read budget refused took its share of the write budget with it: a node short
+// of reads kept its own writes, cancellations included, from the store.
+func TestCallRefusedByOneBudgetTakesNothingFromTheOther(t *testing.T) {
+	const burst = 10
+	for _, c := range []struct {
+		name          string
+		reads, writes float64 // tokens left
+	}{{"no reads left", 0, burst}, {"no writes left", burst, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			var requests atomic.Int32
+			client := newRateLimitedClient(t, &requests)
+			client.reads, client.writes = nonRefillingLimiter(burst), nonRefillingLimiter(burst)
+			client.reads.AllowN(time.Now(), burst-int(c.reads))
+			client.writes.AllowN(time.Now(), burst-int(c.writes))
+			for range 3 {
+				_, err := client.Commit(t.Context(), Urgent, wire.Transaction{Then: make([]wire.Change, 2)})
+				if !errors.Is(err, ErrBudgetExhausted) {
+					t.Fatalf("ended with %v", err)
+				}
+			}
+			if reads, writes := client.reads.Tokens(), client.writes.Tokens(); reads != c.reads || writes != c.writes {
+				t.Errorf("%v reads and %v writes left of %v and %v", reads, writes, c.reads, c.writes)
+			}
+			if n := requests.Load(); n != 0 {
+				t.Errorf("%d requests were sent", n)
+			}
+		})
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -90,6 +90,8 @@
 	readRPS  float64
 	writeRPS float64
 
+	admission sync.Mutex // a call takes from both limiters or from none
+
 	mu                sync.Mutex
 	budgetFractions   [2]float64
 	announcedWriteRPS float64 // changes a second that may come into force; 0: none
@@ -174,10 +176,22 @@
 		limiter.ReserveN(time.Now(), min(n, limiter.Burst()))
 		return true
 	}
-	if limiter.Tokens()-float64(n) < class.ReservedFraction()*float64(limiter.Burst()) {
+	return admissible(limiter, class, n) && limiter.AllowN(time.Now(), min(n, limiter.Burst()))
+}
+
+// admissible reports whether a limiter has n tokens for the class now.
+func admissible(limiter *rate.Limiter, class Class, n int) bool {
+	return limiter.Tokens()-float64(n) >= class.ReservedFraction()*float64(limiter.Burst())
+}
+
+// admit takes a call's tokens from both limiters, or none.
+func (c *Client) admit(class Class, writes int) bool {
+	c.admission.Lock()
+	defer c.admission.Unlock()
+	if class != Leadership && !admissible(c.reads, class, 1) {
 		return false
 	}
-	return limiter.AllowN(time.Now(), min(n, limiter.Burst()))
+	return Admit(c.writes, class, writes) && Admit(c.reads, class, 1)
 }
 
 // call sends one request, if the budget allows it, and decodes the reply into out. It ends
@@ -185,7 +199,7 @@
 func (c *Client) call(
 	ctx context.Context, class Class, writes int, method, path string, body []byte, timeout time.Duration, out any,
 ) error {
-	if !Admit(c.writes, class, writes) || !Admit(c.reads, class, 1) {
+	if !c.admit(class, writes) {
 		return ErrBudgetExhausted
 	}
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
