shard: an owner's status update is cut to what a call between nodes holds

What callers saw: with some 300 jobs of each kind and ids of more than 23 digits the leader answered 400 to each update of the shard's owner; no job of the shard ended or was cancelled for its user.

Cause: updates were bounded by items, calls are by bytes.

--- a/internal/controller/shard_owner_status.go
+++ b/internal/controller/shard_owner_status.go
@@ -42,7 +42,7 @@
 		Node: o.node.Cfg.Node, SessionVersion: o.term.FencingRevision, Term: o.reports.leaderTerm,
 		Shards: []shard.ShardUpdate{o.buildShardUpdate(now)},
 	}
-	body := wire.MustMarshal(update)
+	body := update.Encode()
 	go func() {
 		reply, ok := o.node.deliverStatusUpdate(body)
 		o.loop.Post(statusUpdateAnswered{o, &update.Shards[0], &reply, now, ok})
