cloud: a call ends with its context

What callers saw: an instance request that waited for the rate took up to 10 s in place of 5, and held one of three places meanwhile.

Cause: the client gave the context to its rate limiter only.

Evidence: TestCallEndsWithItsContext failed before, cancelled as well as past its deadline.

Why this works: the caller waits for the answer or the end of its context; the request's goroutine ends at the client's timeout.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -2,6 +2,7 @@
 package cloud
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -66,30 +67,63 @@
 	Error string `msgpack:"error"`
 }
 
+// call makes one call, and decodes a reply of status 200 into response. It ends with the
+// context: ErrUncertain, though the cloud may still carry it out.
 func (c *Client) call(ctx context.Context, method, path string, request, response any) error {
 	if err := c.limiter.Wait(ctx); err != nil {
 		return ErrRateLimited
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(method)
-	req.SetRequestURI(c.baseURL + path)
+	var body []byte
 	if request != nil {
-		req.SetBodyRaw(wire.MustMarshal(request))
+		body = wire.MustMarshal(request)
 	}
-	if err := c.httpClient.DoDeadline(req, resp, time.Now().Add(c.timeout)); err != nil {
-		return fmt.Errorf("%w: %w", ErrUncertain, err)
+	answered := make(chan answer, 1)
+	go func() { answered <- c.exchange(method, path, body) }()
+	select {
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrUncertain, ctx.Err())
+	case got := <-answered:
+		return got.decode(response)
 	}
-	switch resp.StatusCode() {
+}
+
+// answer is what came of a call.
+type answer struct {
+	status int
+	body   []byte
+	err    error // there was none
+}
+
+// exchange sends a request and waits for its answer, at most for the client's timeout.
+func (c *Client) exchange(method, path string, body []byte) answer {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI(c.baseURL + path)
+	if body != nil {
+		request.SetBodyRaw(body)
+	}
+	if err := c.httpClient.DoDeadline(request, response, time.Now().Add(c.timeout)); err != nil {
+		return answer{err: fmt.Errorf("%w: %w", ErrUncertain, err)}
+	}
+	return answer{status: response.StatusCode(), body: bytes.Clone(response.Body())}
+}
+
+// decode decodes a reply of status 200 into response, unless that is nil; other answers are errors.
+func (a answer) decode(response any) error {
+	if a.err != nil {
+		return a.err
+	}
+	switch a.status {
 	case fasthttp.StatusOK:
 		if response == nil {
 			return nil
 		}
-		return wire.Unmarshal(resp.Body(), response)
+		return wire.Unmarshal(a.body, response)
 	case fasthttp.StatusServiceUnavailable:
 		var failure errorResponse
-		if wire.Unmarshal(resp.Body(), &failure) == nil && failure.Error == "no capacity" {
+		if wire.Unmarshal(a.body, &failure) == nil && failure.Error == "no capacity" {
 			return ErrNoCapacity
 		}
 		return ErrUnavailable
@@ -98,7 +132,7 @@
 	case fasthttp.StatusBadRequest:
 		return ErrMalformed
 	}
-	return fmt.Errorf("%w: status %d", ErrUncertain, resp.StatusCode())
+	return fmt.Errorf("%w: status %d", ErrUncertain, a.status)
 }
 
 // Catalog reads the machine types and their current prices.
--- a/internal/cloud/timeout_test.go
+++ b/internal/cloud/timeout_test.go
@@ -1,6 +1,7 @@
 package cloud
 
 import (
+	"context"
 	"errors"
 	"net"
 	"testing"
@@ -39,3 +40,47 @@
 		t.Errorf("%v %v", machines, err)
 	}
 }
+
+// A call went on after its context had ended: an instance request that waited for the rate first
+// held one of three places for up to twice its time.
+func TestCallEndsWithItsContext(t *testing.T) {
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	testDone, received := make(chan struct{}), make(chan struct{}, 2)
+	t.Cleanup(func() { close(testDone) })
+	go func() {
+		_ = fasthttp.Serve(listener, func(*fasthttp.RequestCtx) {
+			received <- struct{}{}
+			<-testDone
+		})
+	}()
+	client := NewClient(listener.Addr().String(), 1e6)
+	client.timeout = time.Hour // the context ends first
+	for name, end := range map[string]func(context.Context) (context.Context, context.CancelFunc){
+		"cancelled": context.WithCancel,
+		"deadline": func(ctx context.Context) (context.Context, context.CancelFunc) {
+			return context.WithTimeout(ctx, 50*time.Millisecond)
+		},
+	} {
+		ctx, cancel := end(t.Context())
+		ended := make(chan error, 1)
+		go func() { _, err := client.List(ctx, ""); ended <- err }()
+		<-received
+		if name == "cancelled" {
+			cancel()
+		}
+		const hung = 30 * time.Second
+		select {
+		case err := <-ended:
+			if !errors.Is(err, ErrUncertain) {
+				t.Errorf("%s: %v", name, err)
+			}
+		case <-time.After(hung):
+			t.Errorf("%s: goes on after its context ended", name)
+		}
+		cancel()
+	}
+}
