eventloop: a stopped loop serves nothing more

A term that had ended went on taking in answers to its calls: select takes any channel that is ready, and a batch was served to its end. Nothing was found that they change in a later term (leases and preconditions guard what leaves the node), but each guard had to hold for that.

TestStoppedLoopAppliesNothingMore failed before: 134 and 138 events applied after the stop.

--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -122,23 +122,33 @@
 	}
 }
 
-// Run serves events and ticks until the loop is stopped.
+// Run serves events and ticks until the loop is stopped; nothing is served after that.
 func (l *Loop) Run(handlers Handlers) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
+	for !l.Stopped() {
 		select {
 		case <-l.done:
 			return
 		case event := <-l.events:
-			event.Apply()
+			l.apply(event)
 			l.drainEvents()
 		case query := <-l.queries:
-			query.Apply()
+			l.apply(query)
 		case <-ticker.C:
 			handlers.Tick(handlers.Now())
 		}
-		handlers.AfterEvents(handlers.Now())
+		if !l.Stopped() {
+			handlers.AfterEvents(handlers.Now())
+		}
+	}
+}
+
+// apply serves an event, unless the loop was stopped meanwhile: where several channels are
+// ready, select takes any.
+func (l *Loop) apply(event Event) {
+	if !l.Stopped() {
+		event.Apply()
 	}
 }
 
@@ -147,7 +157,7 @@
 	for range eventBatchSize {
 		select {
 		case event := <-l.events:
-			event.Apply()
+			l.apply(event)
 		default:
 			return
 		}
--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -72,3 +72,49 @@
 		})
 	}
 }
+
+// counted counts how often it is applied.
+type counted struct{ applied *int }
+
+func (c counted) Apply() { *c.applied++ }
+
+// stopping stops its loop, and has the count begin anew.
+type stopping struct {
+	loop    *Loop
+	applied *int
+}
+
+func (s stopping) Apply() {
+	s.loop.Stop()
+	*s.applied = 0
+}
+
+// Answers to calls of a term that had ended were still taken in, some at random, and the batch
+// that ended it to its last event.
+func TestStoppedLoopAppliesNothingMore(t *testing.T) {
+	for name, byEvent := range map[string]bool{"stopped by others": false, "stopped by an event": true} {
+		t.Run(name, func(t *testing.T) {
+			for range 50 {
+				loop := New()
+				applied := 0
+				stop := stopping{loop, &applied}
+				if byEvent {
+					loop.Post(stop)
+				} else {
+					stop.Apply()
+				}
+				for range 2 * eventBatchSize {
+					loop.events <- counted{&applied}
+					loop.queries <- counted{&applied}
+				}
+				loop.Run(Handlers{
+					Now: micro.Now, Tick: func(micro.Time) {},
+					AfterEvents: func(micro.Time) { applied++ },
+				})
+				if applied > 0 {
+					t.Fatalf("%d events were applied after the stop", applied)
+				}
+			}
+		})
+	}
+}
