devcluster: an interrupt ends it

What callers saw: Ctrl-C was ignored, since nobody closed the listeners.

The listeners are closed when the context ends, those of its agents too, and what a server ended with is reported.

--- a/cmd/devcluster/main.go
+++ b/cmd/devcluster/main.go
@@ -44,16 +44,16 @@
 func main() {
 	var flags cli
 	kong.Parse(&flags, kong.Name("devcluster"))
-	if err := run(flags); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := run(ctx, flags); err != nil {
 		fmt.Fprintln(os.Stderr, "devcluster:", err)
 		os.Exit(1)
 	}
 }
 
-// run emulates the site until it is interrupted; the error tells which address is taken.
-func run(flags cli) error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
+// run emulates the site until the context ends; the error tells which address is taken.
+func run(ctx context.Context, flags cli) error {
 	dev := &devCluster{flags, fake.NewStore(), fake.NewCloud(8, wire.MachineType{
 		Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 40,
 		FetchGBPerS: 1, Price: 0.2, SpotPrice: 0.06, BootS: 2, Zones: []string{"east", "west"},
@@ -66,9 +66,9 @@
 		if err != nil {
 			return err
 		}
-		group.Go(func() error { return fasthttp.Serve(listener, handler) })
+		group.Go(func() error { return serveUntilDone(ctx, listener, handler) })
 	}
-	group.Go(func() error { dev.startAgents(ctx); return context.Canceled })
+	group.Go(func() error { dev.startAgents(ctx); return nil })
 	if flags.LowerAfter > 0 {
 		time.AfterFunc(flags.LowerAfter, func() {
 			dev.store.SetLimits(
@@ -78,8 +78,15 @@
 		})
 	}
 	fmt.Println("state service on", flags.State, "and cloud on", flags.Cloud)
-	_ = group.Wait()
-	return nil
+	return group.Wait()
+}
+
+// serveUntilDone answers requests until the context ends.
+func serveUntilDone(ctx context.Context, listener net.Listener, handler fasthttp.RequestHandler) error {
+	server := &fasthttp.Server{Handler: handler}
+	stop := context.AfterFunc(ctx, func() { _ = server.Shutdown() })
+	defer stop()
+	return server.Serve(listener)
 }
 
 // startAgents starts an agent for each machine that is rented.
@@ -110,7 +117,7 @@
 		addr:  listener.Addr().String(), firstSeen: map[fake.AttemptKey]time.Time{},
 	}
 	agent.agent.Spot, agent.agent.LeaseStart = machine.Spot, micro.Now()
-	go func() { _ = fasthttp.Serve(listener, agent.handleDispatch) }()
+	go func() { _ = serveUntilDone(ctx, listener, agent.handleDispatch) }()
 	for ctx.Err() == nil && b.isRunning(machine.Name) { //nolint:contextcheck // as above
 		body, sent := agent.nextHeartbeat(ctx, b)
 		if commands, ok := b.postHeartbeat(body); ok {
