--- a/cmd/devcluster/main.go
+++ b/cmd/devcluster/main.go
@@ -45,8 +45,9 @@
 	var flags cli
 	kong.Parse(&flags, kong.Name("devcluster"))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	if err := run(ctx, flags); err != nil {
+	err := run(ctx, flags)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "devcluster:", err)
 		os.Exit(1)
 	}
--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -13,35 +13,36 @@
 
 func (nothing) Apply() {}
 
+// fullLoop makes a loop whose queues are full and that nothing serves.
+func fullLoop() *Loop {
+	loop := New()
+	for range cap(loop.events) {
+		loop.events <- nothing{}
+	}
+	for range cap(loop.queries) {
+		loop.queries <- nothing{}
+	}
+	return loop
+}
+
 // A call whose queue was full at its timeout waited until the loop ended: its user got no answer
 // for the rest of the term.
 func TestCallEndsAtItsTimeoutWhereTheQueueIsFull(t *testing.T) {
 	for name, queue := range map[string]Queue{"events": Events, "queries": Queries} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				loop := New() // nothing serves it
+				loop := fullLoop()
 				defer loop.Stop()
-				for range cap(loop.events) {
-					loop.events <- nothing{}
-				}
-				for range cap(loop.queries) {
-					loop.queries <- nothing{}
-				}
 				const timeout = 2 * micro.Second
-				returned := make(chan bool, 1)
+				returned, answered := false, false
 				go func() {
-					_, ok := Call(loop, queue, timeout, func(Reply[int]) Event { return nothing{} })
-					returned <- ok
+					_, answered = Call(loop, queue, timeout, func(Reply[int]) Event { return nothing{} })
+					returned = true
 				}()
 				time.Sleep(timeout.Duration() + time.Millisecond)
 				synctest.Wait()
-				select {
-				case ok := <-returned:
-					if ok {
-						t.Error("answered by nobody")
-					}
-				default:
-					t.Error("waits beyond its timeout")
+				if !returned || answered {
+					t.Errorf("at its timeout: returned %v, answered %v", returned, answered)
 				}
 			})
 		})
@@ -95,26 +96,31 @@
 	for name, byEvent := range map[string]bool{"stopped by others": false, "stopped by an event": true} {
 		t.Run(name, func(t *testing.T) {
 			for range 50 {
-				loop := New()
-				applied := 0
-				stop := stopping{loop, &applied}
-				if byEvent {
-					loop.Post(stop)
-				} else {
-					stop.Apply()
-				}
-				for range 2 * eventBatchSize {
-					loop.events <- counted{&applied}
-					loop.queries <- counted{&applied}
-				}
-				loop.Run(Handlers{
-					Now: micro.Now, Tick: func(micro.Time) {},
-					AfterEvents: func(micro.Time) { applied++ },
-				})
-				if applied > 0 {
+				if applied := appliedAfterStop(byEvent); applied > 0 {
 					t.Fatalf("%d events were applied after the stop", applied)
 				}
 			}
 		})
 	}
 }
+
+// appliedAfterStop runs a loop with full queues that was stopped already, or that its first event
+// stops, and counts what is served after that.
+func appliedAfterStop(byEvent bool) int {
+	loop, applied := New(), 0
+	stop := stopping{loop, &applied}
+	if byEvent {
+		loop.Post(stop)
+	} else {
+		stop.Apply()
+	}
+	for range 2 * eventBatchSize {
+		loop.events <- counted{&applied}
+		loop.queries <- counted{&applied}
+	}
+	loop.Run(Handlers{
+		Now: micro.Now, Tick: func(micro.Time) {},
+		AfterEvents: func(micro.Time) { applied++ },
+	})
+	return applied
+}
