Tests: no data races in the simulation and the writer's tests

go test -race reported six: the share of copied heartbeats, the count of matched commits, the settings of processes to come, a leader's state read beside its loop, a stream's counts, and the clock of a test host. A simulation that races can hide a fault or invent one.

Checks and draws are as they were.

--- a/internal/controller/boot_test.go
+++ b/internal/controller/boot_test.go
@@ -86,7 +86,7 @@
 		leader, _ := sim.waitForRestoredLeader()
 		sim.waitUntil(
 			"the forms of this version in use", micro.Minute,
-			func() bool { return leader.runningNode().activeLeader().cluster.CompactRecords },
+			func() bool { return leader.runningNode().activeLeader().usesCompactRecords() },
 		)
 		long := sim.newJob(jobRequest{kind: wire.JobArray, tasks: 1, cpus: 4, runTime: 3 * micro.Minute}).submit()
 		short := sim.newJob(jobRequest{kind: wire.JobArray, tasks: 1, cpus: 4, runTime: 20 * micro.Second}).submit()
@@ -118,6 +118,18 @@
 	})
 }
 
+// usesCompactRecords asks the loop whether records have the forms of this version.
+func (l *controlLoop) usesCompactRecords() bool {
+	compact := make(chan bool, 1)
+	l.post(func() { compact <- l.cluster.CompactRecords })
+	select {
+	case found := <-compact:
+		return found
+	case <-l.loop.Done():
+		return false
+	}
+}
+
 // anyTerminationRequested reports whether the return of any machine was asked for.
 func (w *simCluster) anyTerminationRequested() bool {
 	for _, machine := range w.liveMachines() {
--- a/internal/controller/fleet_faults_test.go
+++ b/internal/controller/fleet_faults_test.go
@@ -344,6 +344,8 @@
 			by[kind]++
 		}
 		n := float64(len(jobs))
+		mu.Lock() // polls that were under way may still end
+		defer mu.Unlock()
 		sim.t.Logf(
 			"%d jobs: %v changes, %.2f a job in all; %d of %d polls not answered; %d cancelled, the slowest told after %.2f s; %d times over the store's rate",
 			len(jobs),
--- a/internal/controller/shard_faults_test.go
+++ b/internal/controller/shard_faults_test.go
@@ -344,7 +344,7 @@
 // reconfigure restarts all controllers, one after the other, with other settings.
 func (w *simCluster) reconfigure(s *config.Shards) {
 	w.t.Helper()
-	w.config.Shards = s
+	w.setShards(s)
 	for _, controller := range w.controllers {
 		w.restartController(controller, micro.Second)
 		w.sleep(12 * micro.Second)
@@ -372,11 +372,11 @@
 	runShardScenario(t, 43, 3, func(sim *simCluster) {
 		service := sim.startShardWorkload()
 		with := sim.config.Shards
-		sim.config.Shards = nil
+		sim.setShards(nil)
 		leader, _ := sim.waitForRestoredLeader()
 		sim.restartController(leader, micro.Second)
 		sim.sleep(5 * micro.Second)
-		sim.config.Shards = with
+		sim.setShards(with)
 		for range 20 { // whoever else ends, it does not lead
 			sim.sleep(3 * micro.Second)
 			if l := sim.leader(); l == leader && leader.holdsLease() {
--- a/internal/controller/simulation_faults_test.go
+++ b/internal/controller/simulation_faults_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"notchmux.dev/notchmux/internal/fake"
@@ -102,12 +103,11 @@
 ) {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
-	n := 0
+	var count atomic.Int64
 	controller.link.OnCommit(func(t wire.Transaction) fake.CommitFault {
 		for _, c := range t.Then {
 			if strings.HasPrefix(c.Put, prefix) {
-				n++
-				return fate(n, c)
+				return fate(int(count.Add(1)), c)
 			}
 		}
 		return fake.CommitFault{}
@@ -162,6 +162,13 @@
 	w.injectFault(d, set(share, most), set(0, most))
 }
 
+// currentReplayRatio is the share of the heartbeats that are copied now.
+func (w *simCluster) currentReplayRatio() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.replayRatio
+}
+
 // holdDispatch has the network hold up the next dispatched command to a machine, until it is
 // released: long after its sender gave up, and after what was sent later.
 func (h *fakeMachine) holdDispatch() { h.mu.Lock(); h.holdNextDispatch = true; h.mu.Unlock() }
--- a/internal/controller/simulation_machines_test.go
+++ b/internal/controller/simulation_machines_test.go
@@ -233,7 +233,7 @@
 			defer sim.waitAgentLatency()
 			return node.Heartbeat(body)
 		})
-		if sim.randomChance(sim.replayRatio) {
+		if sim.randomChance(sim.currentReplayRatio()) {
 			sim.replayHeartbeat(body)
 		}
 		if h.responsesLost() || sim.isPartitioned(h.agent.Zone, to.zone) {
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -259,9 +259,18 @@
 	return controller
 }
 
+// setShards sets the configuration of shards for processes that start from now on.
+func (w *simCluster) setShards(shards *config.Shards) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.config.Shards = shards
+}
+
 // startController starts a process of the node.
 func (w *simCluster) startController(controller *controllerProcess) {
+	w.mu.Lock()
 	cfg := w.config
+	w.mu.Unlock()
 	cfg.Node, cfg.Zone = controller.name, controller.zone
 	cfg.Peers = nil
 	for _, other := range w.controllers {
--- a/internal/statestore/guards_test.go
+++ b/internal/statestore/guards_test.go
@@ -244,11 +244,12 @@
 // wrong order, the older one would stay.
 func TestKeyIsInOneTransactionAtATime(t *testing.T) {
 	h := newHarness()
-	release := make(chan bool)
-	h.store.commit = func() (uint64, error) { <-release; return 20, nil }
+	sent, release := make(chan bool, 2), make(chan bool)
+	h.store.commit = func() (uint64, error) { sent <- true; <-release; return 20, nil }
 	record := h.entry("run/j-1/0", 11)
 	record.MarkDirty(h.host.now, PriorityHigh)
 	h.Flush(h.host.now)
+	<-sent
 	record.MarkDirty(h.host.now, PriorityHigh)
 	h.host.now += micro.Second // the answer is late: more may go out beside it
 	h.Flush(h.host.now)
