cluster: the wait of work without any place counts in earlier terms too

Evidence: leaders at 64, 111, 157, 200, 231, 280, 313 s; idle work of all sizes begins at 360 s; machines '1, 1 empty' at 85, 177, 271 s. The two new tests failed before (60 s; no request).

Why this works: once a term is 15 s old, and its machines heard, the wait of a job that never had an allocation counts from when it could start. Avoided machines, and all work in longer terms, as before: TestWaitsCountFromTheFailover and the digest of TestDecisionsOnRandomClustersStay are unchanged.

--- a/internal/autoscaler/price.go
+++ b/internal/autoscaler/price.go
@@ -191,7 +191,7 @@
 // had an allocation for maxExpensiveDelay takes what there is.
 func (p *Planner) onlyCostMatters(job *cluster.Job, now micro.Time) bool {
 	return job != nil && job.PriorityLevel >= lowestPriorityLevel && !p.Objectives.AppliesTo(job) &&
-		now-job.WaitingSince <= maxExpensiveDelay
+		p.Cluster.WaitingTime(job, now) <= maxExpensiveDelay
 }
 
 // lowestPriorityLevel is that of best-effort work.
--- a/internal/autoscaler/price_test.go
+++ b/internal/autoscaler/price_test.go
@@ -59,6 +59,24 @@
 	}
 }
 
+// In terms of less than three minutes such work waited for good: each began the count anew.
+func TestLowPriorityWorkThatWaitedInEarlierTermsRequestsExpensiveMachines(t *testing.T) {
+	for _, test := range []struct {
+		termAge micro.Time
+		want    bool
+	}{{cluster.TermSettleTime - micro.Second, false}, {cluster.TermSettleTime + micro.Second, true}} {
+		planner := newExpensiveOfferPlanner()
+		planner.Cluster.TermStartedAt = now - test.termAge
+		job := planner.submitWithPriority("guest", wire.Low)
+		if job.WaitingSince != planner.Cluster.TermStartedAt {
+			t.Fatal("its wait does not count from the failover")
+		}
+		if got := planner.requestsMachines(); got != test.want {
+			t.Errorf("%v s after the failover it requests machines: %v", test.termAge.Seconds(), got)
+		}
+	}
+}
+
 func TestWorkWithAnObjectiveOrHigherPriorityMayRequestExpensiveMachines(t *testing.T) {
 	for _, test := range []struct {
 		class string
--- a/internal/scheduler/relaxation.go
+++ b/internal/scheduler/relaxation.go
@@ -15,9 +15,6 @@
 // until the ordinary rules give way.
 const overdueAfter = micro.Minute
 
-// isOverdue reports whether the ordinary rules give way for a job.
-func isOverdue(job *cluster.Job, now micro.Time) bool { return now-job.WaitingSince >= overdueAfter }
-
 // relaxation says which of the ordinary rules give way.
 type relaxation uint8
 
@@ -28,14 +25,26 @@
 	relaxQuarantine              // machines that are avoided
 )
 
+// relaxableFor says how far the ordinary rules may give way for a job. The wait for avoided machines
+// counts from the failover: those that serve better are heard one by one.
+func (s *Scheduler) relaxableFor(job *cluster.Job, now micro.Time) relaxation {
+	switch {
+	case now-job.WaitingSince >= overdueAfter:
+		return relaxQuarantine
+	case s.Cluster.WaitingTime(job, now) >= overdueAfter:
+		return relaxReservations
+	}
+	return relaxNone
+}
+
 // fallbackMachine chooses a machine for an overdue job's task once nothing was found by the
-// ordinary rules. It looks at all machines: samples may miss the only one with
-// capacity.
-func (s *Scheduler) fallbackMachine(placement *placementRequest) *cluster.Machine {
+// ordinary rules, which give way as far as they may. It looks at all machines: samples may miss
+// the only one with capacity.
+func (s *Scheduler) fallbackMachine(placement *placementRequest, relaxable relaxation) *cluster.Machine {
 	sampling := s.sampling
 	defer func() { s.relaxation, s.sampling = relaxNone, sampling }()
 	s.sampling = false
-	for _, level := range []relaxation{relaxReservations, relaxQuarantine} {
+	for level := relaxReservations; level <= relaxable; level++ {
 		s.relaxation = level
 		if m := s.bestMachine(placement); m != nil {
 			return m
--- a/internal/scheduler/relaxation_test.go
+++ b/internal/scheduler/relaxation_test.go
@@ -315,6 +315,21 @@
 	tc.checkOverdueWait("after a takeover", at-tc.cluster.TermStartedAt)
 }
 
+// Terms of 46 s followed one another for four minutes: no work was ever late, since each began
+// the count anew, and idle arrays waited beside empty GPU machines.
+func TestJobsThatWaitedInEarlierTermsAreOverdueOnceTheMachinesAreHeard(t *testing.T) {
+	const termStart, shortTerm = 10 * micro.Minute, 46 * micro.Second
+	tc := newTestCluster(t)
+	tc.cluster.TermStartedAt = termStart
+	tc.addMachine("gpu-1", "gpu", "a")
+	tc.cluster.EnsureClass("g").LastJob = &wire.Job{GPUs: 4, CPUs: 8, MemoryGB: 64, Priority: wire.High}
+	waiting := tc.submitArray("j-1", 2, 1, termStart-overdueAfter)
+	at, _ := tc.runUntilAllocated(waiting, 2, termStart, nil)
+	if took := at - termStart; took < cluster.TermSettleTime || took > shortTerm {
+		t.Errorf("placed %v s after the term began", took.Seconds())
+	}
+}
+
 // Machines with capacity that a job refuses, as dear or kept for GPU work, were
 // reserved for it as if they had been cleared, and closed to all others.
 func TestRejectedMachinesAreNotReserved(t *testing.T) {
