--- /dev/null
+++ b/internal/controller/went_back_test.go
@@ -0,0 +1,77 @@
+package controller
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"notchmux.dev/notchmux/internal/fake"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/wire"
+)
+
+// holdUpEnds has the store answer none of some writes of ends, and carry them out seconds later.
+func (w *simCluster) holdUpEnds(oneIn int) {
+	for _, controller := range w.controllers {
+		controller.mu.Lock()
+		if controller.link != nil {
+			controller.link.OnCommit(func(transaction wire.Transaction) fake.CommitFault {
+				for _, change := range transaction.Then {
+					if strings.HasSuffix(change.Put, "/end") && w.randomInt(oneIn) == 0 {
+						return fake.CommitFault{Unanswered: true, ExecuteAfter: w.randomTime(0, 6*micro.Second)}
+					}
+				}
+				return fake.CommitFault{}
+			})
+		}
+		controller.mu.Unlock()
+	}
+}
+
+// pollOften asks one node after the other how a job is, until told that it is over.
+func (w *simCluster) pollOften(job *userJob) {
+	for w.ctx.Err() == nil {
+		for _, controller := range w.controllers {
+			job.queryStatus(controller)
+			time.Sleep(w.randomDuration(50*micro.Millisecond, 400*micro.Millisecond))
+		}
+		if knowledge := job.knowledge(); knowledge.done {
+			return
+		}
+	}
+}
+
+// While the store was ten times slower and nodes were restarted, a job was called done and then
+// queued: by a read begun before its end was written, or by a leader whose write of the end was held up.
+func TestJobsThatAreDoneStaySoWhileTheStoreIsSlow(t *testing.T) {
+	runSeeds(t, 6, 3, func(sim *simCluster) {
+		sim.fastBoot = true
+		sim.waitForRestoredLeader()
+		var jobs []*userJob
+		for range 4 {
+			sim.slowStore(sim.randomTime(100*micro.Millisecond, 900*micro.Millisecond), 20*micro.Second)
+			sim.holdUpEnds(2)
+			for range 6 {
+				job := sim.newJob(jobRequest{kind: wire.JobArray, tasks: 2, cpus: 1, runTime: sim.randomTime(micro.Second, 8*micro.Second)})
+				jobs = append(jobs, job)
+				go func() {
+					job.submit()
+					sim.pollOften(job)
+				}()
+			}
+			sim.sleep(15 * micro.Second)
+			sim.replaceLeader(3 * micro.Second)
+		}
+		sim.waitUntil("all are told done", 2*micro.Minute, func() bool {
+			for _, job := range jobs {
+				if !job.knowledge().done {
+					return false
+				}
+			}
+			return true
+		})
+		for _, job := range jobs {
+			sim.pollOften(job) // by each node once more
+		}
+	})
+}
