--- a/internal/scheduler/allocation.go
+++ b/internal/scheduler/allocation.go
@@ -18,13 +18,13 @@
 
 // allocateTasks places a job's independent tasks one by one. Overdue ones take what capacity
 // there is.
-func (s *Scheduler) allocateTasks(job *cluster.Job, relaxable relaxation, now micro.Time) (placed int, noCapacity bool) {
+func (s *Scheduler) allocateTasks(job *cluster.Job, limit relaxation, now micro.Time) (placed int, noCapacity bool) {
 	for {
 		batch := s.nextBatch(job, now)
 		if len(batch) == 0 {
 			return placed, false
 		}
-		count, outcome := s.allocateBatch(job, batch, relaxable, now)
+		count, outcome := s.allocateBatch(job, batch, limit, now)
 		placed += count
 		if outcome != allocatedAll {
 			return placed, outcome == outOfCapacity
@@ -42,13 +42,13 @@
 
 // allocateBatch places tasks until one finds no capacity or none is left of the quota.
 func (s *Scheduler) allocateBatch(
-	job *cluster.Job, batch []int, relaxable relaxation, now micro.Time,
+	job *cluster.Job, batch []int, limit relaxation, now micro.Time,
 ) (placed int, outcome allocationOutcome) {
 	for k, i := range batch {
 		if !withinQuota(job, 1) {
 			return placed, outOfQuota
 		}
-		machine := s.machineForTask(job, batch[k:], relaxable, now)
+		machine := s.machineForTask(job, batch[k:], limit, now)
 		if machine == nil {
 			return placed, outOfCapacity
 		}
@@ -60,13 +60,13 @@
 
 // machineForTask finds a machine for the first of a job's waiting tasks. Where there is none
 // it preempts for them, and gives one only if expensive capacity will do instead.
-func (s *Scheduler) machineForTask(job *cluster.Job, waiting []int, relaxable relaxation, now micro.Time) *cluster.Machine {
+func (s *Scheduler) machineForTask(job *cluster.Job, waiting []int, limit relaxation, now micro.Time) *cluster.Machine {
 	placement := placementRequest{job: job, preferOnDemand: s.prefersOnDemand(job, waiting[0], now), now: now}
 	if machine := s.bestMachine(&placement); machine != nil {
 		return machine
 	}
-	if relaxable > relaxNone {
-		if machine := s.fallbackMachine(&placementRequest{job: job, now: now}, relaxable); machine != nil {
+	if limit > relaxNone {
+		if machine := s.fallbackMachine(&placementRequest{job: job, now: now}, limit); machine != nil {
 			return machine
 		}
 	}
@@ -131,7 +131,7 @@
 }
 
 // allocateGang places all of a gang's tasks or none.
-func (s *Scheduler) allocateGang(job *cluster.Job, relaxable relaxation, now micro.Time) (placed int, noCapacity bool) {
+func (s *Scheduler) allocateGang(job *cluster.Job, limit relaxation, now micro.Time) (placed int, noCapacity bool) {
 	size := len(job.Tasks)
 	if job.AllocationCount > 0 || job.PendingTasks() < size {
 		return 0, false
@@ -145,8 +145,8 @@
 	}
 	zones := s.candidateZones(job)
 	chosen := s.machinesForGang(job, size, zones, relaxNone, now)
-	if chosen == nil && relaxable > relaxNone {
-		chosen = s.machinesForGang(job, size, zones, relaxable, now)
+	if chosen == nil && limit > relaxNone {
+		chosen = s.machinesForGang(job, size, zones, limit, now)
 	}
 	if chosen != nil {
 		attempt := job.GangAttempt + 1
@@ -169,11 +169,11 @@
 
 // machinesForGang chooses machines for n tasks at once, in one of the zones.
 func (s *Scheduler) machinesForGang(
-	job *cluster.Job, count int, zones []string, relaxable relaxation, now micro.Time,
+	job *cluster.Job, count int, zones []string, limit relaxation, now micro.Time,
 ) []*cluster.Machine {
 	for _, zone := range zones {
 		placement := placementRequest{job: job, zone: zone, now: now}
-		if chosen := s.planGang(&placement, count, relaxable); len(chosen) == count {
+		if chosen := s.planGang(&placement, count, limit); len(chosen) == count {
 			return chosen
 		}
 	}
@@ -181,12 +181,12 @@
 }
 
 // planGang plans tasks of a gang one by one, as many as there is capacity for.
-func (s *Scheduler) planGang(placement *placementRequest, count int, relaxable relaxation) []*cluster.Machine {
+func (s *Scheduler) planGang(placement *placementRequest, count int, limit relaxation) []*cluster.Machine {
 	chosen := make([]*cluster.Machine, 0, count)
 	for len(chosen) < count {
 		machine := s.bestMachine(placement)
-		if machine == nil && relaxable > relaxNone {
-			machine = s.fallbackMachine(placement, relaxable)
+		if machine == nil && limit > relaxNone {
+			machine = s.fallbackMachine(placement, limit)
 		}
 		if machine == nil {
 			break
--- a/internal/scheduler/relaxation.go
+++ b/internal/scheduler/relaxation.go
@@ -25,9 +25,9 @@
 	relaxQuarantine              // machines that are avoided
 )
 
-// relaxableFor says how far the ordinary rules may give way for a job. The wait for avoided machines
+// relaxationLimit says how far the ordinary rules may give way for a job. The wait for avoided machines
 // counts from the failover: those that serve better are heard one by one.
-func (s *Scheduler) relaxableFor(job *cluster.Job, now micro.Time) relaxation {
+func (s *Scheduler) relaxationLimit(job *cluster.Job, now micro.Time) relaxation {
 	switch {
 	case now-job.WaitingSince >= overdueAfter:
 		return relaxQuarantine
@@ -40,11 +40,11 @@
 // fallbackMachine chooses a machine for an overdue job's task once nothing was found by the
 // ordinary rules, which give way as far as they may. It looks at all machines: samples may miss
 // the only one with capacity.
-func (s *Scheduler) fallbackMachine(placement *placementRequest, relaxable relaxation) *cluster.Machine {
+func (s *Scheduler) fallbackMachine(placement *placementRequest, limit relaxation) *cluster.Machine {
 	sampling := s.sampling
 	defer func() { s.relaxation, s.sampling = relaxNone, sampling }()
 	s.sampling = false
-	for level := relaxReservations; level <= relaxable; level++ {
+	for level := relaxReservations; level <= limit; level++ {
 		s.relaxation = level
 		if m := s.bestMachine(placement); m != nil {
 			return m
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -85,25 +85,25 @@
 		if s.starved(job, now) {
 			starved = append(starved, job)
 		}
-		relaxable := s.relaxableFor(job, now)
-		if rejected.covers(job, relaxable) && !s.hasReservation(job) {
+		limit := s.relaxationLimit(job, now)
+		if rejected.covers(job, limit) && !s.hasReservation(job) {
 			continue
 		}
-		count, noCapacity := s.allocateJob(job, relaxable, now)
+		count, noCapacity := s.allocateJob(job, limit, now)
 		placed += count
 		if noCapacity {
-			rejected.add(job, relaxable)
+			rejected.add(job, limit)
 		}
 	}
 	return placed, starved
 }
 
 // allocateJob places what it can of a job, and reports whether it lacked capacity.
-func (s *Scheduler) allocateJob(job *cluster.Job, relaxable relaxation, now micro.Time) (placed int, noCapacity bool) {
+func (s *Scheduler) allocateJob(job *cluster.Job, limit relaxation, now micro.Time) (placed int, noCapacity bool) {
 	if job.Spec.Kind == wire.Gang {
-		return s.allocateGang(job, relaxable, now)
+		return s.allocateGang(job, limit, now)
 	}
-	return s.allocateTasks(job, relaxable, now)
+	return s.allocateTasks(job, limit, now)
 }
 
 func schedulesBefore(x, y *queuedJob) bool {
--- a/internal/scheduler/unschedulable.go
+++ b/internal/scheduler/unschedulable.go
@@ -6,11 +6,11 @@
 )
 
 // add notes that a job found no capacity.
-func (u unschedulable) add(job *cluster.Job, relaxable relaxation) {
+func (u unschedulable) add(job *cluster.Job, limit relaxation) {
 	if zonesNarrowedByAllocations(job) || len(job.FailedOn) > 0 {
 		return // it alone may have found no capacity
 	}
-	key, request := unschedulableKeyOf(job, relaxable)
+	key, request := unschedulableKeyOf(job, limit)
 	u[key] = append(u[key], request)
 }
 
@@ -22,7 +22,7 @@
 	types, zone, class string
 	spot, checkpoints  bool
 	gpu                bool
-	relaxable          relaxation
+	limit              relaxation
 	oneZone, spread    bool // a gang of one zone finds no capacity where another does
 	priorityLevel      int
 }
@@ -32,10 +32,10 @@
 	tasks         int
 }
 
-func unschedulableKeyOf(job *cluster.Job, relaxable relaxation) (unschedulableKey, unschedulableRequest) {
+func unschedulableKeyOf(job *cluster.Job, limit relaxation) (unschedulableKey, unschedulableRequest) {
 	spec := &job.Spec
 	key := unschedulableKey{
-		class: spec.Class, spot: spec.Spot, checkpoints: spec.CheckpointIntervalS > 0, gpu: spec.GPUs > 0, relaxable: relaxable,
+		class: spec.Class, spot: spec.Spot, checkpoints: spec.CheckpointIntervalS > 0, gpu: spec.GPUs > 0, limit: limit,
 		oneZone: spec.OneZone, spread: spec.Spread, priorityLevel: job.PriorityLevel,
 	}
 	if spec.Zone != nil {
@@ -58,13 +58,13 @@
 }
 
 // covers reports whether something that asks for no more found no capacity in this pass.
-func (u unschedulable) covers(job *cluster.Job, relaxable relaxation) bool {
+func (u unschedulable) covers(job *cluster.Job, limit relaxation) bool {
 	// Each job of the highest priority is tried by itself: one for which capacity is being
 	// cleared must not keep the next from having capacity cleared too.
 	if len(u) == 0 || job.PriorityLevel == highestPriorityLevel || zonesNarrowedByAllocations(job) {
 		return false
 	}
-	key, request := unschedulableKeyOf(job, relaxable)
+	key, request := unschedulableKeyOf(job, limit)
 	for _, known := range u[key] {
 		if known.cpu <= request.cpu && known.gpu <= request.gpu && known.mem <= request.mem && known.tasks <= request.tasks {
 			return true
