Tests: the report of unserved jobs says which machines each of them may use at all

A job that once had an allocation is no longer assigned to a shard, and its leader requests machines outside shards alone for it: whether any of these are allowed to it was not in the report, nor was why it cannot be assigned. Now each loop tells the job's rules, whether it was ever allocated, the records of its chunks, and the offers that it may use, those in shards apart.

--- a/internal/controller/unserved_test.go
+++ b/internal/controller/unserved_test.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"strings"
 
+	"notchmux.dev/notchmux/internal/autoscaler"
 	"notchmux.dev/notchmux/internal/cluster"
 	"notchmux.dev/notchmux/internal/eventloop"
 	"notchmux.dev/notchmux/internal/keys"
 	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/scheduler"
 	"notchmux.dev/notchmux/internal/shard"
+	"notchmux.dev/notchmux/internal/shard/coordinator"
 	"notchmux.dev/notchmux/internal/store"
 )
 
@@ -16,7 +19,7 @@
 // the shard does, on the machines, and in the store.
 
 // maxDescribedJobs bounds what a failure prints.
-const maxDescribedJobs = 6
+const maxDescribedJobs = 24
 
 // describeUnserved prints all that is known of jobs that were not served.
 func (w *simCluster) describeUnserved(ids []string) {
@@ -67,6 +70,7 @@
 type inspectedLoop struct {
 	name string
 	*controlLoop
+	coordinator *coordinator.Coordinator // nil: an owner's loop, or the leader's without shards
 }
 
 // controlLoops lists the loops that run.
@@ -78,13 +82,13 @@
 			continue
 		}
 		if leader := node.activeLeader(); leader != nil {
-			loops = append(loops, inspectedLoop{controller.name + ", leader", leader.controlLoop})
+			loops = append(loops, inspectedLoop{controller.name + ", leader", leader.controlLoop, leader.coordinator})
 		}
 		if node.shards == nil {
 			continue
 		}
 		if owner, ok := node.shards.Of("east"); ok {
-			loops = append(loops, inspectedLoop{controller.name + ", owner", owner.controlLoop})
+			loops = append(loops, inspectedLoop{controller.name + ", owner", owner.controlLoop, nil})
 		}
 	}
 	return loops
@@ -135,6 +139,7 @@
 	if team := l.cluster.Teams[job.Spec.Team]; team != nil {
 		fmt.Fprintf(text, "; its team uses %g of %g CPUs", team.UsedCPU, team.CPULimit)
 	}
+	fmt.Fprintf(text, "; %s; %s; %s", describeRules(job), describeChunks(job), l.describeOffers(job))
 	for _, allocation := range job.Allocations() {
 		machine := allocation.Machine
 		fmt.Fprintf(
@@ -146,6 +151,67 @@
 	return text.String()
 }
 
+// describeRules says what a job asks of the machines that it may use.
+func describeRules(job *cluster.Job) string {
+	spec, zone := &job.Spec, "any"
+	if spec.Zone != nil {
+		zone = *spec.Zone
+	}
+	types := "any"
+	if spec.Types != nil {
+		types = strings.Join(spec.Types, " ")
+	}
+	return fmt.Sprintf(
+		"each %g CPUs, spot %t, zone %s, spread %t, one zone %t, types %s", spec.CPUs, spec.Spot, zone, spec.Spread,
+		spec.OneZone, types,
+	)
+}
+
+// describeChunks says whether a job may still be assigned to a shard, and what keeps it from that.
+func describeChunks(job *cluster.Job) string {
+	text := &strings.Builder{}
+	fmt.Fprintf(text, "never allocated %t, never dequeued %t", job.NeverAllocated(), job.NeverDequeued())
+	for _, chunk := range job.Chunks {
+		fmt.Fprintf(
+			text, ", record of chunk %d: stored %t, revision %d, version %d in memory, %d stored", chunk.Index,
+			chunk.Stored, chunk.KeyRevision, chunk.MemoryVersion, chunk.StoredVersion,
+		)
+	}
+	return text.String()
+}
+
+// describeOffers lists what the catalog offers that a job may use, and which of that is in a shard.
+func (l inspectedLoop) describeOffers(job *cluster.Job) string {
+	var own, sharded []string
+	for _, offer := range l.allowedOffers(job) {
+		name := fmt.Sprintf("%s in %s, spot %t", offer.Type, offer.Zone, offer.Spot)
+		if l.coordinator == nil || l.coordinator.OwnsOffer(offer) {
+			own = append(own, name)
+		} else {
+			sharded = append(sharded, name)
+		}
+	}
+	if l.coordinator == nil {
+		return fmt.Sprintf("may use %q", own)
+	}
+	return fmt.Sprintf("may use of the leader's own %q, of shards' %q", own, sharded)
+}
+
+// allowedOffers lists what the catalog offers that a job may use.
+func (l inspectedLoop) allowedOffers(job *cluster.Job) []autoscaler.InstanceOffer {
+	var offers []autoscaler.InstanceOffer
+	for _, machineType := range l.cluster.CatalogOrder {
+		for _, zone := range machineType.Zones {
+			for _, spot := range []bool{false, true} {
+				if scheduler.Allowed(&job.Spec, machineType, zone, spot) {
+					offers = append(offers, autoscaler.InstanceOffer{Type: machineType.Name, Zone: zone, Spot: spot})
+				}
+			}
+		}
+	}
+	return offers
+}
+
 // describeOnMachines says where a job's tasks are in truth, and what its user knows.
 func (w *simCluster) describeOnMachines(id string) string {
 	job := &userJob{w, id, nil}
