check, forming: say for which work the shares leave no place

Cause: a selector that names a whole zone leaves a spread service whose zones lie on both sides without a place, one that holds a type for some teams leaves the others' jobs without; nobody said so before the jobs waited.

Change: shard.DivisionWarnings finds such work from offers, selectors and teams. notchmux check prints it as warning lines, exit code 0: it knows zones and teams from the platform facts, and no machine types, so it takes each type that a selector names, and one that none names, as offered everywhere. What it says then holds whatever the catalog is. At forming the leader says it once, from the catalog, beside the shares that exist or are declared: only what would not hold without the new one.

--- a/cmd/notchmux/main.go
+++ b/cmd/notchmux/main.go
@@ -109,6 +109,7 @@
 		len(cfg.Facts.Objectives),
 	)
 	describeShards(cfg.Shards)
+	warnOfDivision(cfg)
 	config.Describe(func(key string, def, least, most float64, help string) {
 		fmt.Printf("%-22s default %g, %g to %g: %s\n", key, def, least, most, help)
 	})
--- /dev/null
+++ b/cmd/notchmux/shard_warnings.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"fmt"
+
+	"notchmux.dev/notchmux/internal/config"
+	"notchmux.dev/notchmux/internal/shard"
+)
+
+// warnOfDivision says for which work the declared shards leave no place. The machine types
+// come from the cloud at run time: the selectors, the zones and the teams of the settings
+// show only a part. The leader says the rest when it forms a shard.
+func warnOfDivision(cfg *config.Config) {
+	if cfg.Shards == nil {
+		return
+	}
+	parts := cfg.Shards.Parts()
+	for _, warning := range shard.DivisionWarnings(
+		shard.PossibleOffers(cfg.Facts.Zones, parts), parts, cfg.TeamNames(),
+	) {
+		fmt.Printf("warning: %s\n", warning)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -193,6 +193,15 @@
 	return nil
 }
 
+// TeamNames lists the teams of the settings.
+func (c *Config) TeamNames() []string {
+	names := make([]string, len(c.Facts.Teams))
+	for i := range c.Facts.Teams {
+		names[i] = c.Facts.Teams[i].Name
+	}
+	return names
+}
+
 // InOtherZone reports whether another node of the settings is in another zone than this one.
 func (c *Config) InOtherZone(node string) bool {
 	for _, other := range c.Peers {
--- a/internal/config/features.go
+++ b/internal/config/features.go
@@ -36,6 +36,15 @@
 	Owner    string // its first owner; "": the controller with the fewest shares
 }
 
+// Parts are the declared shares as far as they decide which work has a place.
+func (s *Shards) Parts() []shard.Part {
+	parts := make([]shard.Part, len(s.Declared))
+	for i, declared := range s.Declared {
+		parts[i] = shard.Part{Name: declared.Name, Selector: declared.Selector, Teams: declared.Teams}
+	}
+	return parts
+}
+
 // MovePolicy moves a share to a controller while its condition holds.
 type MovePolicy struct {
 	Name  string
--- a/internal/shard/coordinator/form.go
+++ b/internal/shard/coordinator/form.go
@@ -41,6 +41,7 @@
 		c.Log.Info(
 			"shard formed", "shard", declared.Name, "selects", declared.Selector.String(), "teams", declared.Teams,
 		)
+		c.warnOfDivision(declared)
 		entry := shard.Entry{Name: declared.Name}
 		record := shard.NewRecord(declared.Selector, declared.Teams, int64(c.Wall()))
 		c.commitShard(declared.Name, entry.Update(record, c.Term.Precondition()))
--- /dev/null
+++ b/internal/shard/coordinator/form_warnings.go
@@ -0,0 +1,64 @@
+package coordinator
+
+import (
+	"slices"
+	"strings"
+
+	"notchmux.dev/notchmux/internal/cluster"
+	"notchmux.dev/notchmux/internal/config"
+	"notchmux.dev/notchmux/internal/shard"
+)
+
+// maxWarningsLogged bounds what one line says of a shard.
+const maxWarningsLogged = 5
+
+// warnOfDivision says for which work a shard that is being formed leaves no place, beside the
+// others that exist or are declared.
+func (c *Coordinator) warnOfDivision(declared config.DeclaredShard) {
+	warnings := c.divisionWarnings(declared)
+	if len(warnings) == 0 {
+		return
+	}
+	told := warnings[:min(len(warnings), maxWarningsLogged)]
+	c.Log.Warn(
+		"shard leaves work without a place", "shard", declared.Name, "selects", declared.Selector.String(), "reason",
+		strings.Join(told, "; "), "warnings", len(warnings),
+	)
+}
+
+// divisionWarnings are those that would not hold without the shard.
+func (c *Coordinator) divisionWarnings(declared config.DeclaredShard) []string {
+	var others []shard.Part
+	c.table().Each(func(entry shard.Entry) bool {
+		others = append(others, shard.Part{Name: entry.Name, Selector: entry.Record.Selector, Teams: entry.Record.Teams})
+		return true
+	})
+	var formed shard.Part
+	for _, part := range c.Config.Shards.Parts() {
+		_, overlaps := c.table().Overlapping(part.Selector) // also where it exists
+		switch {
+		case part.Name == declared.Name:
+			formed = part
+		case !overlaps:
+			others = append(others, part)
+		}
+	}
+	offers, teams := catalogOffers(c.Cluster.CatalogOrder), c.Config.TeamNames()
+	before := shard.DivisionWarnings(offers, others, teams)
+	return slices.DeleteFunc(shard.DivisionWarnings(offers, append(others, formed), teams), func(warning string) bool {
+		return slices.Contains(before, warning)
+	})
+}
+
+// catalogOffers lists what the cloud offers.
+func catalogOffers(catalog []*cluster.MachineType) []shard.Attributes {
+	var offers []shard.Attributes
+	for _, typ := range catalog {
+		for _, zone := range typ.Zones {
+			offers = append(
+				offers, shard.Attributes{Type: typ.Name, Zone: zone}, shard.Attributes{Type: typ.Name, Zone: zone, Spot: true},
+			)
+		}
+	}
+	return offers
+}
--- /dev/null
+++ b/internal/shard/coordinator/form_warnings_test.go
@@ -0,0 +1,49 @@
+package coordinator
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"notchmux.dev/notchmux/internal/config"
+	"notchmux.dev/notchmux/internal/shard"
+	"notchmux.dev/notchmux/wire"
+)
+
+// setZones has all types of the catalog offered in zones.
+func (test *testCoordinator) setZones(zones ...string) {
+	test.Cluster.SetCatalog(&wire.Catalog{Types: []wire.MachineType{
+		{Name: "m", CPUs: 16, MemoryGB: 64, Zones: zones}, {Name: "g", CPUs: 16, MemoryGB: 64, GPUs: 4, Zones: zones},
+	}})
+}
+
+// The shard "east" has all of zone b.
+func TestFormingAShardTellsOfTheWorkThatItLeavesWithoutAPlace(t *testing.T) {
+	for name, c := range map[string]struct {
+		zones    string
+		declared []shard.Selector
+		want     string // "": nothing is told
+	}{
+		"the rest of two zones":         {"ab", []shard.Selector{{Zone: "a"}}, "hold every offer"},
+		"a second zone of four":         {"abcd", []shard.Selector{{Zone: "a"}}, "zone a lies in share s-0, zone c, d outside"},
+		"no more than the shard before": {"abcd", []shard.Selector{{Type: "g", Zone: "a"}}, ""},
+		"with another that is declared": {"ab", []shard.Selector{{Type: "g", Zone: "a"}, {Type: "m", Zone: "a"}}, "every offer"},
+	} {
+		test := newTestCoordinator(t)
+		test.setZones(strings.Split(c.zones, "")...)
+		for i, selector := range c.declared {
+			declared := config.DeclaredShard{Name: []string{"s-0", "s-1"}[i], Selector: selector}
+			test.Config.Shards.Declared = append(test.Config.Shards.Declared, declared)
+		}
+		var out bytes.Buffer
+		test.Log = slog.New(slog.NewTextHandler(&out, nil))
+		test.marker.SetVersion(1)
+		test.Cluster.CompactRecords = true
+		test.formDeclaredShards()
+		lines := strings.Count(out.String(), "shard leaves work without a place")
+		if c.want == "" && lines > 0 || c.want != "" && (lines != len(c.declared) || !strings.Contains(out.String(), c.want)) {
+			t.Errorf("%s: %s", name, out.String())
+		}
+	}
+}
