coordinator, metrics: gauge unserved_jobs counts the jobs that no side may serve

Cause: a job for which all offers that it may use lie in shards, and that cannot be assigned to any of them as a whole, waited with "insufficient resources" like one for which machines are on their way.

Change: DividedCatalog.ServingSideOf, a pure function of job, catalog and shard table, says how many offers the leader and each shard have for a job, which sides may serve it, and why none may. It goes by scheduler.Allowed and, for a spread service, by zones; whether a shard takes a job at all is mayBeAssigned, in one place. The leader looks at 300 waiting jobs a second at the most; once all were looked at, the gauge unserved_jobs of the metrics page has their count. Only a leader with shards has the gauge; it goes with the term.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -29,6 +29,7 @@
 	staysUnreached bool                     // it was said that no agent reaches this node and it stays
 	recovered      bool                     // the failover has read everything
 	coordinator    *coordinator.Coordinator // the leader's part in shards; nil: the feature is off
+	servingReview  *coordinator.ServingReview
 }
 
 // newLeader makes the loop of a term of leadership.
@@ -50,6 +51,7 @@
 		}
 	}
 	l.coordinator = newCoordinator(l)
+	l.servingReview = coordinator.NewServingReview(l.coordinator)
 	l.cancellations = newCancellations(l)
 	l.provisioner = newProvisioner(l)
 	l.failover = newFailover(l)
@@ -69,6 +71,7 @@
 		"failover complete", "jobs", len(l.cluster.Jobs), "machines", len(l.cluster.Machines), "took_ms",
 		int64((l.node.Now()-from)/micro.Millisecond),
 	)
+	defer l.node.Metrics.RemoveGauge(unservedJobs)
 	go l.intake.WatchSubmissions(ctx, rev)
 	go l.intake.RunLookups(ctx)
 	go l.provisioner.PollInventory(ctx)
@@ -98,6 +101,7 @@
 	if l.provisioner.PlanIfDue(now) {
 		l.schedulePending = true // backoffs and reservations run out
 		l.reviewPendingJobs(now)
+		l.reviewServingSides(now)
 	}
 	l.records.Images.WriteIfDue(now)
 	l.prune(l.records.PruneIfDue(now))
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 
@@ -12,16 +14,19 @@
 	"notchmux.dev/notchmux/internal/micro"
 )
 
-// Set is a set of named histograms and counters.
+// Set is a set of named histograms, counters and gauges.
 type Set struct {
 	mu         sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram
 	counters   map[string]int64
+	gauges     map[string]int64
 }
 
 // New makes an empty set.
 func New() *Set {
-	return &Set{histograms: map[string]*hdrhistogram.Histogram{}, counters: map[string]int64{}}
+	return &Set{
+		histograms: map[string]*hdrhistogram.Histogram{}, counters: map[string]int64{}, gauges: map[string]int64{},
+	}
 }
 
 // Observe takes in a latency.
@@ -43,6 +48,20 @@
 	s.mu.Unlock()
 }
 
+// SetGauge notes the value that a quantity has now.
+func (s *Set) SetGauge(name string, value int64) {
+	s.mu.Lock()
+	s.gauges[name] = value
+	s.mu.Unlock()
+}
+
+// RemoveGauge takes out a quantity that this node no longer knows.
+func (s *Set) RemoveGauge(name string) {
+	s.mu.Lock()
+	delete(s.gauges, name)
+	s.mu.Unlock()
+}
+
 // Write prints all, a line each.
 func (s *Set) Write(w io.Writer) {
 	s.mu.Lock()
@@ -59,12 +78,13 @@
 			histogram.ValueAtQuantile(99), histogram.Max(),
 		)
 	}
-	names = names[:0]
-	for name := range s.counters {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
-		_, _ = fmt.Fprintf(w, "%s %d\n", name, s.counters[name])
+	writeValues(w, s.counters)
+	writeValues(w, s.gauges)
+}
+
+// writeValues prints counters or gauges, in the order of their names.
+func writeValues(w io.Writer, values map[string]int64) {
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		_, _ = fmt.Fprintf(w, "%s %d\n", name, values[name])
 	}
 }
--- a/internal/shard/coordinator/form_warnings.go
+++ b/internal/shard/coordinator/form_warnings.go
@@ -53,12 +53,20 @@
 // catalogOffers lists what the cloud offers.
 func catalogOffers(catalog []*cluster.MachineType) []shard.Attributes {
 	var offers []shard.Attributes
-	for _, typ := range catalog {
-		for _, zone := range typ.Zones {
-			offers = append(
-				offers, shard.Attributes{Type: typ.Name, Zone: zone}, shard.Attributes{Type: typ.Name, Zone: zone, Spot: true},
-			)
-		}
+	for _, machineType := range catalog {
+		offers = append(offers, typeOffers(machineType)...)
+	}
+	return offers
+}
+
+// typeOffers lists what the cloud offers of a type.
+func typeOffers(machineType *cluster.MachineType) []shard.Attributes {
+	var offers []shard.Attributes
+	for _, zone := range machineType.Zones {
+		onDemand := shard.Attributes{Type: machineType.Name, Zone: zone}
+		spot := onDemand
+		spot.Spot = true
+		offers = append(offers, onDemand, spot)
 	}
 	return offers
 }
--- /dev/null
+++ b/internal/shard/coordinator/serving_review.go
@@ -0,0 +1,74 @@
+package coordinator
+
+import (
+	"notchmux.dev/notchmux/internal/cluster"
+	"notchmux.dev/notchmux/internal/micro"
+)
+
+const (
+	// servingReviewInterval is the least time between the parts of a review.
+	servingReviewInterval = micro.Second
+	// maxReviewedJobs is how many jobs a part looks at: with more, a review takes several.
+	maxReviewedJobs = 300
+)
+
+// ServingReview counts the waiting jobs that no side may serve. The goroutine of the leader's
+// loop owns it.
+type ServingReview struct {
+	coordinator *Coordinator
+	reviewedAt  micro.Time
+	remaining   []*cluster.Job // jobs that the review under way has not looked at
+	unserved    int            // jobs that it has found
+}
+
+// NewServingReview makes a review of the jobs that wait at the leader. A nil Coordinator has none.
+func NewServingReview(c *Coordinator) *ServingReview {
+	if c == nil {
+		return nil
+	}
+	return &ServingReview{coordinator: c}
+}
+
+// Advance looks at some more jobs if it is time to. Once all were looked at, it says how many
+// no side may serve; the next call begins anew. A nil ServingReview does nothing.
+func (r *ServingReview) Advance(now micro.Time) (unserved int, complete bool) {
+	if r == nil || now-r.reviewedAt < servingReviewInterval {
+		return 0, false
+	}
+	r.reviewedAt = now
+	if len(r.remaining) == 0 {
+		r.unserved = 0
+		r.remaining = r.coordinator.pendingJobs()
+	}
+	catalog := r.coordinator.dividedCatalog()
+	if catalog == nil {
+		r.remaining = nil
+		return 0, true
+	}
+	part := r.remaining[:min(len(r.remaining), maxReviewedJobs)]
+	r.remaining = r.remaining[len(part):]
+	for _, job := range part {
+		if job.PendingTasks() > 0 && !catalog.Served(job) {
+			r.unserved++
+		}
+	}
+	return r.unserved, len(r.remaining) == 0
+}
+
+// dividedCatalog is the catalog by shards; nil where there is nothing to tell: no shard, or no
+// catalog yet.
+func (c *Coordinator) dividedCatalog() *DividedCatalog {
+	if c.table().Len() == 0 || len(c.Cluster.CatalogOrder) == 0 {
+		return nil
+	}
+	return DivideCatalog(c.Cluster.CatalogOrder, c.table())
+}
+
+// pendingJobs lists the jobs that wait at the leader.
+func (c *Coordinator) pendingJobs() []*cluster.Job {
+	jobs := make([]*cluster.Job, 0, len(c.Cluster.PendingJobs))
+	for job := range c.Cluster.PendingJobs {
+		jobs = append(jobs, job)
+	}
+	return jobs
+}
--- /dev/null
+++ b/internal/shard/coordinator/serving_review_test.go
@@ -0,0 +1,65 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+
+	"notchmux.dev/notchmux/internal/cluster"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/shard"
+	"notchmux.dev/notchmux/wire"
+)
+
+// The shard "east" has all of zone b.
+func TestReviewCountsTheJobsThatNoSideMayServe(t *testing.T) {
+	test := newTestCoordinator(t)
+	test.setZones("a", "b")
+	const unserved = 2*maxReviewedJobs + 1
+	for i := range unserved {
+		test.addJob(fmt.Sprint("j-", i), wire.Job{Tasks: 2, CPUs: 1, Spread: true})
+	}
+	test.addJob("served", wire.Job{Tasks: 2, CPUs: 1})
+	review := NewServingReview(test.Coordinator)
+	for range 2 {
+		if _, complete := review.Advance(test.at); complete {
+			t.Fatal("complete too soon")
+		}
+		if review.Advance(test.at + micro.Millisecond); review.reviewedAt != test.at {
+			t.Fatal("reviewed again at once")
+		}
+		test.at += servingReviewInterval
+	}
+	if count, complete := review.Advance(test.at); !complete || count != unserved {
+		t.Fatalf("%d counted, complete %v, want %d", count, complete, unserved)
+	}
+	if _, complete := NewServingReview(nil).Advance(test.at); complete {
+		t.Error("a controller without the feature has a count")
+	}
+}
+
+// A part of a review: as many jobs as it looks at, 24 types in 6 zones, and 8 shards.
+func BenchmarkServingReview(b *testing.B) {
+	state, catalog, entries := cluster.New(noEffects{}), &wire.Catalog{}, []shard.Entry{}
+	for i := range 24 {
+		name, zones := fmt.Sprint("t", i), []string{"a", "b", "c", "d", "e", "f"}
+		catalog.Types = append(catalog.Types, wire.MachineType{Name: name, CPUs: 16, MemoryGB: 64, Zones: zones})
+		if i < 8 {
+			entries = append(entries, shardOf(name, shard.Selector{Type: name}))
+		}
+	}
+	state.SetCatalog(catalog)
+	for i := range maxReviewedJobs {
+		state.AddJob(wire.Job{ID: fmt.Sprint("j-", i), Kind: wire.Service, Tasks: 40, Spread: i%2 == 0, Spot: true}, 0, 0)
+	}
+	for name, types := range map[string][]string{"all served": nil, "none served": {"t0"}} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				divided := DivideCatalog(state.CatalogOrder, tableOf(entries...))
+				for job := range state.PendingJobs {
+					job.Spec.Types, job.AllocationCount = types, 1
+					divided.Served(job)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/shard/coordinator/serving_side.go
@@ -0,0 +1,229 @@
+package coordinator
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"notchmux.dev/notchmux/internal/cluster"
+	"notchmux.dev/notchmux/internal/scheduler"
+	"notchmux.dev/notchmux/internal/shard"
+)
+
+// A job is served as a whole, by the leader on machines in no shard or by the owner of one
+// shard. Which of these sides may serve it follows from what the cloud offers, not from the
+// machines that there are.
+
+// DividedCatalog is what the cloud offers, by the shard that machines of an offer are in.
+type DividedCatalog struct {
+	offers []catalogOffer
+	shards []shard.Entry // in the order of their names
+}
+
+// catalogOffer is a type in a zone, spot or on-demand.
+type catalogOffer struct {
+	machineType *cluster.MachineType
+	zone        string
+	spot        bool
+	shard       int // index of the shard; leaderSide: in none
+}
+
+// leaderSide stands for the leader among the sides; it comes before the shards.
+const leaderSide = -1
+
+// DivideCatalog divides a catalog by the shards.
+func DivideCatalog(types []*cluster.MachineType, table shard.Snapshot) *DividedCatalog {
+	catalog := &DividedCatalog{}
+	table.Each(func(entry shard.Entry) bool {
+		catalog.shards = append(catalog.shards, entry)
+		return true
+	})
+	for _, machineType := range types {
+		for _, attributes := range typeOffers(machineType) {
+			selects := func(entry shard.Entry) bool { return entry.Record.Selector.Matches(attributes) }
+			catalog.offers = append(catalog.offers, catalogOffer{
+				machineType: machineType, zone: attributes.Zone, spot: attributes.Spot,
+				shard: slices.IndexFunc(catalog.shards, selects),
+			})
+		}
+	}
+	// The leader's first: it may serve most jobs.
+	slices.SortStableFunc(catalog.offers, func(a, b catalogOffer) int { return cmp.Compare(a.shard, b.shard) })
+	return catalog
+}
+
+// ServingSide says which sides have offers that a job may use, and which may serve it.
+type ServingSide struct {
+	LeaderOffers int
+	ShardOffers  map[string]int // of shards that have any
+	ServedBy     []string       // sides that may serve it as a whole, in words
+	Reason       string         // why none may; "": one may
+}
+
+// String says which sides may serve the job, or why none may.
+func (s ServingSide) String() string {
+	if len(s.ServedBy) == 0 {
+		return "none: " + s.Reason
+	}
+	return strings.Join(s.ServedBy, ", ")
+}
+
+// ServingSideOf says which sides may serve a job: those with an offer that it may use, for a
+// spread service in two zones. A shard's owner gets only what may be assigned to the shard.
+func (c *DividedCatalog) ServingSideOf(job *cluster.Job) ServingSide {
+	sides := c.sidesOf(job)
+	side := ServingSide{LeaderOffers: sides.leader.offers, ShardOffers: map[string]int{}}
+	if sides.leader.serves(job) {
+		side.ServedBy = append(side.ServedBy, leaderName)
+	}
+	var refusals []string
+	for i, entry := range c.shards {
+		if sides.shards[i].offers == 0 {
+			continue
+		}
+		side.ShardOffers[entry.Name] = sides.shards[i].offers
+		if refusal := refusalOf(job, entry, &sides.shards[i]); refusal != "" {
+			refusals = append(refusals, refusal)
+		} else {
+			side.ServedBy = append(side.ServedBy, "shard "+entry.Name)
+		}
+	}
+	if len(side.ServedBy) == 0 {
+		side.Reason = c.unservedReason(job, sides, refusals)
+	}
+	return side
+}
+
+// leaderName is the leader in lists of sides.
+const leaderName = "the leader"
+
+// jobSides are what a job may use, by sides.
+type jobSides struct {
+	leader jobSide
+	shards []jobSide // as the catalog's shards
+}
+
+// jobSide is what a job may use on one side.
+type jobSide struct {
+	offers int
+	zones  []string
+}
+
+// Served reports whether some side may serve a job. It looks at no more offers than it takes.
+func (c *DividedCatalog) Served(job *cluster.Job) bool {
+	sides := &jobSides{shards: make([]jobSide, len(c.shards))}
+	for i := range c.offers {
+		offer := &c.offers[i]
+		side := sides.add(job, offer)
+		if side == nil || !side.serves(job) {
+			continue
+		}
+		if offer.shard == leaderSide || acceptsTeam(job, c.shards[offer.shard]) && mayBeAssigned(job) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *DividedCatalog) sidesOf(job *cluster.Job) *jobSides {
+	sides := &jobSides{shards: make([]jobSide, len(c.shards))}
+	for i := range c.offers {
+		sides.add(job, &c.offers[i])
+	}
+	return sides
+}
+
+// add counts an offer and returns its side; nil: the job may not use it.
+func (s *jobSides) add(job *cluster.Job, offer *catalogOffer) *jobSide {
+	if !scheduler.Allowed(&job.Spec, offer.machineType, offer.zone, offer.spot) {
+		return nil
+	}
+	side := &s.leader
+	if offer.shard != leaderSide {
+		side = &s.shards[offer.shard]
+	}
+	side.offers++
+	if !slices.Contains(side.zones, offer.zone) {
+		side.zones = append(side.zones, offer.zone)
+	}
+	return side
+}
+
+// serves reports whether a side has what all of a job's tasks need together.
+func (s *jobSide) serves(job *cluster.Job) bool { return len(s.zones) >= zonesNeeded(job) }
+
+// zonesNeeded is in how many zones a job needs offers: at most half of a spread service's
+// tasks, rounded up, may be in one.
+func zonesNeeded(job *cluster.Job) int {
+	if job.Spec.Spread && len(job.Tasks) > 1 {
+		return 2
+	}
+	return 1
+}
+
+// mayBeAssigned reports whether a waiting job may be assigned to a shard at all.
+func mayBeAssigned(job *cluster.Job) bool { return job.NeverAllocated() }
+
+// acceptsTeam reports whether a shard takes jobs of a job's team.
+func acceptsTeam(job *cluster.Job, entry shard.Entry) bool {
+	return len(entry.Record.Teams) == 0 || slices.Contains(entry.Record.Teams, job.Spec.Team)
+}
+
+// refusalOf says why a shard with offers for a job cannot serve it; "": it can.
+func refusalOf(job *cluster.Job, entry shard.Entry, side *jobSide) string {
+	switch {
+	case !acceptsTeam(job, entry):
+		return fmt.Sprintf("shard %s takes jobs of team %s only", entry.Name, strings.Join(entry.Record.Teams, ", "))
+	case !side.serves(job):
+		return fmt.Sprintf("shard %s holds zone %s only", entry.Name, strings.Join(side.zones, ", "))
+	case !mayBeAssigned(job):
+		return fmt.Sprintf("a task of it had an allocation, so it is not assigned to shard %s", entry.Name)
+	}
+	return ""
+}
+
+// unservedReason says why no side may serve a job.
+func (c *DividedCatalog) unservedReason(job *cluster.Job, sides *jobSides, refusals []string) string {
+	names, held := c.holders(sides)
+	zones, most := sides.zones()
+	switch {
+	case len(zones) == 0:
+		return "the cloud has no offer for it"
+	case len(zones) < zonesNeeded(job):
+		return fmt.Sprintf("only zone %s has offers for it, and a spread service needs two", zones[0])
+	case most < zonesNeeded(job) && sides.leader.offers == 0:
+		return fmt.Sprintf("zones in several shards: %s; a spread service is not split", held)
+	case most < zonesNeeded(job):
+		return fmt.Sprintf("zones on both sides: %s; a spread service is not split", held)
+	case sides.leader.offers == 0:
+		return fmt.Sprintf("only shard %s has offers for it: %s", names, strings.Join(refusals, ", "))
+	}
+	return fmt.Sprintf(
+		"the leader has offers in zone %s only: %s", strings.Join(sides.leader.zones, ", "), strings.Join(refusals, ", "),
+	)
+}
+
+// holders names the shards that have offers for a job, and says in which zones.
+func (c *DividedCatalog) holders(sides *jobSides) (names, held string) {
+	var shardNames, descriptions []string
+	for i, entry := range c.shards {
+		if side := sides.shards[i]; side.offers > 0 {
+			shardNames = append(shardNames, entry.Name)
+			descriptions = append(
+				descriptions, fmt.Sprintf("shard %s holds zone %s", entry.Name, strings.Join(side.zones, ", ")),
+			)
+		}
+	}
+	return strings.Join(shardNames, ", "), strings.Join(descriptions, ", ")
+}
+
+// zones lists the zones of all sides, and says how many the side has that has most.
+func (s *jobSides) zones() (all []string, most int) {
+	all, most = slices.Clone(s.leader.zones), len(s.leader.zones)
+	for _, side := range s.shards {
+		all, most = append(all, side.zones...), max(most, len(side.zones))
+	}
+	slices.Sort(all)
+	return slices.Compact(all), most
+}
--- /dev/null
+++ b/internal/shard/coordinator/serving_side_test.go
@@ -0,0 +1,88 @@
+package coordinator
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"notchmux.dev/notchmux/internal/shard"
+	"notchmux.dev/notchmux/wire"
+)
+
+func tableOf(entries ...shard.Entry) shard.Snapshot {
+	table := &shard.Table{}
+	table.Replace(entries)
+	return table.Snapshot()
+}
+
+func shardOf(name string, selector shard.Selector, teams ...string) shard.Entry {
+	return shard.Entry{Name: name, Record: shard.Record{State: shard.Owned, Selector: selector, Teams: teams}}
+}
+
+// The cloud offers the types m and g in some zones.
+func TestServingSideOfAJob(t *testing.T) {
+	const had = "a task of it had an allocation, so it is not assigned to shard "
+	zone, inB := "b", shard.Selector{Zone: "b"}
+	none, east := tableOf(), tableOf(shardOf("east", inB))
+	needsGPU := wire.Job{Tasks: 2, Spread: true, GPUs: 1}
+	closed := tableOf(shardOf("east", inB, "vision"))
+	parted := tableOf(shardOf("east", inB), shardOf("west", shard.Selector{Zone: "a"}))
+	gpu := tableOf(shardOf("gpu", shard.Selector{Type: "g"}))
+	closedGPU := tableOf(shardOf("gpu", shard.Selector{Type: "g"}, "vision"), shardOf("m", shard.Selector{Type: "m", Zone: "b"}))
+	any1, bound, spread := wire.Job{Tasks: 1}, wire.Job{Tasks: 1, Zone: &zone}, wire.Job{Tasks: 2, Spread: true}
+	for name, c := range map[string]struct {
+		zones     string
+		table     shard.Snapshot
+		spec      wire.Job
+		allocated int
+		want      string // the leader's offers, the shards', and the sides in words
+	}{
+		"no shard":        {"ab", none, any1, 0, "4 map[] the leader"},
+		"both sides":      {"ab", east, any1, 0, "2 map[east:2] the leader, shard east"},
+		"spot too":        {"ab", east, wire.Job{Tasks: 1, Spot: true}, 0, "4 map[east:4] the leader, shard east"},
+		"was allocated":   {"ab", east, any1, 1, "2 map[east:2] the leader"},
+		"bound":           {"ab", east, bound, 0, "0 map[east:2] shard east"},
+		"too large":       {"ab", east, wire.Job{CPUs: 99}, 0, "0 map[] none: the cloud has no offer for it"},
+		"spread, one":     {"ab", east, wire.Job{Tasks: 1, Spread: true}, 0, "2 map[east:2] the leader, shard east"},
+		"spread, outside": {"abc", east, spread, 0, "4 map[east:2] the leader"},
+		"bound, was allocated": {
+			"ab", east, bound, 1, "0 map[east:2] none: only shard east has offers for it: " + had + "east",
+		},
+		"bound, another team's shard": {
+			"ab", closed, bound, 0,
+			"0 map[east:2] none: only shard east has offers for it: shard east takes jobs of team vision only",
+		},
+		"spread, zones on both sides": {
+			"ab", east, spread, 0,
+			"2 map[east:2] none: zones on both sides: shard east holds zone b; a spread service is not split",
+		},
+		"spread, zones in two shards": {
+			"ab", parted, spread, 0,
+			"0 map[east:2 west:2] none: zones in several shards: shard east holds zone b, shard west holds zone a; a spread " +
+				"service is not split",
+		},
+		"spread, the cloud has one zone": {
+			"a", none, spread, 0, "2 map[] none: only zone a has offers for it, and a spread service needs two",
+		},
+		"spread, was allocated, both zones in a shard": {
+			"ab", gpu, needsGPU, 1,
+			"0 map[gpu:2] none: only shard gpu has offers for it: " + had + "gpu",
+		},
+		"spread, both zones in another team's shard": {
+			"ab", closedGPU, spread, 0,
+			"1 map[gpu:2 m:1] none: the leader has offers in zone a only: shard gpu takes jobs of team vision only, shard m " +
+				"holds zone b only",
+		},
+	} {
+		test := newTestCoordinator(t)
+		test.setZones(strings.Split(c.zones, "")...)
+		job := test.addJob("j-1", c.spec)
+		job.AllocationCount = c.allocated
+		catalog := DivideCatalog(test.Cluster.CatalogOrder, c.table)
+		side := catalog.ServingSideOf(job)
+		if got := fmt.Sprint(side.LeaderOffers, " ", side.ShardOffers, " ", side); got != c.want ||
+			catalog.Served(job) != (len(side.ServedBy) > 0) {
+			t.Errorf("%s: %q, want %q; served %v", name, got, c.want, catalog.Served(job))
+		}
+	}
+}
