share show, job waits: say which side may serve each waiting job, or why none may

Cause: why a job waits was told by what machines the leader has ("insufficient resources"). That no machine to come would help, since its offers lie in a shard that does not get it, had to be guessed from the selectors.

Change: "job waits" of a leader with shards has the key side. share show names ten jobs at the most that wait at the leader and may use the shard's machines, those that no side may serve first, of the 300 that wait longest. They travel in DetailedReply: a CommandReply with one key more (waitingJobs, omitempty). Status and CommandReply keep their bytes and golden_test.go is unchanged: a field in Status that is not set would fail its check that every field is. Either message is read as the other, so nodes and command lines of both builds work together.

--- a/cmd/notchmux/shard.go
+++ b/cmd/notchmux/shard.go
@@ -76,11 +76,11 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", c.Peer, err)
 	}
-	var reply shard.CommandReply
+	var reply shard.DetailedReply
 	if status != http.StatusOK || wire.Unmarshal(body, &reply) != nil {
 		return fmt.Errorf("%s: no leader acts now (status %d): try again", c.Peer, status)
 	}
-	if err := c.print(&reply, os.Stdout); err != nil {
+	if err := c.printDetailed(&reply, os.Stdout); err != nil {
 		return err
 	}
 	if reply.RefusalReason != "" {
--- a/internal/controller/control_loop.go
+++ b/internal/controller/control_loop.go
@@ -47,6 +47,10 @@
 	scheduleInterval micro.Time // least time between passes, by what the last one took
 	lastStatusLog    micro.Time
 	referralsAsked   bool // the peers are being asked for agents that look for this node
+
+	// describeServingSide says which sides of a divided fleet may serve a job; "": the fleet is
+	// not divided. Nil: the loop is an owner's.
+	describeServingSide func(*cluster.Job) string
 }
 
 // duties are what a leader's loop and that of a shard's owner do each in its own way. Only
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -52,6 +52,7 @@
 	}
 	l.coordinator = newCoordinator(l)
 	l.servingReview = coordinator.NewServingReview(l.coordinator)
+	l.describeServingSide = l.coordinator.DescribeServingSide
 	l.cancellations = newCancellations(l)
 	l.provisioner = newProvisioner(l)
 	l.failover = newFailover(l)
--- a/internal/controller/pending_jobs.go
+++ b/internal/controller/pending_jobs.go
@@ -33,8 +33,12 @@
 
 func (l *controlLoop) logWaitReason(j *cluster.Job, now micro.Time) {
 	j.WaitReasonLoggedAt = now
-	l.log.Info(
-		"job waits", "job", j.Spec.ID, "since_s", int64((now-j.WaitingSince)/micro.Second), "reason",
+	attributes := []any{
+		"job", j.Spec.ID, "since_s", int64((now - j.WaitingSince) / micro.Second), "reason",
 		l.scheduler.ExplainPending(j, now).String(),
-	)
+	}
+	if side := l.servingSide(j); side != "" {
+		attributes = append(attributes, "side", side)
+	}
+	l.log.Info("job waits", attributes...)
 }
--- a/internal/controller/serving_sides.go
+++ b/internal/controller/serving_sides.go
@@ -1,6 +1,9 @@
 package controller
 
-import "notchmux.dev/notchmux/internal/micro"
+import (
+	"notchmux.dev/notchmux/internal/cluster"
+	"notchmux.dev/notchmux/internal/micro"
+)
 
 // unservedJobs is the gauge of the waiting jobs that neither the leader nor a shard may serve.
 // Only a leader with shards has it.
@@ -12,3 +15,12 @@
 		l.node.Metrics.SetGauge(unservedJobs, int64(unserved))
 	}
 }
+
+// servingSide says which sides of a divided fleet may serve a job, or why none may; "": there
+// is nothing to say.
+func (l *controlLoop) servingSide(job *cluster.Job) string {
+	if l.describeServingSide == nil {
+		return ""
+	}
+	return l.describeServingSide(job)
+}
--- a/internal/shard/coordinator/admin.go
+++ b/internal/shard/coordinator/admin.go
@@ -9,16 +9,17 @@
 )
 
 // RunCommand carries out an operator's command, within a time. Any goroutine may call it.
-func (c *Coordinator) RunCommand(command *shard.Command, timeout micro.Time) shard.CommandReply {
+func (c *Coordinator) RunCommand(command *shard.Command, timeout micro.Time) shard.DetailedReply {
 	reply, ok := eventloop.Call(
 		c.Loop, eventloop.Events, timeout,
-		func(reply eventloop.Reply[shard.CommandReply]) eventloop.Event {
+		func(reply eventloop.Reply[shard.DetailedReply]) eventloop.Event {
 			return adminCommandReceived{c, command, reply}
 		},
 	)
 	// The lease may have lapsed meanwhile: then nothing may be said.
 	if !ok || !c.Host.HoldsLease() {
-		return shard.CommandReply{RefusalReason: "the leader does not act now: try again"}
+		refusal := shard.CommandReply{RefusalReason: "the leader does not act now: try again"}
+		return shard.DetailedReply{CommandReply: refusal}
 	}
 	return reply
 }
--- a/internal/shard/coordinator/events.go
+++ b/internal/shard/coordinator/events.go
@@ -135,8 +135,12 @@
 type adminCommandReceived struct {
 	coordinator *Coordinator
 	command     *shard.Command
-	reply       eventloop.Reply[shard.CommandReply]
+	reply       eventloop.Reply[shard.DetailedReply]
 }
 
 // Apply carries the command out; the answer may come later.
-func (e adminCommandReceived) Apply() { e.coordinator.executeCommand(e.command, e.reply.Send) }
+func (e adminCommandReceived) Apply() {
+	e.coordinator.executeCommand(e.command, func(reply shard.CommandReply) {
+		e.reply.Send(e.coordinator.detailReply(e.command, reply))
+	})
+}
--- /dev/null
+++ b/internal/shard/coordinator/waiting_jobs_test.go
@@ -0,0 +1,36 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/shard"
+	"notchmux.dev/notchmux/wire"
+)
+
+// The shard "east" has all of zone b.
+func TestShowTellsOfTheJobsThatWaitForTheShard(t *testing.T) {
+	test := newTestCoordinator(t)
+	test.setZones("a", "b")
+	zone := "a"
+	test.addJob("elsewhere", wire.Job{Tasks: 1, Zone: &zone}).WaitingSince = 0
+	for i := range maxWaitingJobs {
+		test.addJob(fmt.Sprint("j-", i), wire.Job{Tasks: 1, Team: "vision"}).WaitingSince = micro.Time(i) * micro.Second
+	}
+	test.addJob("spread", wire.Job{Tasks: 2, Spread: true}).WaitingSince = 50 * micro.Second
+	waiting := test.detailReply(&shard.Command{Operation: shard.OperationShow, Shard: "east"}, shard.CommandReply{}).WaitingJobs
+	if len(waiting) != maxWaitingJobs || waiting[0].ID != "spread" || waiting[0].UnservedReason == "" ||
+		waiting[0].WaitingS != 10 || waiting[0].Tasks != 2 {
+		t.Fatalf("%+v", waiting)
+	}
+	for i, job := range waiting[1:] {
+		if job.ID != fmt.Sprint("j-", i) || job.Team != "vision" || fmt.Sprint(job.ServedBy) != "[the leader shard east]" {
+			t.Errorf("%+v", job)
+		}
+	}
+	list := test.detailReply(&shard.Command{Operation: shard.OperationList}, shard.CommandReply{})
+	if side := (*Coordinator)(nil).DescribeServingSide(nil); len(list.WaitingJobs) > 0 || side != "" {
+		t.Errorf("list tells of %+v, a leader without shards of %q", list.WaitingJobs, side)
+	}
+}
