statestore: a delete found done by a read is taken in like one that was answered

What callers saw: nothing yet; read in the code while jobs that change hands were built on it, and shown by tests. An owner never forgets a job that it handed back if the delete of the assignment had no answer; assigned to its shard again, the job is not taken up. A shard that is released stays so until the leader changes.

Cause: a key that a delete without an answer had removed was read as absent, the delete was built anew and dropped, and nobody was told (OnCommitted).

Evidence: TestDeleteFoundDoneIsCommittedOnce failed before in both of its cases with an unanswered delete, and TestDeleteMarkedAgainInFlightIsCommittedOnce.

Why this works: the record knows that the last write that was sent deletes its key; if the key is gone, OnCommitted is called once, after the pass over the queues. A key that never existed calls nothing.

--- a/internal/statestore/commit.go
+++ b/internal/statestore/commit.go
@@ -68,7 +68,7 @@
 	record.uncertain, record.inFlightUnanswered = false, false
 	record.version = revision
 	if change.deleted {
-		record.version = 0
+		record.version, record.deleteSent = 0, false
 		if !record.dirty {
 			w.Drop(record)
 		}
--- a/internal/statestore/flush.go
+++ b/internal/statestore/flush.go
@@ -41,6 +41,7 @@
 	txn              wire.Transaction
 	changes          []batchChange
 	toVerify         []*Record
+	foundDeleted     []batchChange // deletes that were carried out without an answer
 	size             int
 	preconditions    map[wire.Precondition]bool // records' own preconditions that are in it already
 	maxPreconditions int
@@ -60,6 +61,9 @@
 		w.retryRejected(now)
 	}
 	b := w.assembleBatch(now)
+	for _, change := range b.foundDeleted {
+		change.record.OnCommitted(change.memoryVersion) // may mark records: not while queues are gone through
+	}
 	w.lowPriorityNotBefore = now + lowPriorityInterval
 	if len(b.toVerify) > 0 {
 		w.beginInFlight(b.toVerify, now)
@@ -158,6 +162,10 @@
 	if value == nil && record.version == 0 {
 		record.dirty = false
 		w.Drop(record)
+		if record.deleteSent {
+			record.deleteSent = false
+			b.foundDeleted = append(b.foundDeleted, batchChange{record, memoryVersion, true})
+		}
 		return true
 	}
 	size := changeOverhead
@@ -186,7 +194,7 @@
 	)
 	b.txn.Then = append(b.txn.Then, change)
 	b.changes = append(b.changes, batchChange{record, memoryVersion, value == nil})
-	record.dirty = false
+	record.dirty, record.deleteSent = false, value == nil
 	return true
 }
 
--- a/internal/statestore/guards_test.go
+++ b/internal/statestore/guards_test.go
@@ -345,3 +345,61 @@
 		t.Error("not settled once it is answered")
 	}
 }
+
+// A delete that was carried out without an answer is never taken for done: what waits for it waits
+// for good. Nor is it done twice, or where the key never existed.
+func TestDeleteFoundDoneIsCommittedOnce(t *testing.T) {
+	for name, row := range map[string]struct {
+		version uint64
+		outcome error
+		want    int
+	}{
+		"answered":                 {11, nil, 1},
+		"no answer":                {11, store.ErrUncertain, 1},
+		"somebody else's":          {11, store.ErrConflict, 1},
+		"the key never existed":    {0, store.ErrUncertain, 0},
+		"refused, and still there": {11, store.ErrRefused, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness()
+			h.store.commit = func() (uint64, error) { return 20, row.outcome }
+			committed := 0
+			record := h.Record("assign/east/j-1")
+			record.SetVersion(row.version)
+			record.Build = func() (any, uint64) { return nil, 0 }
+			record.OnCommitted = func(uint64) { committed++ }
+			record.MarkDirty(h.host.now, PriorityHigh)
+			for range 5 {
+				h.step()
+			}
+			if committed != row.want {
+				t.Fatalf("committed %d times, want %d", committed, row.want)
+			}
+		})
+	}
+}
+
+// A delete that is marked to be written once more while it is in flight is taken for done twice.
+func TestDeleteMarkedAgainInFlightIsCommittedOnce(t *testing.T) {
+	for name, outcome := range map[string]error{"answered": nil, "no answer": store.ErrUncertain} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness()
+			committed := 0
+			record := h.Record("assign/east/j-1")
+			record.SetVersion(11)
+			record.Build = func() (any, uint64) { return nil, 0 }
+			record.OnCommitted = func(uint64) { committed++ }
+			h.store.commit = func() (uint64, error) { return 20, outcome }
+			record.MarkDirty(h.host.now, PriorityHigh)
+			h.Flush(h.host.now)
+			record.MarkDirty(h.host.now, PriorityHigh)
+			(<-h.host.posted).Apply()
+			for range 5 {
+				h.step()
+			}
+			if committed != 1 {
+				t.Errorf("committed %d times", committed)
+			}
+		})
+	}
+}
--- a/internal/statestore/record.go
+++ b/internal/statestore/record.go
@@ -49,6 +49,7 @@
 	needsVerify        bool       // an uncertain write: read the version before the next
 	uncertain          bool       // a write was sent that may yet be executed, or was, unknown to this writer
 	inFlight           bool       // a write of it, or a read of its version, is in flight
+	deleteSent         bool       // the last write that was sent deletes the key
 	inFlightUnanswered bool       // a write of it got no response: it may be executed at any later time
 	rejectedUntil      micro.Time // the store rejected it: no retry before
 	dirtySince         micro.Time // when it became dirty
@@ -75,6 +76,10 @@
 // may be executed after the read.
 func (r *Record) Uncertain() bool { return r.uncertain }
 
+// Absent reports whether the key does not exist as far as is known, and nothing of the record is to
+// be written or read. A write without an answer may still be executed.
+func (r *Record) Absent() bool { return r.version == 0 && !r.dirty && !r.inFlight && !r.needsVerify }
+
 // Settled reports whether nothing of the record is still to be written or uncertain.
 func (r *Record) Settled() bool { return !r.dirty && !r.inFlight && !r.needsVerify && !r.uncertain }
 
