coordinator, detector: machines unknown to their shard's present owner are given up

What callers saw: jobs wait while the cloud refuses all requests, and an offer none of whose machines boot is asked for again and again.

Cause: an owner knows a machine by its heartbeats and by its records. One that died idle before its shard's owner changed is known to the next owner by neither, and for the leader it was up, since the owner before had said so. It took up what the cloud had, and counted as one of its offer that is up.

Why this works: what an owner says of its machines counts for its own ownership. Once it has told of all that send heartbeats, and each had time to, one that it did not name goes after two leases; not in a zone none of whose controllers has a session. What an owner told that was not taken in, it tells again.

--- a/internal/controller/detector_host.go
+++ b/internal/controller/detector_host.go
@@ -22,8 +22,8 @@
 	l.provisioner.Terminate(machine, reason)
 }
 
-// ShardMachinesKnown reports whether this leader would know by now that a machine of a shard
-// that another controller owns is up.
-func (l *Leader) ShardMachinesKnown(machine *cluster.Machine, now micro.Time) bool {
-	return l.coordinator.MachinesKnown(machine, now)
+// UnreportedFor is for how long the owner of a machine's shard has not said that it is up, though
+// it would have by now.
+func (l *Leader) UnreportedFor(machine *cluster.Machine, now micro.Time) micro.Time {
+	return l.coordinator.UnreportedFor(machine, now)
 }
--- a/internal/controller/shard_owner_duties.go
+++ b/internal/controller/shard_owner_duties.go
@@ -32,8 +32,8 @@
 // InventoryReadAt is 0: the leader reads the inventory.
 func (o *ShardOwner) InventoryReadAt() micro.Time { return 0 }
 
-// ShardMachinesKnown is false: all machines of an owner are its own.
-func (o *ShardOwner) ShardMachinesKnown(*cluster.Machine, micro.Time) bool { return false }
+// UnreportedFor is 0: all machines of an owner are its own.
+func (o *ShardOwner) UnreportedFor(*cluster.Machine, micro.Time) micro.Time { return 0 }
 
 // Terminate marks a machine of the shard to be terminated: the leader, which has its instance
 // request, is told.
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -22,9 +22,9 @@
 	// InventoryReadAt is when the list of instances that was read last was asked for; 0 if
 	// none was read.
 	InventoryReadAt() micro.Time
-	// ShardMachinesKnown reports whether this controller would know by now that a machine of
-	// a shard that another one owns is up.
-	ShardMachinesKnown(machine *cluster.Machine, now micro.Time) bool
+	// UnreportedFor is for how long the owner of a machine's shard has not said that it is up,
+	// though it would have by now; 0: it has, or is not known to have had the time.
+	UnreportedFor(machine *cluster.Machine, now micro.Time) micro.Time
 	// Terminate marks a machine to be terminated.
 	Terminate(machine *cluster.Machine, reason string)
 	// HandOver has another node take over, since no agent reaches this one.
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -28,14 +28,14 @@
 // fakeHost notes what a detector asks for.
 type fakeHost struct {
 	inventoryReadAt micro.Time
-	shardKnown      bool
+	unreported      micro.Time
 	terminated      map[string]string // reasons, by machine
 	handovers       int
 }
 
-func (h *fakeHost) InventoryReadAt() micro.Time                          { return h.inventoryReadAt }
-func (h *fakeHost) ShardMachinesKnown(*cluster.Machine, micro.Time) bool { return h.shardKnown }
-func (h *fakeHost) HandOver(micro.Time)                                  { h.handovers++ }
+func (h *fakeHost) InventoryReadAt() micro.Time                           { return h.inventoryReadAt }
+func (h *fakeHost) UnreportedFor(*cluster.Machine, micro.Time) micro.Time { return h.unreported }
+func (h *fakeHost) HandOver(micro.Time)                                   { h.handovers++ }
 func (h *fakeHost) Terminate(machine *cluster.Machine, reason string) {
 	h.terminated[machine.Name] = reason
 }
--- a/internal/detector/sweep.go
+++ b/internal/detector/sweep.go
@@ -174,16 +174,23 @@
 	return d.SinceHeartbeat(machine, now) > d.config.SuspectAfter && d.machinesLookDead(machine.Zone, summary, now)
 }
 
-// evaluateOwnedElsewhere gives a machine of another controller's shard up that never came up,
-// as far as the inventory tells. All else is for the shard's owner to find.
+// evaluateOwnedElsewhere gives a machine of another controller's shard up that its owner does not
+// know to be up: one that did not come up, as far as the inventory tells, or that was not heard of
+// for two leases, as the leader's own are whose leases have run out. A zone that is cut off tells
+// nothing. All else is for the shard's owner to find.
 func (d *Detector) evaluateOwnedElsewhere(machine *cluster.Machine, now micro.Time) {
-	if machine.State != cluster.Registering || !d.host.ShardMachinesKnown(machine, now) {
+	unreported := d.host.UnreportedFor(machine, now)
+	_, unreachable := d.cluster.ZoneUnreachableSince[machine.Zone]
+	if unreported == 0 || unreachable || machine.State != cluster.Registering && machine.State != cluster.Up {
 		return
 	}
-	bootTimedOut := machine.CloudState == wire.MachineBooting && now-machine.LastListed < d.maxInventoryAge &&
+	bootTimedOut := machine.State == cluster.Registering && machine.CloudState == wire.MachineBooting && now-machine.LastListed < d.maxInventoryAge &&
 		now-machine.RequestedAt > d.bootTimeout(machine)
-	if d.missingFromInventory(machine) || bootTimedOut {
+	switch {
+	case d.missingFromInventory(machine), bootTimedOut:
 		d.host.Terminate(machine, "did not come up in its shard")
+	case unreported > 2*d.cluster.LeaseDuration && now-machine.RequestedAt > d.bootTimeout(machine):
+		d.host.Terminate(machine, "not known to its shard's owner")
 	}
 }
 
--- a/internal/shard/coordinator/coordinator.go
+++ b/internal/shard/coordinator/coordinator.go
@@ -84,8 +84,10 @@
 	commitsInFlight map[string]bool         // shards with a transaction under way
 	assignedJobs    map[string]*assignedJob // by job
 	reclaims        map[string]*reclaim     // shards that are being taken back, by name
-	reconciledAt    micro.Time
-	marker          *statestore.Record // exists as long as any shard does
+
+	zoneUnreachableAt map[string]micro.Time // when none of a zone's controllers last had a session
+	reconciledAt      micro.Time
+	marker            *statestore.Record // exists as long as any shard does
 }
 
 // sessionView is what is known of the controllers' sessions.
@@ -105,9 +107,11 @@
 	idleMachines       int
 	pendingTasks       int
 	unreachable        bool
-	allMachinesKnownAt micro.Time // since when this leader knows of all machines that heartbeat to the owner; 0: not yet
-	handovers          int        // moves in a row because no agent reached the owner
-	handedOverAt       micro.Time // the last of them
+	ownership          uint64          // the change of owner that this is known of
+	readyMachines      map[string]bool // the machines that this owner said are up
+	allMachinesKnownAt micro.Time      // since when these are all that heartbeat to it; 0: not yet
+	handovers          int             // moves in a row because no agent reached the owner
+	handedOverAt       micro.Time      // the last of them
 	demand             []shard.Demand
 }
 
@@ -119,6 +123,8 @@
 		commitsInFlight: map[string]bool{},
 		assignedJobs:    map[string]*assignedJob{},
 		reclaims:        map[string]*reclaim{},
+
+		zoneUnreachableAt: map[string]micro.Time{},
 	}
 	c.marker = c.Records.Record(shard.MarkerKey)
 	c.marker.Build = func() (any, uint64) {
@@ -227,18 +233,41 @@
 	return entry.Record.State != shard.Forming && (reclaim == nil || !reclaim.reclaimed)
 }
 
-// MachinesKnown reports whether this leader would know by now that a machine of another
-// controller's shard is up: the shard's owner has told it of all that send heartbeats, and each
-// had time to. Without that, a leader that had just taken over terminated machines at work.
-func (c *Coordinator) MachinesKnown(machine *cluster.Machine, now micro.Time) bool {
+// UnreportedFor is for how long the owner of a machine's shard has not said that the machine is up,
+// though it would have by now: it has told this leader of all that send heartbeats, and each had
+// time to. 0: it has said so, or is not known to have had the time. Without that time, a leader
+// that had just taken over terminated machines at work.
+//
+// What an earlier owner said does not count: machines that died before the shard's owner changed
+// were up for the leader for good, unknown to the new owner, and took up what the cloud had.
+func (c *Coordinator) UnreportedFor(machine *cluster.Machine, now micro.Time) micro.Time {
 	entry, ok := c.table().ShardOf(machineAttributes(machine))
 	if !ok || !entry.OwnedElsewhere() {
-		return false
+		return 0
 	}
-	settleTime := c.Config.RegistrationWindow() + c.Config.SuspectAfter
 	view := c.viewOf(entry.Name)
-	return view.allMachinesKnownAt > 0 && now-view.allMachinesKnownAt > settleTime &&
-		c.Wall()-micro.Time(entry.Record.ChangedAt) > settleTime
+	current := view.ownership == entry.Record.OwnerChanges
+	if !current || view.allMachinesKnownAt == 0 || view.readyMachines[machine.Name] {
+		return 0
+	}
+	settledAt := max(view.allMachinesKnownAt, c.zoneUnreachableAt[machine.Zone]) + c.Config.RegistrationWindow() +
+		c.Config.SuspectAfter
+	return max(now-max(settledAt, machine.RequestedAt), 0)
+}
+
+// noteUnreachableZones notes the zones that may be cut off now, since none of their controllers has
+// a session: that an owner outside has not heard of machines there says nothing of them.
+func (c *Coordinator) noteUnreachableZones(now micro.Time) {
+	reachable := map[string]bool{c.Config.Zone: true}
+	for _, peer := range c.Config.Peers {
+		_, hasSession := c.sessions.current.Controller(peer.Node)
+		reachable[peer.Zone] = reachable[peer.Zone] || hasSession
+	}
+	for zone, isReachable := range reachable {
+		if !isReachable {
+			c.zoneUnreachableAt[zone] = now
+		}
+	}
 }
 
 func (c *Coordinator) viewOf(name string) *shardView {
@@ -279,6 +308,7 @@
 	if !c.Table.HasRead() || !c.sessions.known {
 		return
 	}
+	c.noteUnreachableZones(now)
 	c.table().Each(func(entry shard.Entry) bool {
 		if !c.commitsInFlight[entry.Name] {
 			c.reconcileShard(entry, now)
--- a/internal/shard/coordinator/status.go
+++ b/internal/shard/coordinator/status.go
@@ -45,6 +45,8 @@
 		entry, ok := c.table().Get(shardUpdate.Name)
 		if ok && entry.OwnedElsewhere() && entry.Record.Owner == owner {
 			c.applyShardUpdate(entry, shardUpdate, update.Term, now)
+		} else {
+			reply.Term = 0 // the owner tells of its machines once more
 		}
 		c.acknowledge(shardUpdate, &reply)
 	}
@@ -63,6 +65,10 @@
 // applyShardUpdate takes in what the owner of a shard tells of it.
 func (c *Coordinator) applyShardUpdate(entry shard.Entry, update *shard.ShardUpdate, term uint64, now micro.Time) {
 	view := c.viewOf(entry.Name)
+	if view.ownership != entry.Record.OwnerChanges {
+		view.ownership, view.allMachinesKnownAt = entry.Record.OwnerChanges, 0
+		view.readyMachines = map[string]bool{}
+	}
 	view.observe(update, now, c.Config.SuspectAfter)
 	for _, id := range update.FinishedJobs {
 		if job := c.Cluster.Jobs[id]; job != nil && job.Shard == entry.Name {
@@ -75,6 +81,7 @@
 	c.applyProgress(entry.Name, update.Progress)
 	if term == c.Term.FencingRevision {
 		for _, name := range update.ReadyMachines {
+			view.readyMachines[name] = true // also one that this leader does not know yet
 			c.machineUp(name)
 		}
 		if view.allMachinesKnownAt == 0 && len(update.ReadyMachines) < shard.MaxStatusItems {
@@ -82,6 +89,7 @@
 		}
 	}
 	for _, name := range update.MachinesToTerminate {
+		delete(view.readyMachines, name)
 		if !c.Cluster.WasTerminated(name) {
 			machine := c.Cluster.EnsureMachine(name, now)
 			machine.OwnedElsewhere = true
