--- a/internal/autoscaler/demand.go
+++ b/internal/autoscaler/demand.go
@@ -27,14 +27,17 @@
 		(d.eligible == nil || d.eligible(InstanceOffer{typ.Name, zone, spot}))
 }
 
-// eligibleOffers tells the offers that help a job: those of shards only if it can still be
-// assigned to one as a whole. A service with one replica in place once had machines
-// requested into a shard, again and again, for the other.
+// eligibleOffers tells the offers that help a job: those of shards only if it can be assigned to
+// one as a whole now. A service with one replica in place once had machines requested into a
+// shard, again and again, for the other.
 func (p *Planner) eligibleOffers(job *cluster.Job) func(InstanceOffer) bool {
-	if job.NeverAllocated() {
+	if !p.Cluster.MayChangeHands(job) {
+		return p.OwnsOffer
+	}
+	if p.OwnsOffer == nil || p.ShardTakesJob == nil {
 		return nil
 	}
-	return p.OwnsOffer
+	return func(offer InstanceOffer) bool { return p.OwnsOffer(offer) || p.ShardTakesJob(job, offer) }
 }
 
 // ShardDemand is a number of tasks that wait for capacity in a shard of the machines, which
--- a/internal/cluster/allocation_lifecycle.go
+++ b/internal/cluster/allocation_lifecycle.go
@@ -52,6 +52,9 @@
 	job := allocation.Job
 	s.markChunkDirty(job, allocation.Index)
 	s.ScheduleSoon()
+	if job.AllocationCount == 0 {
+		job.UnallocatedSince = now
+	}
 	if job.Spec.Kind == wire.Gang {
 		s.abortGangAttempt(job, now)
 		return
--- a/internal/cluster/assignment.go
+++ b/internal/cluster/assignment.go
@@ -7,10 +7,11 @@
 
 // A job may be assigned as a whole to a shard of the machines, whose owner schedules its
 // tasks. From then on all of them count against its team's quota, until the record of
-// the assignment is gone: only then is surely none of them on a machine.
+// the assignment is gone: only then is surely none of them on a machine. While it is assigned,
+// the leader's records of its tasks stay as they are.
 
-// NeverAllocated reports whether none of a job's tasks was ever allocated: only such a job may
-// be assigned, or handed back.
+// NeverAllocated reports whether none of a job's tasks was ever allocated: there are no records
+// of its tasks.
 func (j *Job) NeverAllocated() bool {
 	if j.AllocationCount > 0 || j.DoneTasks > 0 || !j.NeverDequeued() {
 		return false
@@ -23,13 +24,32 @@
 	return true
 }
 
+// MayChangeHands reports whether a job that waits could go to a shard, or back, as a whole: none
+// of its tasks is on a machine, or may be. A job that had allocations before may only where all
+// controllers can go on with it.
+func (s *State) MayChangeHands(job *Job) bool {
+	if job.State != Active || job.AllocationCount > 0 {
+		return false
+	}
+	return s.ContinuesJobs || job.NeverAllocated()
+}
+
+// UnallocatedFor is for how long a job that waits has had no allocation at all. Where WaitingSince is
+// since when its first tasks wait, others may have run until now.
+func (j *Job) UnallocatedFor(now micro.Time) micro.Time {
+	return now - max(j.WaitingSince, j.UnallocatedSince)
+}
+
+// UnfinishedTasks is how many of a job's tasks are not done.
+func (j *Job) UnfinishedTasks() int { return len(j.Tasks) - j.DoneTasks }
+
 // Assign gives a waiting job to a shard, and says how many of its tasks its team's quota has
-// capacity for: all of them, or some of an array's; 0: it was not assigned.
+// capacity for: all that are not done, or some of an array's; 0: it was not assigned.
 func (s *State) Assign(job *Job, shard string) int {
-	if job.State != Active || !job.NeverAllocated() {
+	tasks := job.UnfinishedTasks()
+	if tasks == 0 || !s.MayChangeHands(job) {
 		return 0
 	}
-	tasks := len(job.Tasks)
 	if job.Team != nil && !job.Team.WithinLimit(job.Spec.CPUs, job.Spec.GPUs, tasks) {
 		if job.Spec.Kind != wire.JobArray {
 			return 0
@@ -75,6 +95,7 @@
 	}
 	s.chargeQuota(job, -job.ReservedTasks)
 	job.Shard, job.ReservedTasks, job.ShardRunningTasks, job.ShardDoneTasks = "", 0, 0, 0
+	job.UnassignedAt = now
 	if job.State == Assigned {
 		s.leaveTeam(job)
 		s.transitionJob(job, Active)
@@ -94,11 +115,15 @@
 	s.JobFinished(job)
 }
 
-// PrepareTransfer keeps a job that was never allocated from being scheduled here: it is handed
-// back.
-func (s *State) PrepareTransfer(job *Job) {
-	if job.State == Active && job.NeverAllocated() {
-		s.transitionJob(job, Assigned)
+// PrepareTransfer keeps a job's tasks from being scheduled here: it is handed back. Those that
+// still have allocations are stopped, with the time that a checkpoint takes.
+func (s *State) PrepareTransfer(job *Job, now micro.Time) {
+	if job.State != Active {
+		return
+	}
+	s.transitionJob(job, Assigned)
+	for _, allocation := range job.Allocations() {
+		s.StopAllocation(allocation, "the job is handed back", job.Spec.CheckpointDurationS, now)
 	}
 }
 
--- a/internal/cluster/assignment_test.go
+++ b/internal/cluster/assignment_test.go
@@ -5,6 +5,7 @@
 
 	"notchmux.dev/notchmux/internal/cluster"
 	"notchmux.dev/notchmux/internal/fake"
+	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -67,3 +68,83 @@
 		t.Error("the job that was handed back does not wait for a place")
 	}
 }
+
+// A job goes to a shard while a task of it is on a machine, or may be, and runs at both.
+func TestJobWithAnAllocationIsNotAssigned(t *testing.T) {
+	tc := newTestCluster(t)
+	tc.cluster.ContinuesJobs = true
+	agent := tc.addAgent("m1", "a")
+	job := tc.submit("j-1", wire.JobArray, 2, 1)
+	expectKept := func(when string) {
+		t.Helper()
+		if tasks := tc.cluster.Assign(job, "east"); tasks > 0 || job.State != cluster.Active || job.Shard != "" {
+			t.Fatalf("%s: %d tasks were assigned, %v", when, tasks, job.State)
+		}
+	}
+	allocation := tc.cluster.Allocate(job, 0, tc.cluster.Machines["m1"], 1, 1, tc.now)
+	expectKept("planned")
+	tc.persist()
+	expectKept("to be started")
+	tc.startTasks(agent)
+	expectKept("on the machine")
+	tc.cluster.StopAllocation(allocation, "the test", 0, tc.now)
+	expectKept("stopping")
+	tc.expireLeases("m1")
+	tc.expectAllocations(job, 0)
+	tc.cluster.ContinuesJobs = false
+	expectKept("begun, and not all controllers go on with it")
+	tc.cluster.ContinuesJobs = true
+	tc.expectQuotaUsed(0)
+	if tasks := tc.cluster.Assign(job, "east"); tasks != 2 {
+		t.Errorf("%d tasks assigned once it has no allocation", tasks)
+	}
+	tc.expectQuotaUsed(2)
+	tc.cluster.RestoreAssignment(job, "east", 2)
+	tc.expectQuotaUsed(2)
+	tc.cluster.Unassign(job, tc.now)
+	tc.expectQuotaUsed(0)
+}
+
+// A late heartbeat changes the records of a job that another controller goes on with: what it reads
+// of them is not what the assignment says.
+func TestLateHeartbeatChangesNothingOfAJobInAShard(t *testing.T) {
+	for name, handOver := range map[string]func(tc *testCluster, job *cluster.Job){
+		"in a shard":           func(tc *testCluster, job *cluster.Job) { tc.cluster.Assign(job, "east") },
+		"handed back by owner": func(tc *testCluster, job *cluster.Job) { tc.cluster.PrepareTransfer(job, tc.now) },
+	} {
+		for _, state := range []wire.TaskState{wire.TaskRunning, wire.TaskExited} {
+			t.Run(name+", "+string(state), func(t *testing.T) { checkLateHeartbeat(t, handOver, state) })
+		}
+	}
+}
+
+func checkLateHeartbeat(t *testing.T, handOver func(*testCluster, *cluster.Job), state wire.TaskState) {
+	t.Helper()
+	tc := newTestCluster(t)
+	tc.cluster.ContinuesJobs = true
+	job := tc.submit("j-1", wire.JobArray, 2, 1)
+	handOver(tc, job)
+	chunk, used := job.Chunk(1), tc.cluster.Teams["team"].UsedCPU
+	agent := tc.addAgent("m1", "a")
+	key := fake.AttemptKey{Task: "j-1/1", Attempt: 7}
+	agent.Tasks[key] = &wire.TaskStatus{Task: key.Task, Attempt: 7, State: state}
+	if state == wire.TaskExited {
+		agent.Tasks[key].Cause = wire.CauseDone
+	}
+	tc.heartbeat(agent)
+	if job.AllocationCount > 0 || job.DoneTasks > 0 || job.Tasks[1].Attempt > 0 || chunk.MemoryVersion > 0 ||
+		tc.dirtyChunks[chunk] {
+		t.Errorf(
+			"%d allocations, %d done, attempt %d, version %d", job.AllocationCount, job.DoneTasks, job.Tasks[1].Attempt,
+			chunk.MemoryVersion,
+		)
+	}
+	tc.expectQuotaUsed(used)
+	for range 3 { // it is told to stop, or to forget the attempt
+		tc.now, tc.token = tc.now+micro.Second, tc.token+1
+		tc.heartbeat(agent)
+	}
+	if task := agent.Tasks[key]; task != nil && !(state == wire.TaskRunning && task.State == wire.TaskExited) {
+		t.Errorf("the agent still has %+v", *task)
+	}
+}
--- a/internal/cluster/chunk.go
+++ b/internal/cluster/chunk.go
@@ -60,6 +60,23 @@
 	job.Chunks[index].MemoryVersion++
 }
 
+// RestoreContinuedChunk reads what the leader recorded of a chunk of a job that goes on in a
+// shard: which tasks are done, and the numbers of their attempts. None of them had an allocation.
+func (s *State) RestoreContinuedChunk(job *Job, index int, record *records.CompactChunk, now micro.Time) {
+	expanded, ok := s.expandChunk(job, index, record)
+	if !ok {
+		return
+	}
+	if len(expanded.Allocations) > 0 {
+		s.Log("allocations of a job that changed hands", "job", job.Spec.ID, "chunk", index)
+	}
+	expanded.Allocations = nil
+	s.restoreTasks(job, expanded, job.chunkIncludes(index), now)
+	if chunk := job.Chunks[index]; !chunk.Stored {
+		chunk.MemoryVersion++ // the shard's own record is still to be written
+	}
+}
+
 // expandChunk reads a compact record; false if the job has no such chunk, or it makes no sense.
 func (s *State) expandChunk(job *Job, index int, record *records.CompactChunk) (*records.Chunk, bool) {
 	if index < 0 || index >= len(job.Chunks) {
@@ -81,7 +98,8 @@
 func (s *State) restoreTasks(job *Job, record *records.Chunk, includes func(i int) bool, now micro.Time) {
 	for _, attempt := range record.Attempts {
 		if includes(attempt[0]) {
-			job.Tasks[attempt[0]].Attempt = uint32(attempt[1])
+			task := &job.Tasks[attempt[0]]
+			task.Attempt = max(task.Attempt, uint32(attempt[1])) // the other side's record may be the later one
 			job.GangAttempt = max(job.GangAttempt, uint32(attempt[1]))
 		}
 	}
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -46,7 +46,8 @@
 type Progress struct {
 	DoneTasks         int
 	RunningTasks      int
-	AllocationCount   int // allocations that are not proven released
+	UnallocatedSince  micro.Time // when its last allocation was released; 0: it had none in this term
+	AllocationCount   int        // allocations that are not proven released
 	AllocationsByZone map[string]int
 	Started           bool   // a task of it has run
 	GangAttempt       uint32 // the gang's highest attempt number
@@ -67,7 +68,10 @@
 	ReservedTasks     int    // tasks that count against its team's quota meanwhile
 	MaxAllocations    int    // allocations at once, as the leader reserved them; 0: any number
 	ShardRunningTasks int    // tasks that run there, as the owner last said
-	ShardDoneTasks    int    // tasks that are done there
+	ShardDoneTasks    int    // tasks that are done, as the owner last said
+
+	UnassignedAt micro.Time // when it last came back from a shard in this term; 0: never
+	HeldUntil    micro.Time // its tasks are not placed before: it is to go to a shard
 }
 
 // FailureHistory is what is known of a job's failed attempts.
@@ -157,7 +161,7 @@
 // Status is the job's status as users see it.
 func (j *Job) Status() wire.JobStatus {
 	status := wire.JobStatus{
-		ID: j.Spec.ID, State: wire.JobPending, Done: j.DoneTasks + j.ShardDoneTasks,
+		ID: j.Spec.ID, State: wire.JobPending, Done: max(j.DoneTasks, j.ShardDoneTasks),
 		Running: j.RunningTasks + j.ShardRunningTasks,
 	}
 	switch {
--- a/internal/cluster/reconcile.go
+++ b/internal/cluster/reconcile.go
@@ -132,6 +132,17 @@
 	}
 }
 
+// localJob finds the job of a task whose records are kept here; nil: there is none, or another
+// controller keeps them. An attempt that an agent reports late, and that is in no record, must not
+// change those of a job that has changed hands since.
+func (s *State) localJob(id string, index int) *Job {
+	job := s.Jobs[id]
+	if job == nil || index >= len(job.Tasks) || job.Shard != "" || job.State == Assigned {
+		return nil
+	}
+	return job
+}
+
 // adoptAttempt makes an allocation for a task that an agent has and the records lack. It uses
 // its resources until it is gone.
 func (s *State) adoptAttempt(machine *Machine, key AllocationKey) *Allocation {
@@ -140,7 +151,7 @@
 		DispatchToken: s.MinFencingToken - 1,
 	}
 	if id, index, ok := wire.ParseTaskName(key.Task); ok {
-		if job := s.Jobs[id]; job != nil && index < len(job.Tasks) {
+		if job := s.localJob(id, index); job != nil {
 			allocation.Job, allocation.Index, allocation.taskKnown = job, index, true
 			allocation.ScaledCPU = job.Spec.CPUs
 			if job.Tasks[index].Queued {
@@ -168,8 +179,11 @@
 		exited.dispatchToken = max(exited.dispatchToken, allocation.DispatchToken)
 	}
 	id, index, _ := wire.ParseTaskName(key.Task)
-	job := s.Jobs[id]
-	if job == nil || index >= len(job.Tasks) {
+	job := s.localJob(id, index)
+	if allocation != nil && allocation.taskKnown {
+		job = allocation.Job
+	}
+	if job == nil {
 		if allocation != nil {
 			s.release(allocation, now)
 		}
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -62,6 +62,10 @@
 	// Verbose logs each allocation and exit.
 	Verbose bool
 
+	// ContinuesJobs is set while every controller can go on with a job that had allocations
+	// under another one.
+	ContinuesJobs bool
+
 	// Ownership says whether another controller owns a machine, and whether it is to;
 	// nil: this one owns all.
 	Ownership func(machine *Machine) (ownedElsewhere, transferPending bool)
--- a/internal/controller/serving_sides_test.go
+++ b/internal/controller/serving_sides_test.go
@@ -14,13 +14,19 @@
 
 // unservedJobs is the gauge as the leader's metrics page shows it; "": it does not.
 func (w *simCluster) unservedJobs() string {
-	if w.leader() == nil {
+	leader := w.leader()
+	if leader == nil {
+		return ""
+	}
+	node := leader.runningNode()
+	if node == nil {
 		return ""
 	}
 	var page bytes.Buffer
-	w.leader().runningNode().Metrics.Write(&page)
+	node.Metrics.Write(&page)
 	_, value, _ := strings.Cut(page.String(), unservedJobs+" ")
-	return strings.TrimSpace(value)
+	value, _, _ = strings.Cut(value, "\n")
+	return value
 }
 
 // A shard has all of zone b, and a service that is to be spread over both zones waits.
@@ -47,14 +53,19 @@
 }
 
 func TestWaitReasonGoesWithTheServingSideWhereTheFleetIsDivided(t *testing.T) {
-	leader := newFleet(t, 4).leader
-	var out bytes.Buffer
-	leader.log = slog.New(slog.NewTextHandler(&out, nil))
-	leader.logWaitReason(leader.cluster.Jobs["j-000000"], 0)
-	leader.describeServingSide = func(*cluster.Job) string { return "none: zones" }
-	leader.logWaitReason(leader.cluster.Jobs["j-000000"], 0)
-	undivided, divided, _ := strings.Cut(out.String(), "\n")
-	if strings.Contains(undivided, "side=") || !strings.Contains(divided, `side="none: zones"`) {
-		t.Error(out.String())
+	fleet := newFleet(t, 4)
+	for job := range fleet.leader.cluster.PendingJobs {
+		for side, want := range map[string]bool{"": false, "none: zones on both sides": true} {
+			var out bytes.Buffer
+			fleet.leader.log = slog.New(slog.NewTextHandler(&out, nil))
+			fleet.leader.describeServingSide = func(*cluster.Job) string { return side }
+			fleet.leader.logWaitReason(job, fleet.now)
+			if got := strings.Contains(out.String(), `side="none: zones on both sides"`); got != want ||
+				!want && strings.Contains(out.String(), "side=") {
+				t.Errorf("%q: %s", side, out.String())
+			}
+		}
+		return
 	}
+	t.Error("no job waits")
 }
--- a/internal/controller/shard_coordinator.go
+++ b/internal/controller/shard_coordinator.go
@@ -63,6 +63,19 @@
 	h.leader.records.ChunkRecord(chunk).MarkDirty(now, priority)
 }
 
+// ChunkRevision is the version of the key of a chunk's record, and whether all of it is stored.
+func (h coordinatorHost) ChunkRevision(chunk *cluster.TaskChunk) (revision uint64, persisted bool) {
+	return h.leader.records.ChunkRevision(chunk)
+}
+
+// JobRevision is the latest version of the keys of a job's chunks, and whether all of it is stored.
+func (h coordinatorHost) JobRevision(job *cluster.Job) (revision uint64, persisted bool) {
+	return h.leader.records.JobRevision(job)
+}
+
+// PersistJob has what is still to be written of a job's chunks written soon.
+func (h coordinatorHost) PersistJob(job *cluster.Job) { h.leader.records.PersistJob(job) }
+
 // CancellationPending notes that the end of a cancelled job is to be written once its user
 // may be told.
 func (h coordinatorHost) CancellationPending(job *cluster.Job) {
--- a/internal/controller/shard_owner.go
+++ b/internal/controller/shard_owner.go
@@ -32,6 +32,8 @@
 	assignmentRevision  uint64                        // revision up to which assignments were read
 	finished            map[*cluster.Job]bool         // jobs all of whose tasks are done
 	cancelling          map[*cluster.Job]bool         // jobs that are being cancelled
+	recalled            map[*cluster.Job]bool         // jobs that go back to the leader
+	held                map[*cluster.Job]bool         // jobs that are not placed: records of theirs are missing
 	pendingTerminations map[*cluster.Machine]bool     // machines to be terminated
 	transferInFlight    bool                          // a transfer, or a look at what came of it, is under way
 	unreachable         bool                          // no agent reaches this node
@@ -57,6 +59,8 @@
 		firstLoop:   previousVersion != entry.Version,
 		assignments: map[string]*statestore.Record{}, assignedAt: map[string]micro.Time{},
 		finished: map[*cluster.Job]bool{}, cancelling: map[*cluster.Job]bool{},
+		recalled:            map[*cluster.Job]bool{},
+		held:                map[*cluster.Job]bool{},
 		pendingTerminations: map[*cluster.Machine]bool{},
 		reports:             ownerReports{reportedMachines: map[string]bool{}},
 	}
--- a/internal/controller/shard_owner_recovery.go
+++ b/internal/controller/shard_owner_recovery.go
@@ -36,8 +36,18 @@
 		return false
 	}
 	o.assignmentRevision = revision
+	var continued []continuedJob
 	for _, item := range assignments {
-		o.applyAssignment(item.Key, item.Value, uint64(item.Version))
+		if job, assignment := o.applyAssignment(item.Key, item.Value, uint64(item.Version)); job != nil &&
+			assignment.Continued != nil {
+			continued = append(continued, continuedJob{job, assignment.Revision()})
+		}
+	}
+	leaderRecords := leaderRecords{}
+	for _, each := range continued {
+		if !o.readLeaderRecords(ctx, each.job.Spec.ID, leaderRecords) {
+			return false
+		}
 	}
 	_, ok = o.reader.ReadAll(
 		ctx, shard.AllocationPrefixFor(o.name), func(item wire.Item) { o.restoreAllocation(item, now) },
@@ -45,12 +55,39 @@
 	if !ok {
 		return false
 	}
+	for _, each := range continued {
+		o.recoverContinued(each, leaderRecords[each.job.Spec.ID], now)
+	}
 	o.speeds.Apply(o.cluster)
 	o.cluster.FinishRestore(now)
+	o.resumeStops(now)
+	return true
+}
+
+// recoverContinued restores what the leader recorded of a job's tasks, after the shard's own
+// records. Those may be all that is left once the job is over, or is going back.
+func (o *ShardOwner) recoverContinued(continued continuedJob, items []wire.Item, now micro.Time) {
+	job := continued.job
+	if o.recalled[job] {
+		return // nothing more of it is recorded here
+	}
+	complete := o.restoreContinued(continued, items, now)
+	if !complete && job.State == cluster.Active && job.UnfinishedTasks() > 0 {
+		o.holdJob(job, now)
+		return
+	}
+	o.copyLeaderRecords(job)
+}
+
+// resumeStops stops the tasks of cancelled and recalled jobs: their allocations were read after it
+// was known that they are to be stopped.
+func (o *ShardOwner) resumeStops(now micro.Time) {
 	for job := range o.cancelling {
-		o.stopAllocations(job, now) // read after it was known that the job is to be stopped
+		o.stopAllocations(job, "cancelled", 0, now)
+	}
+	for job := range o.recalled {
+		o.stopAllocations(job, "recalled", job.Spec.CheckpointDurationS, now)
 	}
-	return true
 }
 
 // restoreAllocation restores a chunk of a job's tasks from its record.
@@ -80,20 +117,24 @@
 	record.MarkDirty(o.node.Now(), statestore.PriorityBackground)
 }
 
-// applyAssignment takes in a job that the leader assigned, or what became of it.
-func (o *ShardOwner) applyAssignment(key string, value []byte, version uint64) {
-	var assignment shard.Assignment
+// applyAssignment takes in a job that the leader assigned, or what became of it. It returns the
+// job if it is new.
+func (o *ShardOwner) applyAssignment(
+	key string, value []byte, version uint64,
+) (inserted *cluster.Job, assignment shard.Assignment) {
 	_, id, ok := shard.ParseAssignmentKey(key)
 	err := wire.Unmarshal(value, &assignment)
-	if !ok || err != nil || assignment.Job.Tasks < 1 {
+	job := o.cluster.Jobs[id]
+	// A leader of the version before leaves the job out of an assignment that it writes anew.
+	if !ok || err != nil || job == nil && assignment.Spec().Tasks < 1 {
 		o.log.Error("assignment not understood", "key", key, "err", err)
-		return
+		return nil, assignment
 	}
 	record := o.assignmentRecord(key, id)
 	record.SetVersion(max(record.Version(), version))
-	job := o.cluster.Jobs[id]
 	if job == nil {
 		job = o.insertAssignedJob(&assignment)
+		inserted = job
 	}
 	if assignment.MaxAllocations > job.MaxAllocations {
 		job.MaxAllocations = assignment.MaxAllocations
@@ -102,6 +143,10 @@
 	if assignment.StopRequested {
 		o.cancelAssigned(job)
 	}
+	if assignment.RecallRequested {
+		o.recallAssigned(job, o.node.Now())
+	}
+	return inserted, assignment
 }
 
 // assignmentRecord finds or makes the record of an assignment.
@@ -117,7 +162,7 @@
 }
 
 func (o *ShardOwner) insertAssignedJob(assignment *shard.Assignment) *cluster.Job {
-	spec := assignment.Job
+	spec := assignment.Spec()
 	spec.Dependencies, spec.DependencyChunks = nil, 0 // all of them are done
 	job := o.intake.InsertJob(spec, o.node.Now(), o.node.Wall())
 	o.assignedAt[spec.ID] = micro.Time(assignment.AssignedAt)
@@ -137,19 +182,20 @@
 	o.cancelling[j] = true
 	o.reports.urgent = true
 	o.cluster.BeginAbort(j)
-	o.stopAllocations(j, o.node.Now())
+	o.stopAllocations(j, "cancelled", 0, o.node.Now())
 }
 
-// stopAllocations tells all tasks of a cancelled job to stop.
-func (o *ShardOwner) stopAllocations(j *cluster.Job, now micro.Time) {
-	for _, p := range j.Allocations() {
-		o.cluster.StopAllocation(p, "cancelled", 0, now)
+// stopAllocations tells all tasks of a job to stop, with so many seconds to do so.
+func (o *ShardOwner) stopAllocations(job *cluster.Job, reason string, graceS float64, now micro.Time) {
+	for _, allocation := range job.Allocations() {
+		o.cluster.StopAllocation(allocation, reason, graceS, now)
 	}
 }
 
 // watchAssignments follows the shard's assignments.
 func (o *ShardOwner) watchAssignments(ctx context.Context, revision uint64) {
 	prefix := shard.AssignmentPrefixFor(o.name)
+	continuedRead := map[string]bool{} // assignments whose jobs' records were read
 	for {
 		events, err := o.node.Store.Watch(ctx, prefix, revision, shard.WatchTimeout)
 		switch {
@@ -161,7 +207,11 @@
 			return
 		case err == nil:
 			revision = max(revision, uint64(events.Revision))
-			o.loop.Post(shardAssignmentsChanged{o, events})
+			records, ok := o.readContinuedJobs(ctx, events.Events, continuedRead)
+			if !ok {
+				return
+			}
+			o.loop.Post(shardAssignmentsChanged{o, events, records})
 		}
 		if !o.loop.Sleep(shard.WatchPause) {
 			return
@@ -171,20 +221,37 @@
 
 // shardAssignmentsChanged brings changes of the shard's assignments in the store.
 type shardAssignmentsChanged struct {
-	owner  *ShardOwner
-	events wire.Events
+	owner   *ShardOwner
+	events  wire.Events
+	records leaderRecords // of the jobs among them that go on
 }
 
-// Apply takes in what the leader assigned.
+// Apply takes in what the leader assigned, and what it has taken back.
 func (e shardAssignmentsChanged) Apply() {
 	for _, event := range e.events.Events {
 		if event.Put != "" {
-			e.owner.applyAssignment(event.Put, event.Value, uint64(event.Version))
+			e.owner.applyAssignmentChange(event, e.records)
+		} else {
+			e.owner.forgetRecalled(event.Delete)
 		}
 	}
 	e.owner.assignmentRevision = max(e.owner.assignmentRevision, uint64(e.events.Revision))
 }
 
+// applyAssignmentChange takes in one assignment; a new job goes on from the leader's records of it.
+func (o *ShardOwner) applyAssignmentChange(event wire.Event, records leaderRecords) {
+	job, assignment := o.applyAssignment(event.Put, event.Value, uint64(event.Version))
+	if job == nil || assignment.Continued == nil || o.recalled[job] {
+		return
+	}
+	now := o.node.Now()
+	if !o.restoreContinued(continuedJob{job, assignment.Revision()}, records[job.Spec.ID], now) {
+		o.holdJob(job, now)
+		return
+	}
+	o.copyLeaderRecords(job)
+}
+
 // How long a job may wait in a shard without ever having had an allocation before it is handed
 // back: there may be capacity elsewhere by now.
 const handBackTimeout = 30 * micro.Second
@@ -202,7 +269,7 @@
 			o.node.Wall()-o.assignedAt[id] > handBackTimeout
 		if unplaced {
 			o.log.Info("job handed back", "job", id)
-			o.cluster.PrepareTransfer(job)
+			o.cluster.PrepareTransfer(job, now)
 		}
 		if over || unplaced {
 			record.MarkDirty(now, statestore.PriorityHigh)
@@ -214,6 +281,10 @@
 // tasks go: they say that they are done. Deleted first, they once left a job that was
 // over to the shard's next owner as one that had never begun, and it ran again.
 func (o *ShardOwner) removeAssignedJob(id string) {
+	if record := o.assignments[id]; record != nil {
+		record.ClearDirty() // else the job's next assignment to the shard would be deleted
+		o.records.Drop(record)
+	}
 	delete(o.assignments, id)
 	delete(o.assignedAt, id)
 	job := o.cluster.Jobs[id]
@@ -223,6 +294,8 @@
 	delete(o.cluster.Jobs, id)
 	delete(o.finished, job)
 	delete(o.cancelling, job)
+	delete(o.recalled, job)
+	delete(o.held, job)
 	o.intake.Forget(id)
 	if job.IsTerminal() {
 		for _, chunk := range job.Chunks {
--- a/internal/controller/shard_owner_status.go
+++ b/internal/controller/shard_owner_status.go
@@ -103,6 +103,7 @@
 	}
 	o.reportMachines(&report)
 	o.reportProgress(&report)
+	o.reportRecalls(&report, now)
 	return report
 }
 
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -46,6 +46,8 @@
 	Node  string     `msgpack:"node"`
 	Nonce string     `msgpack:"nonce"` // of the process: a restarted node has another
 	Lease wire.Count `msgpack:"lease"`
+	// Features names what the holder of a session can do beyond the first version of shards.
+	Features []string `msgpack:"features,omitempty" json:",omitempty"`
 }
 
 // State is what this node takes itself to be.
@@ -102,6 +104,8 @@
 	Key              string // the key to be held; "": LeaderKey
 	Node             string
 	Nonce            string
+	Features         []string      // announced with the key; none for the leader's
+	WithKey          []wire.Change // further changes of the transaction that creates the key
 	Store            store.Store
 	TTL              micro.Time
 	RenewInterval    micro.Time
@@ -263,10 +267,8 @@
 		return false
 	}
 	revision, err := e.Store.Commit(ctx, store.Leadership, wire.Transaction{
-		If: []wire.Precondition{{Key: e.key()}},
-		Then: []wire.Change{
-			{Put: e.key(), Value: Record{Node: e.Node, Nonce: e.Nonce, Lease: wire.Count(lease)}, Lease: wire.Count(lease)},
-		},
+		If:   []wire.Precondition{{Key: e.key()}},
+		Then: append([]wire.Change{{Put: e.key(), Value: e.record(lease), Lease: wire.Count(lease)}}, e.WithKey...),
 	})
 	if err != nil {
 		if !errors.Is(err, store.ErrConflict) {
@@ -280,6 +282,11 @@
 	return true
 }
 
+// record is the value of the key under a lease.
+func (e *Election) record(lease uint64) Record {
+	return Record{Node: e.Node, Nonce: e.Nonce, Lease: wire.Count(lease), Features: e.Features}
+}
+
 // leaseDeadline is when the leadership lease ends that a renewal sent at a time gives.
 func (e *Election) leaseDeadline(sent micro.Time) micro.Time {
 	return sent + e.TTL - e.TTL*maxClockDrift/clockDriftDivisor - timerStep
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -8,15 +8,17 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 
 	"notchmux.dev/notchmux/wire"
 )
 
 // Binary compares a value with its binary form, in hexadecimal, both ways: the value is
 // written as these bytes, and these bytes are read as the value. Every field has to be
-// set: one that is left out would not be held.
-func Binary(value any, want string) error {
-	errs := []error{unset(fmt.Sprintf("%T", value), reflect.ValueOf(value))}
+// set: one that is left out would not be held. Of a field that is written only where it is set,
+// the form without it is held by naming the field as absent; another test holds the form with it.
+func Binary(value any, want string, absent ...string) error {
+	errs := []error{checkFields(value, absent)}
 	if got := hex.EncodeToString(wire.MustMarshal(value)); got != want {
 		errs = append(errs, fmt.Errorf("%T is written as %s, want %s", value, got, want))
 	}
@@ -34,21 +36,61 @@
 }
 
 // JSON compares a value with its form as JSON: what the command line prints, and what
-// the store's limits on a value count.
-func JSON(value any, want string) error {
+// the store's limits on a value count. Absent fields are as with Binary.
+func JSON(value any, want string, absent ...string) error {
 	got, err := json.Marshal(value)
 	if err == nil && string(got) != want {
 		err = fmt.Errorf("%T is printed as %s, want %s", value, got, want)
 	}
-	return errors.Join(err, unset(fmt.Sprintf("%T", value), reflect.ValueOf(value)))
+	return errors.Join(err, checkFields(value, absent))
 }
 
-// unset names the first exported field of a value, at any depth, that has no value.
+// unsetError says that a field of a value, by its path, has no value.
+type unsetError struct{ path, problem string }
+
+func (e unsetError) Error() string { return e.path + " is " + e.problem }
+
+// checkFields reports the fields of a value that are not set, but for the absent ones: each of
+// those must not be set.
+func checkFields(value any, absent []string) error {
+	remaining := slices.Clone(absent)
+	var errs []error
+	for _, err := range flatten(unset(fmt.Sprintf("%T", value), reflect.ValueOf(value))) {
+		var missing unsetError
+		if errors.As(err, &missing) && slices.Contains(remaining, missing.path) {
+			remaining = slices.DeleteFunc(remaining, func(path string) bool { return path == missing.path })
+			continue
+		}
+		errs = append(errs, err)
+	}
+	for _, path := range remaining {
+		errs = append(errs, fmt.Errorf("%s is set, or does not exist", path))
+	}
+	return errors.Join(errs...)
+}
+
+// flatten lists the errors that were joined into one.
+func flatten(err error) []error {
+	if err == nil {
+		return nil
+	}
+	joined, ok := err.(interface{ Unwrap() []error }) //nolint:errorlint // the joined errors themselves are wanted
+	if !ok {
+		return []error{err}
+	}
+	var errs []error
+	for _, each := range joined.Unwrap() {
+		errs = append(errs, flatten(each)...)
+	}
+	return errs
+}
+
+// unset names the exported fields of a value, at any depth, that have no value.
 func unset(path string, value reflect.Value) error {
 	switch value.Kind() {
 	case reflect.Pointer, reflect.Interface:
 		if value.IsNil() {
-			return fmt.Errorf("%s is not set", path)
+			return unsetError{path, "not set"}
 		}
 		return unset(path, value.Elem())
 	case reflect.Struct:
@@ -61,12 +103,12 @@
 		return errors.Join(errs...)
 	case reflect.Slice, reflect.Map:
 		if value.Len() == 0 {
-			return fmt.Errorf("%s is empty", path)
+			return unsetError{path, "empty"}
 		}
 		return unsetItems(path, value)
 	default:
 		if value.IsZero() && value.Kind() != reflect.Array {
-			return fmt.Errorf("%s is not set", path)
+			return unsetError{path, "not set"}
 		}
 		return nil
 	}
--- a/internal/golden/golden_test.go
+++ b/internal/golden/golden_test.go
@@ -40,6 +40,15 @@
 			t.Errorf("%s: %v, want %q", c.name, err, c.says)
 		}
 	}
+	withoutList := record{Name: "a"}
+	if err := Binary(withoutList, "82a16ea161a169c0", "golden.record.Inner"); err != nil {
+		t.Errorf("a field that is named as absent: %v", err)
+	}
+	for name, absent := range map[string]string{"a field that is set": "golden.record.Name", "no field": "golden.record.X"} {
+		if err := Binary(full, "82a16ea161a1699181a16301", absent); err == nil {
+			t.Errorf("%s is named as absent, which is not seen", name)
+		}
+	}
 	if err := JSON(full, `{"n":"a","i":[{"c":1}]}`); err != nil {
 		t.Error(err)
 	}
--- a/internal/persist/chunks.go
+++ b/internal/persist/chunks.go
@@ -29,6 +29,49 @@
 	return record
 }
 
+// ChunkRevision is the version of a chunk's key; false: something of the chunk is still to be
+// written, or uncertain, or is in the first form alone.
+func (r *Records) ChunkRevision(chunk *cluster.TaskChunk) (revision uint64, persisted bool) {
+	persisted = chunk.MemoryVersion <= chunk.StoredVersion && !inFirstFormAlone(chunk)
+	if record := r.chunks[chunk]; record != nil {
+		return record.Version(), persisted && record.Settled()
+	}
+	return chunk.KeyRevision, persisted
+}
+
+// inFirstFormAlone reports whether a chunk's tasks are stored in the first form, and not yet in
+// the compact one.
+func inFirstFormAlone(chunk *cluster.TaskChunk) bool {
+	return chunk.Legacy != nil && !chunk.Stored && !chunk.Legacy.Obsolete()
+}
+
+// JobRevision is the latest version of the keys of a job's chunks, 0 if there are none; false if
+// something of them is still to be written, or uncertain.
+func (r *Records) JobRevision(job *cluster.Job) (revision uint64, persisted bool) {
+	for _, chunk := range job.Chunks {
+		chunkRevision, stored := r.ChunkRevision(chunk)
+		if !stored {
+			return 0, false
+		}
+		revision = max(revision, chunkRevision)
+	}
+	return revision, true
+}
+
+// PersistJob has what is still to be written of a job's chunks written soon, in the compact form.
+func (r *Records) PersistJob(job *cluster.Job) {
+	now := r.host.Now()
+	for _, chunk := range job.Chunks {
+		if inFirstFormAlone(chunk) && chunk.MemoryVersion <= chunk.StoredVersion {
+			chunk.MemoryVersion++
+			r.ChunkRecord(chunk).MarkDirty(now, statestore.PriorityHigh)
+		}
+		if record := r.chunks[chunk]; record != nil && record.Dirty() {
+			record.MarkDirty(now, statestore.PriorityHigh)
+		}
+	}
+}
+
 // LookupChunk finds the record of a chunk; nil: there is none.
 func (r *Records) LookupChunk(chunk *cluster.TaskChunk) *statestore.Record { return r.chunks[chunk] }
 
@@ -58,6 +101,9 @@
 // ForgetJob drops what is kept of the records of a job's tasks.
 func (r *Records) ForgetJob(job *cluster.Job) {
 	for _, chunk := range job.Chunks {
+		if record := r.chunks[chunk]; record != nil && record.Settled() {
+			r.Drop(record)
+		}
 		delete(r.chunks, chunk)
 	}
 }
--- a/internal/persist/records_test.go
+++ b/internal/persist/records_test.go
@@ -251,3 +251,60 @@
 	}
 	return put
 }
+
+// A job in a shard goes on from the leader's compact records: named by a revision while something
+// is still to be written, in doubt, or in the first form alone, what is done would be done again.
+func TestRevisionOfAJobIsThatOfItsSettledCompactRecords(t *testing.T) {
+	host := newTestHost(testRole{})
+	host.cluster.EnableCompactRecords(2)
+	job := host.addJob("j-1", 4)
+	if revision, persisted := host.records.JobRevision(job); revision != 0 || !persisted {
+		t.Fatalf("of a job without records: %d, %v", revision, persisted)
+	}
+	job.Chunk(0).MemoryVersion++
+	host.records.ChunkDirty(job.Chunk(0))
+	if _, persisted := host.records.JobRevision(job); persisted {
+		t.Error("a record is to be written")
+	}
+	host.commit()
+	revision, persisted := host.records.JobRevision(job)
+	record := host.records.LookupChunk(job.Chunk(0))
+	if !persisted || revision == 0 || revision != record.Version() {
+		t.Errorf("stored at %d: %d, %v", record.Version(), revision, persisted)
+	}
+	record.MarkDirty(host.now, statestore.PriorityHigh)
+	host.records.Flush(host.now + 2*micro.Second)
+	if _, persisted := host.records.JobRevision(job); persisted {
+		t.Error("a record is in flight")
+	}
+	(<-host.events).Apply()
+	if later, persisted := host.records.JobRevision(job); !persisted || later <= revision {
+		t.Errorf("after another write: %d, %v", later, persisted)
+	}
+}
+
+// The owner of a shard reads compact records alone.
+func TestJobInTheFirstFormAloneIsPersistedInTheCompactForm(t *testing.T) {
+	host := newTestHost(testRole{})
+	host.cluster.EnableCompactRecords(2)
+	job := host.addJob("j-1", 4)
+	host.cluster.RestoreChunk(job, 0, &cluster.ChunkRecord{Done: [][2]int{{0, 0}, {3, 3}}}, 5, host.now)
+	host.cluster.FinishRestore(host.now)
+	if _, persisted := host.records.JobRevision(job); persisted {
+		t.Fatal("its records are in the first form alone")
+	}
+	for range 3 {
+		host.records.PersistJob(job)
+		host.commit()
+	}
+	revision, persisted := host.records.JobRevision(job)
+	for _, chunk := range job.Chunks {
+		record := host.records.LookupChunk(chunk)
+		if record == nil || record.Version() == 0 || record.Key != keys.CompactChunk("j-1", chunk.Index) {
+			t.Errorf("chunk %d is not stored in the compact form", chunk.Index)
+		}
+	}
+	if !persisted || revision == 0 {
+		t.Errorf("revision %d, persisted %v", revision, persisted)
+	}
+}
--- a/internal/shard/coordinator/assignment.go
+++ b/internal/shard/coordinator/assignment.go
@@ -24,6 +24,9 @@
 	// to one that has capacity for a part of it.
 	assignDelay        = micro.Second
 	partialAssignDelay = 15 * micro.Second
+	// minReassignInterval is how long a job that came back from a shard stays with the leader:
+	// it must not go to and fro between two sides neither of which serves it.
+	minReassignInterval = 30 * micro.Second
 	// maxAssignmentsPerRound is how many jobs are assigned in one round.
 	maxAssignmentsPerRound = 24
 	// capacityTolerance makes up for rounding where a machine takes a whole number of tasks.
@@ -41,6 +44,11 @@
 	endRequested bool     // the end of the cancellation is being written
 	fencedZones  []string // where tasks may still run, after its user was told
 
+	createdUnder uint64  // latest version of the shard's record under which the creation was tried
+	deleting     bool    // its shard is taken back: the record is to go
+	recall       *recall // nil: it was not recalled, or its owner has not released it yet
+	partial      partialStay
+
 	handedBack     bool   // its owner deleted the record though the job is not over
 	fenceVersion   uint64 // the shard's record must have a later version before it is the leader's again
 	lookupInFlight bool   // whether the record is really gone is being looked up
@@ -81,7 +89,8 @@
 func (c *Coordinator) assignableJobs() []*cluster.Job {
 	var jobs []*cluster.Job
 	for job := range c.Cluster.PendingJobs {
-		if job.State == cluster.Active && job.NeverAllocated() {
+		// One that was taken back with its shard is the leader's, and its former assignment still stored.
+		if c.assignedJobs[job.Spec.ID] == nil && c.Cluster.MayChangeHands(job) {
 			jobs = append(jobs, job)
 		}
 	}
@@ -98,20 +107,37 @@
 	return jobs
 }
 
+// acceptsTeam reports whether a shard takes jobs of a team.
+func acceptsTeam(entry shard.Entry, team string) bool {
+	return len(entry.Record.Teams) == 0 || slices.Contains(entry.Record.Teams, team)
+}
+
+// waitsLongEnough reports whether a job may be assigned to a shard by now, as far as its wait goes.
+func waitsLongEnough(entry shard.Entry, job *cluster.Job, now micro.Time) bool {
+	if job.UnassignedAt > 0 && now-job.UnassignedAt < minReassignInterval {
+		return false
+	}
+	return slices.Contains(entry.Record.Teams, job.Spec.Team) || job.UnallocatedFor(now) >= assignDelay
+}
+
 // assignToShard assigns a job to a shard if that has capacity for it.
 func (c *Coordinator) assignToShard(entry shard.Entry, job *cluster.Job, now micro.Time) bool {
-	waited := now - job.WaitingSince
-	if !slices.Contains(entry.Record.Teams, job.Spec.Team) && (len(entry.Record.Teams) > 0 || waited < assignDelay) {
+	if !acceptsTeam(entry, job.Spec.Team) || !waitsLongEnough(entry, job, now) {
 		return false
 	}
 	view := c.viewOf(entry.Name)
-	total := len(job.Tasks)
+	total := job.UnfinishedTasks()
 	fitting := c.tasksThatFit(view.freeCapacity, &job.Spec)
-	partial := waited > partialAssignDelay && job.Spec.Kind != wire.Gang && !job.Spec.Spread && fitting > 0
+	partial := job.UnallocatedFor(now) > partialAssignDelay && job.Spec.Kind != wire.Gang && !job.Spec.Spread && fitting > 0
 	if fitting < total && !partial {
 		return false
 	}
-	assignment := shard.Assignment{Job: job.Spec, AssignedAt: int64(c.Wall())}
+	revision, persisted := c.Host.JobRevision(job)
+	if !persisted {
+		c.Host.PersistJob(job)
+		return false
+	}
+	assignment := shard.NewAssignment(job.Spec, revision, int64(c.Wall()))
 	if wire.JSONSize(assignment) > c.Host.MaxValueBytes() {
 		return false
 	}
@@ -123,7 +149,7 @@
 	assignment.MaxAllocations = assigned
 	c.Log.Info(
 		"job assigned", "job", job.Spec.ID, "shard", entry.Name, "owner", entry.Record.Owner.Node, "tasks", total,
-		"at_once", assigned,
+		"at_once", assigned, "done", job.DoneTasks,
 	)
 	c.storeAssignment(entry.Name, job, assignment).storeRecord.MarkDirty(now, statestore.PriorityHigh)
 	return true
@@ -194,6 +220,9 @@
 	c.assignedJobs[job.Spec.ID] = assigned
 	assigned.storeRecord.Preconditions = func() []wire.Precondition { return c.assignmentPreconditions(assigned) }
 	assigned.storeRecord.Build = func() (any, uint64) {
+		if assigned.mayDeleteAssignment() {
+			return nil, 0
+		}
 		if assigned.storeRecord.Version() > 0 || !assigned.stored && !job.IsTerminal() {
 			return assigned.assignment, 0
 		}
@@ -201,6 +230,10 @@
 		return statestore.NotReady, 0
 	}
 	assigned.storeRecord.OnCommitted = func(uint64) {
+		if assigned.storeRecord.Version() == 0 {
+			c.finishRecall(assigned)
+			return
+		}
 		assigned.stored = true
 		view := c.viewOf(shardName)
 		view.assignedRevision = max(view.assignedRevision, assigned.storeRecord.Version())
@@ -219,6 +252,7 @@
 	preconditions := []wire.Precondition{{Key: keys.JobEnd(assigned.job.Spec.ID)}}
 	if entry, ok := c.table().Get(assigned.shardName); ok {
 		preconditions = append(preconditions, entry.Precondition())
+		assigned.createdUnder = max(assigned.createdUnder, entry.Version)
 	}
 	return preconditions
 }
@@ -232,6 +266,9 @@
 		c.dropAssignment(assigned)
 		return
 	}
+	if assigned.mayDeleteAssignment() {
+		return // by this leader, which goes on with the answer to that write
+	}
 	if entry, ok := c.table().Get(assigned.shardName); ok && !assigned.handedBack {
 		assigned.handedBack, assigned.fenceVersion = true, entry.Version
 	}
@@ -275,6 +312,7 @@
 	c.Records.Drop(assigned.storeRecord)
 	assigned.storeRecord.ClearDirty()
 	c.Cluster.Unassign(assigned.job, c.Now())
+	c.Cluster.FinishJobRestore(assigned.job, c.Now()) // all of it may be done
 	if assigned.cancelling && !assigned.endRequested && assigned.job.State == cluster.Aborting {
 		c.Host.CancellationPending(assigned.job) // nothing of it is anywhere: its user may be told
 	}
--- a/internal/shard/coordinator/coordinator.go
+++ b/internal/shard/coordinator/coordinator.go
@@ -42,6 +42,14 @@
 	WriteJobEnd(job *cluster.Job, state wire.JobState)
 	// MarkChunkDirty has the record of a chunk of tasks written.
 	MarkChunkDirty(chunk *cluster.TaskChunk, now micro.Time, priority statestore.Priority)
+	// ChunkRevision is the version of the key of a chunk's record; false if something of it is
+	// still to be written, or uncertain.
+	ChunkRevision(chunk *cluster.TaskChunk) (revision uint64, persisted bool)
+	// JobRevision is the latest version of the keys of all of a job's chunks, 0 if there are none;
+	// false if something of them is still to be written, or uncertain.
+	JobRevision(job *cluster.Job) (revision uint64, persisted bool)
+	// PersistJob has what is still to be written of a job's chunks written soon.
+	PersistJob(job *cluster.Job)
 	// CancellationPending notes that the end of a cancelled job is to be written once its
 	// user may be told.
 	CancellationPending(job *cluster.Job)
@@ -93,7 +101,8 @@
 // sessionView is what is known of the controllers' sessions.
 type sessionView struct {
 	current      shard.Sessions
-	known        bool // they were read in this term
+	continuing   map[string]bool // the nodes that announced shard.ContinueFeature with their last session
+	known        bool            // they were read in this term
 	readInFlight bool
 	readAt       micro.Time
 }
@@ -148,7 +157,7 @@
 		}
 		return true
 	})
-	return demands
+	return append(demands, c.partialDemands()...)
 }
 
 func (c *Coordinator) appendDemands(demands []autoscaler.ShardDemand, entry shard.Entry) []autoscaler.ShardDemand {
@@ -169,9 +178,7 @@
 func (c *Coordinator) ShardCapacity() []autoscaler.ShardCapacity {
 	var capacities []autoscaler.ShardCapacity
 	for _, entry := range c.shardsWithCapacity(c.Now()) {
-		accepts := func(job *cluster.Job) bool {
-			return len(entry.Record.Teams) == 0 || slices.Contains(entry.Record.Teams, job.Spec.Team)
-		}
+		accepts := func(job *cluster.Job) bool { return acceptsTeam(entry, job.Spec.Team) }
 		for _, free := range c.viewOf(entry.Name).freeCapacity {
 			capacities = append(capacities, autoscaler.ShardCapacity{
 				InstanceOffer: autoscaler.InstanceOffer{Type: free.Type, Zone: free.Zone, Spot: free.Spot},
@@ -188,6 +195,12 @@
 	return !sharded
 }
 
+// ShardTakesJob reports whether a machine of an offer would be in a shard that takes a job's team.
+func (c *Coordinator) ShardTakesJob(job *cluster.Job, offer autoscaler.InstanceOffer) bool {
+	entry, sharded := c.table().ShardOf(offerAttributes(offer))
+	return sharded && acceptsTeam(entry, job.Spec.Team)
+}
+
 // ClassifyMachine says whether another controller owns a machine, and whether it is to.
 func (c *Coordinator) ClassifyMachine(machine *cluster.Machine) (ownedElsewhere, transferPending bool) {
 	if machine.TypeName == "" {
@@ -318,13 +331,16 @@
 	c.formDeclaredShards()
 	c.evaluatePolicies(now)
 	c.reconcileHandedBack()
+	c.reconcileRecalls(now)
 	c.assignJobs(now)
+	c.movePartialServices(now)
 }
 
 // maxSessions is how many controllers' sessions are read: one request holds them all.
 const maxSessions = 1000
 
-// readSessions reads which controllers have a session.
+// readSessions reads which controllers have a session, and what those that have none announced with
+// their last one.
 func (c *Coordinator) readSessions(now micro.Time) {
 	if c.sessions.readInFlight || now-c.sessions.readAt < sessionReadInterval {
 		return
@@ -334,7 +350,12 @@
 		ctx, cancel := context.WithTimeout(context.Background(), shard.CommitTimeout)
 		defer cancel()
 		page, err := c.Store.Range(ctx, store.Routine, shard.SessionPrefix, "", maxSessions)
-		c.Loop.Post(sessionsRead{c, page, err})
+		if err != nil {
+			c.Loop.Post(sessionsRead{c, page, wire.Page{}, err})
+			return
+		}
+		announced, err := c.Store.Range(ctx, store.Routine, shard.AnnouncementPrefix, "", maxSessions)
+		c.Loop.Post(sessionsRead{c, page, announced, err})
 	}()
 }
 
--- a/internal/shard/coordinator/coordinator_test.go
+++ b/internal/shard/coordinator/coordinator_test.go
@@ -57,6 +57,12 @@
 	h.ended = append(h.ended, job.Spec.ID)
 }
 
+func (h *leadingHost) ChunkRevision(chunk *cluster.TaskChunk) (uint64, bool) {
+	return chunk.KeyRevision, true
+}
+func (h *leadingHost) JobRevision(*cluster.Job) (uint64, bool) { return 0, true }
+func (h *leadingHost) PersistJob(*cluster.Job)                 {}
+
 func (h *leadingHost) MarkChunkDirty(*cluster.TaskChunk, micro.Time, statestore.Priority) {}
 
 // writerHost is the loop as the writer of its records sees it.
--- a/internal/shard/coordinator/events.go
+++ b/internal/shard/coordinator/events.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"slices"
 
 	"notchmux.dev/notchmux/internal/config"
+	"notchmux.dev/notchmux/internal/election"
 	"notchmux.dev/notchmux/internal/eventloop"
 	"notchmux.dev/notchmux/internal/shard"
 	"notchmux.dev/notchmux/internal/store"
@@ -16,6 +18,7 @@
 type sessionsRead struct {
 	coordinator *Coordinator
 	page        wire.Page
+	announced   wire.Page
 	err         error
 }
 
@@ -28,9 +31,27 @@
 		return
 	}
 	sessions.known = true
-	sessions.current = shard.Sessions{}
-	for _, item := range e.page.Items {
-		sessions.current[item.Key[len(shard.SessionPrefix):]] = item.Version
+	sessions.current, sessions.continuing = shard.Sessions{}, map[string]bool{}
+	for _, item := range e.announced.Items {
+		var announcement shard.Announcement
+		e.decode(item, &announcement)
+		node := item.Key[len(shard.AnnouncementPrefix):]
+		sessions.continuing[node] = slices.Contains(announcement.Features, shard.ContinueFeature)
+	}
+	for _, item := range e.page.Items { // what a controller announces now counts
+		var record election.Record
+		e.decode(item, &record)
+		node := item.Key[len(shard.SessionPrefix):]
+		sessions.current[node] = item.Version
+		sessions.continuing[node] = slices.Contains(record.Features, shard.ContinueFeature)
+	}
+	e.coordinator.Cluster.ContinuesJobs = e.coordinator.allContinueJobs()
+}
+
+// decode reads a record; what cannot be read announces nothing.
+func (e sessionsRead) decode(item wire.Item, into any) {
+	if err := wire.Unmarshal(item.Value, into); err != nil {
+		e.coordinator.Log.Debug("session not understood", "key", item.Key, "err", err)
 	}
 }
 
--- a/internal/shard/coordinator/form.go
+++ b/internal/shard/coordinator/form.go
@@ -21,6 +21,17 @@
 	return ok
 }
 
+// allContinueJobs reports whether every controller of the settings goes on with jobs that had
+// allocations under another one.
+func (c *Coordinator) allContinueJobs() bool {
+	for _, peer := range c.Config.Peers {
+		if !c.sessions.continuing[peer.Node] {
+			return false
+		}
+	}
+	return c.sessions.continuing[c.Config.Node]
+}
+
 // formDeclaredShards forms the shards of the settings that do not exist.
 func (c *Coordinator) formDeclaredShards() {
 	if c.Config.Shards.Dissolve || !c.Cluster.CompactRecords || !c.allRegistered() {
@@ -107,9 +118,14 @@
 // drainReplicas has the replicas on a shard's machines stopped, a few at a time: other
 // tasks end by themselves.
 func (c *Coordinator) drainReplicas(entry shard.Entry) {
-	now := c.Now()
 	stopping, replicas := c.replicasIn(entry)
-	for _, allocation := range replicas[:max(min(len(replicas), maxReplicasStopping-stopping), 0)] {
+	c.stopReplicas(replicas[:max(min(len(replicas), maxReplicasStopping-stopping), 0)])
+}
+
+// stopReplicas has replicas stopped, with time for a checkpoint.
+func (c *Coordinator) stopReplicas(replicas []*cluster.Allocation) {
+	now := c.Now()
+	for _, allocation := range replicas {
 		c.Cluster.StopAllocation(allocation, "the machine goes to a shard", allocation.Job.Spec.CheckpointDurationS, now)
 	}
 }
--- /dev/null
+++ b/internal/shard/coordinator/handover_test.go
@@ -0,0 +1,428 @@
+package coordinator
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"notchmux.dev/notchmux/internal/cluster"
+	"notchmux.dev/notchmux/internal/config"
+	"notchmux.dev/notchmux/internal/election"
+	"notchmux.dev/notchmux/internal/eventloop"
+	"notchmux.dev/notchmux/internal/fake"
+	"notchmux.dev/notchmux/internal/keys"
+	"notchmux.dev/notchmux/internal/leasekeeper"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/persist"
+	"notchmux.dev/notchmux/internal/scheduler"
+	"notchmux.dev/notchmux/internal/shard"
+	"notchmux.dev/notchmux/internal/statestore"
+	"notchmux.dev/notchmux/internal/store"
+	"notchmux.dev/notchmux/wire"
+)
+
+// handoverSite is a store with the shard "east", whose owner n-1 the test plays, and one leader
+// after the other with the records of its jobs' tasks, in fake time.
+type handoverSite struct {
+	t         *testing.T
+	startedAt time.Time
+	store     *fake.Store
+	specs     []wire.Job
+	leader    *testLeader
+
+	mu        sync.Mutex         // of what follows
+	committed []wire.Transaction // what leaders sent, in order
+	fault     func(wire.Transaction) fake.CommitFault
+}
+
+// testLeader is one term of the leader, but for what has to do with machines.
+type testLeader struct {
+	*Coordinator
+	cluster.Effects
+	site      *handoverSite
+	records   *persist.Records
+	cancelled []*cluster.Job    // whose end the usual way was to be written
+	ends      map[string]string // ends that were to be written, by job
+	stop      func()
+}
+
+// leaderRole is a leader's records: conditional on its term.
+type leaderRole struct{ term *election.Term }
+
+func (r leaderRole) Preconditions() []wire.Precondition {
+	return []wire.Precondition{r.term.Precondition()}
+}
+func (leaderRole) ChunkKey(job string, index int, _ bool) string {
+	return keys.CompactChunk(job, index)
+}
+func (leaderRole) KeepsChunksOfEndedJobs() bool { return false }
+
+// handoverLimits are those of a store that takes values of 16 KB.
+type handoverLimits struct{}
+
+func (handoverLimits) MaxValueBytes() (current, next int) { return 16 << 10, 16 << 10 }
+func (handoverLimits) MaxTxnOps() int                     { return 24 }
+
+// persistHost is the leader as its records see it.
+type persistHost struct{ leader *testLeader }
+
+func (h persistHost) Now() micro.Time                      { return h.leader.site.now() }
+func (h persistHost) Wall() micro.Time                     { return h.leader.site.now() }
+func (h persistHost) HoldsLease() bool                     { return true }
+func (h persistHost) Post(event eventloop.Event)           { h.leader.Loop.Post(event) }
+func (h persistHost) ObserveCommit(micro.Time)             {}
+func (h persistHost) JobEnded(*cluster.Job, wire.JobState) {}
+func (h persistHost) FormatRaised()                        {}
+
+// handoverHost is the leader as its part in shards sees it.
+type handoverHost struct {
+	*leadingHost
+	leader *testLeader
+}
+
+func (h handoverHost) WriteJobEnd(job *cluster.Job, state wire.JobState) {
+	h.leader.ends[job.Spec.ID] += string(state)
+}
+func (h handoverHost) CancellationPending(job *cluster.Job) {
+	h.leader.cancelled = append(h.leader.cancelled, job)
+}
+func (h handoverHost) MarkChunkDirty(chunk *cluster.TaskChunk, now micro.Time, priority statestore.Priority) {
+	h.leader.records.ChunkRecord(chunk).MarkDirty(now, priority)
+}
+func (h handoverHost) ChunkRevision(chunk *cluster.TaskChunk) (uint64, bool) {
+	return h.leader.records.ChunkRevision(chunk)
+}
+func (h handoverHost) JobRevision(job *cluster.Job) (uint64, bool) {
+	return h.leader.records.JobRevision(job)
+}
+func (h handoverHost) PersistJob(job *cluster.Job) { h.leader.records.PersistJob(job) }
+
+func (l *testLeader) ChunkDirty(chunk *cluster.TaskChunk)  { l.records.ChunkDirty(chunk) }
+func (l *testLeader) ChunkUrgent(chunk *cluster.TaskChunk) { l.records.ChunkUrgent(chunk) }
+
+// runHandover plays a story on a site where n-0 leads.
+func runHandover(t *testing.T, story func(site *handoverSite)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		site := &handoverSite{t: t, startedAt: time.Now(), store: fake.NewStore()}
+		site.store.Now = site.now
+		for _, node := range []string{"n-0", "n-1"} {
+			site.put(shard.SessionKey(node), election.Record{Node: node, Features: []string{shard.ContinueFeature}})
+		}
+		record := shard.NewRecord(shard.Selector{Zone: "b"}, nil, 0)
+		record.State, record.Owner = shard.Owned, site.owner()
+		site.put(shard.RecordKey("east"), record)
+		site.takeOver()
+		defer func() { site.leader.stop(); time.Sleep(time.Minute) }()
+		story(site)
+	})
+}
+
+// now is the time since a minute before the story began.
+func (s *handoverSite) now() micro.Time {
+	return micro.Minute + micro.Time(time.Since(s.startedAt).Microseconds())
+}
+
+// owner is the incarnation of n-1 that has its session.
+func (s *handoverSite) owner() shard.Controller {
+	return shard.Controller{Node: "n-1", SessionVersion: wire.Count(s.version(shard.SessionKey("n-1")))}
+}
+
+func (s *handoverSite) put(key string, value any) {
+	s.t.Helper()
+	s.commit(wire.Change{Put: key, Value: value})
+}
+
+func (s *handoverSite) commit(changes ...wire.Change) {
+	s.t.Helper()
+	if _, err := s.store.Commit(s.t.Context(), store.Routine, wire.Transaction{Then: changes}); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// version is the version of a key; 0: it does not exist.
+func (s *handoverSite) version(key string) uint64 {
+	item, err := s.store.Get(s.t.Context(), store.Routine, key)
+	if err != nil {
+		return 0
+	}
+	return uint64(item.Version)
+}
+
+// keys lists the keys with a prefix.
+func (s *handoverSite) keys(prefix string) []string {
+	var names []string
+	for _, item := range s.items(prefix) {
+		names = append(names, item.Key)
+	}
+	return names
+}
+
+func (s *handoverSite) items(prefix string) []wire.Item {
+	s.t.Helper()
+	page, err := s.store.Range(s.t.Context(), store.Routine, prefix, "", 1000)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return page.Items
+}
+
+// assignment is what the store holds of the assignment of j-1.
+func (s *handoverSite) assignment() (assignment shard.Assignment, version uint64) {
+	s.t.Helper()
+	item, err := s.store.Get(s.t.Context(), store.Routine, shard.AssignmentKey("east", "j-1"))
+	if err != nil {
+		return assignment, 0
+	}
+	if err := wire.Unmarshal(item.Value, &assignment); err != nil {
+		s.t.Fatal(err)
+	}
+	return assignment, uint64(item.Version)
+}
+
+// takeOver begins another term, which finds what the store holds. The one before ends at once.
+func (s *handoverSite) takeOver() {
+	s.t.Helper()
+	if s.leader != nil {
+		s.do(s.leader.stop)
+	}
+	s.put(election.LeaderKey, "n-0")
+	s.leader = s.newLeader(election.NewTerm(s.version(election.LeaderKey), s.now()+1000*micro.Minute))
+	s.leader.restore()
+	go s.leader.Loop.Run(eventloop.Handlers{
+		Now: s.now, Tick: s.leader.Reconcile, AfterEvents: s.leader.records.Flush,
+	})
+	synctest.Wait()
+}
+
+func (s *handoverSite) newLeader(term *election.Term) *testLeader {
+	ctx, cancel := context.WithCancel(context.Background())
+	link := fake.NewLink(s.store, rand.New(rand.NewPCG(1, 1)))
+	link.OnCommit(s.observeCommit)
+	leader := &testLeader{site: s, Effects: noEffects{}, ends: map[string]string{}}
+	log := slog.New(slog.DiscardHandler)
+	state := cluster.New(leader)
+	state.SetCatalog(&wire.Catalog{Types: []wire.MachineType{{Name: "m", CPUs: 16, MemoryGB: 64}}})
+	state.CompactRecords, state.TasksPerChunk = true, 2
+	state.Teams["team"] = &cluster.Team{Name: "team", CPULimit: 6}
+	leader.records = persist.New(persist.Dependencies{
+		Host: persistHost{leader}, Role: leaderRole{term}, Limits: handoverLimits{}, Cluster: state,
+		Speeds: scheduler.NewSpeedEstimator(), Store: link, Log: log,
+	})
+	loop := eventloop.New()
+	follower := shard.NewFollower(link, log, func() {})
+	leader.Coordinator = New(Dependencies{
+		Host: handoverHost{&leadingHost{}, leader}, Config: handoverConfig(), Cluster: state,
+		Records: leader.records.Writer, Table: follower, Store: link, Term: term, Loop: loop,
+		RenewalBound: leasekeeper.NewRenewalBound(uint64(term.FencingRevision), 0, 0, map[string]string{}, "a"),
+		Now:          s.now, Wall: s.now, Log: log,
+	})
+	state.Ownership = leader.ClassifyMachine
+	leader.stop = func() { loop.Stop(); cancel() }
+	go func() { _ = follower.Run(ctx) }()
+	return leader
+}
+
+// observeCommit notes a transaction of a leader, and says what befalls it.
+func (s *handoverSite) observeCommit(transaction wire.Transaction) fake.CommitFault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.committed = append(s.committed, transaction)
+	if s.fault != nil {
+		return s.fault(transaction)
+	}
+	return fake.CommitFault{}
+}
+
+// setFault says what befalls the leaders' transactions from now on; nil: nothing.
+func (s *handoverSite) setFault(fault func(wire.Transaction) fake.CommitFault) {
+	s.mu.Lock()
+	s.fault = fault
+	s.mu.Unlock()
+}
+
+// sent lists the leaders' transactions so far.
+func (s *handoverSite) sent() []wire.Transaction {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.committed)
+}
+
+// handoverConfig is n-0's, with n-1 as its peer.
+func handoverConfig() *config.Config {
+	settings := testConfig()
+	settings.Node, settings.Peers = "n-0", []config.Peer{{Node: "n-1"}}
+	return settings
+}
+
+// restore takes over what the store holds of the jobs.
+func (l *testLeader) restore() {
+	s := l.site
+	assignments, ok := l.RecoverAssignments(
+		context.Background(), func(_ context.Context, prefix string, each func(wire.Item)) (uint64, bool) {
+			page, err := s.store.Range(s.t.Context(), store.Routine, prefix, "", 1000)
+			for _, item := range page.Items {
+				each(item)
+			}
+			return uint64(page.Revision), err == nil
+		},
+	)
+	if !ok {
+		s.t.Fatal("no assignments read")
+	}
+	for _, spec := range s.specs {
+		l.RestoreAssignment(l.Cluster.AddJob(spec, s.now(), s.now()), assignments[spec.ID])
+	}
+	for _, item := range s.items(keys.ChunkPrefix) {
+		id, index, _, _ := keys.ParseChunk(item.Key)
+		var record cluster.CompactRecord
+		if err := wire.Unmarshal(item.Value, &record); err != nil {
+			s.t.Fatal(err)
+		}
+		l.Cluster.RestoreCompactChunk(l.Cluster.Jobs[id], index, &record, uint64(item.Version), s.now())
+	}
+	l.Cluster.FinishRestore(s.now())
+	l.FinishRecovery()
+}
+
+// sleep lets the leader go on for a while.
+func (s *handoverSite) sleep(d micro.Time) {
+	s.do(func() {}) // what the test read before comes before what the loop does next
+	time.Sleep(d.Duration())
+	synctest.Wait()
+}
+
+// waitUntil lets the leader go on until a condition holds.
+func (s *handoverSite) waitUntil(what string, condition func() bool) {
+	s.t.Helper()
+	synctest.Wait()
+	for range 2000 {
+		if condition() {
+			return
+		}
+		s.sleep(5 * micro.Millisecond)
+	}
+	s.t.Fatalf("never: %s", what)
+}
+
+// tell has the shard's owner tell the leader something.
+func (s *handoverSite) tell(update shard.ShardUpdate) {
+	s.t.Helper()
+	update.Name, update.AssignmentRevision = "east", 1<<40
+	s.do(func() {
+		owner := s.owner()
+		s.leader.applyStatusUpdate(&shard.StatusUpdate{
+			Node: owner.Node, SessionVersion: uint64(owner.SessionVersion), Shards: []shard.ShardUpdate{update},
+		}, s.now())
+	})
+}
+
+// loopStep is a step of a test on the leader's loop.
+type loopStep struct {
+	run  func()
+	done chan struct{}
+}
+
+// Apply runs it.
+func (e loopStep) Apply() { e.run(); close(e.done) }
+
+// do runs a function on the leader's loop.
+func (s *handoverSite) do(run func()) {
+	done := make(chan struct{})
+	s.leader.Loop.Post(loopStep{run, done})
+	<-done
+	synctest.Wait()
+}
+
+// job is j-1, as the leader knows it.
+func (s *handoverSite) job() *cluster.Job { return s.leader.Cluster.Jobs["j-1"] }
+
+// submit adds j-1, an array of four tasks of one CPU: two chunks.
+func (s *handoverSite) submit() *cluster.Job {
+	spec := wire.Job{ID: "j-1", Team: "team", Class: "c", Kind: wire.JobArray, Tasks: 4, CPUs: 1, MemoryGB: 1}
+	s.specs = append(s.specs, spec)
+	s.do(func() { s.leader.Cluster.AddJob(spec, s.now(), s.now()) })
+	return s.job()
+}
+
+// runTask runs a task of j-1 on a machine of the leader; done, or to be done again.
+func (s *handoverSite) runTask(index int, cause wire.ExitCause) {
+	s.t.Helper()
+	agent := fake.NewAgent("i-"+string(rune('0'+index)), "m", "a", 30*micro.Second)
+	s.do(func() {
+		c := s.leader.Cluster
+		c.MinFencingToken = 1
+		machine, _ := c.Reconcile(agent.Heartbeat(), cluster.FromHeartbeat, s.now())
+		allocation := c.Allocate(s.job(), index, machine, s.job().Tasks[index].Attempt+1, 1, s.now())
+		agent.Tasks[fake.AttemptKey{Task: allocation.TaskName, Attempt: allocation.Attempt}] = &wire.TaskStatus{
+			Task: allocation.TaskName, Attempt: wire.Count(allocation.Attempt), State: wire.TaskExited, Cause: cause,
+		}
+		c.Reconcile(agent.Heartbeat(), cluster.FromHeartbeat, s.now())
+	})
+}
+
+// tellFree has the owner tell of capacity for all of j-1.
+func (s *handoverSite) tellFree() {
+	s.t.Helper()
+	s.tell(shard.ShardUpdate{FreeCapacity: []shard.FreeCapacity{{Type: "m", Zone: "b", Count: 1, CPU: 16, Mem: 64}}})
+}
+
+// assignBegun has j-1 assigned after its task 0 was done, and task 2 ended without.
+func (s *handoverSite) assignBegun() {
+	s.t.Helper()
+	s.submit()
+	s.runTask(0, wire.CauseDone)
+	s.runTask(2, wire.CauseStopped)
+	s.assignUntilStored()
+}
+
+// recordDone puts the owner's record of a chunk of j-1 with a task that is done.
+func (s *handoverSite) recordDone(chunk, task int) {
+	s.put(shard.AllocationKey("east", "j-1", chunk), cluster.CompactRecord{
+		Zones: []string{}, Machines: []string{}, MachineZones: []int{}, Allocations: [][4]wire.Count{},
+		Done: [][2]int{{task, task}}, Attempts: [][2]int{},
+	})
+}
+
+// release has the owner say that it has released j-1, as of the assignment in the store.
+func (s *handoverSite) release() {
+	s.t.Helper()
+	_, version := s.assignment()
+	s.tell(shard.ShardUpdate{ReleasedJobs: []shard.ReleasedJob{{Job: "j-1", Version: version}}})
+}
+
+// recall has j-1 recalled, and stored so.
+func (s *handoverSite) recall() {
+	s.t.Helper()
+	s.waitUntil("the recall is stored", func() bool {
+		s.tell(shard.ShardUpdate{WaitingJobs: []string{"j-1"}})
+		assignment, _ := s.assignment()
+		return assignment.RecallRequested
+	})
+}
+
+// touched lists the first of the leader's transactions since a mark that put or delete keys of
+// these prefixes, in order; a deletion begins with a minus.
+func (s *handoverSite) touched(since int, prefixes ...string) []string {
+	var seen []string
+	for _, transaction := range s.sent()[since:] {
+		for _, change := range transaction.Then {
+			key := change.Put
+			if change.Delete != "" {
+				key = "-" + change.Delete
+			}
+			for _, prefix := range prefixes {
+				if strings.HasPrefix(key, prefix) && !slices.Contains(seen, prefix) {
+					seen = append(seen, prefix)
+				}
+			}
+		}
+	}
+	return seen
+}
--- a/internal/shard/coordinator/reclaim.go
+++ b/internal/shard/coordinator/reclaim.go
@@ -40,7 +40,7 @@
 	case !progress.reclaimed:
 		progress.readInFlight = true
 		go func() {
-			items, err := c.readAllocations(entry.Name)
+			items, err := c.readAllocations(shard.AllocationPrefixFor(entry.Name))
 			c.Loop.Post(releasedShardRead{c, entry, progress, items, err})
 		}()
 	case len(progress.pendingDeletes) == 0 && !c.hasAssignments(entry.Name):
@@ -51,14 +51,14 @@
 	}
 }
 
-// readAllocations reads the allocations of a released shard; any goroutine may.
-func (c *Coordinator) readAllocations(shardName string) ([]wire.Item, error) {
+// readAllocations reads the records with a prefix that owners left; any goroutine may.
+func (c *Coordinator) readAllocations(prefix string) ([]wire.Item, error) {
 	var items []wire.Item
 	after := ""
 	for {
-		page, err := c.readAllocationPage(shardName, after)
+		page, err := c.readAllocationPage(prefix, after)
 		if err != nil {
-			return nil, fmt.Errorf("read allocations of shard %s after %q: %w", shardName, after, err)
+			return nil, fmt.Errorf("read allocations %s after %q: %w", prefix, after, err)
 		}
 		for _, item := range page.Items {
 			items = append(items, item)
@@ -70,10 +70,10 @@
 	}
 }
 
-func (c *Coordinator) readAllocationPage(shardName, after string) (wire.Page, error) {
+func (c *Coordinator) readAllocationPage(prefix, after string) (wire.Page, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), reclaimReadTimeout)
 	defer cancel()
-	return c.Store.Range(ctx, store.Routine, shard.AllocationPrefixFor(shardName), after, reclaimPageSize)
+	return c.Store.Range(ctx, store.Routine, prefix, after, reclaimPageSize)
 }
 
 // restoreReleasedShard joins a released shard's machines and jobs to the leader's. Its last
@@ -96,7 +96,7 @@
 		}
 	}
 	for _, item := range items {
-		c.reclaimAllocation(item, progress, now)
+		c.reclaimAllocation(item, progress.pendingDeletes, now)
 	}
 	for _, assigned := range c.assignedJobs {
 		if assigned.shardName == entry.Name {
@@ -123,37 +123,42 @@
 	}
 }
 
-// reclaimAllocation takes the allocations of a record into the leader's own, which is
-// written before that is deleted.
-func (c *Coordinator) reclaimAllocation(item wire.Item, progress *reclaim, now micro.Time) {
+// reclaimAllocation takes an owner's record into the leader's own, which is written before that is
+// deleted.
+func (c *Coordinator) reclaimAllocation(
+	item wire.Item, pendingDeletes map[string]*statestore.Record, now micro.Time,
+) {
 	record := c.Records.Record(item.Key)
 	record.SetVersion(uint64(item.Version))
-	progress.pendingDeletes[item.Key] = record
+	pendingDeletes[item.Key] = record
 	job, chunk := c.reclaimChunk(item, now)
 	record.Build = func() (any, uint64) {
-		if chunk != nil && !chunk.Stored && (!job.IsTerminal() || job.AllocationCount > 0) {
+		if chunk != nil && !c.takenBack(chunk) && (!job.IsTerminal() || job.AllocationCount > 0) {
 			return statestore.NotReady, 0
 		}
 		return nil, 0
 	}
-	record.OnCommitted = func(uint64) { delete(progress.pendingDeletes, item.Key) }
+	record.OnCommitted = func(uint64) { delete(pendingDeletes, item.Key) }
 }
 
 // reclaimChunk finds the chunk of tasks that a record is about, and restores it; nil if no job
 // has such a chunk.
 func (c *Coordinator) reclaimChunk(item wire.Item, now micro.Time) (*cluster.Job, *cluster.TaskChunk) {
-	_, id, index, ok := shard.ParseAllocationKey(item.Key)
-	job := c.Cluster.Jobs[id]
+	shardName, id, index, ok := shard.ParseAllocationKey(item.Key)
+	job, assigned := c.Cluster.Jobs[id], c.assignedJobs[id]
 	if !ok || job == nil || index >= len(job.Chunks) {
 		return nil, nil
 	}
+	if assigned == nil || assigned.shardName != shardName {
+		return nil, nil // left by a late write: the job is not in that shard any more
+	}
 	var stored cluster.CompactRecord
 	if err := wire.Unmarshal(item.Value, &stored); err != nil {
 		c.Log.Debug("allocation record not understood", "key", item.Key, "job", id, "err", err)
 		return nil, nil
 	}
 	chunk := job.Chunks[index]
-	if !chunk.Stored { // else an earlier leader has moved it
+	if !c.takenBack(chunk) { // else this leader has, or an earlier one
 		c.Cluster.ReclaimChunk(job, index, &stored, now)
 		c.Host.MarkChunkDirty(chunk, now, statestore.PriorityHigh)
 	}
@@ -172,6 +177,11 @@
 		if assigned.shardName != shardName {
 			continue
 		}
+		if assigned.deleting && assigned.storeRecord.Absent() {
+			c.dropAssignment(assigned) // it never was in the store, and a late write of it fails by the shard's version
+			continue
+		}
+		assigned.deleting = true
 		assigned.storeRecord.Build = func() (any, uint64) { return nil, 0 }
 		assigned.storeRecord.OnCommitted = func(uint64) { c.dropAssignment(assigned) }
 		assigned.storeRecord.MarkDirty(now, statestore.PriorityHigh)
--- a/internal/shard/coordinator/serving_side.go
+++ b/internal/shard/coordinator/serving_side.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -19,6 +18,8 @@
 type DividedCatalog struct {
 	offers []catalogOffer
 	shards []shard.Entry // in the order of their names
+
+	continuesJobs bool // jobs that had allocations may be assigned, see cluster.State.ContinuesJobs
 }
 
 // catalogOffer is a type in a zone, spot or on-demand.
@@ -29,12 +30,13 @@
 	shard       int // index of the shard; leaderSide: in none
 }
 
-// leaderSide stands for the leader among the sides; it comes before the shards.
+// leaderSide stands for the leader among the sides.
 const leaderSide = -1
 
-// DivideCatalog divides a catalog by the shards.
-func DivideCatalog(types []*cluster.MachineType, table shard.Snapshot) *DividedCatalog {
-	catalog := &DividedCatalog{}
+// DivideCatalog divides a catalog by the shards. Jobs that had allocations may be assigned to them
+// if controllers go on with those.
+func DivideCatalog(types []*cluster.MachineType, table shard.Snapshot, continuesJobs bool) *DividedCatalog {
+	catalog := &DividedCatalog{continuesJobs: continuesJobs}
 	table.Each(func(entry shard.Entry) bool {
 		catalog.shards = append(catalog.shards, entry)
 		return true
@@ -48,8 +50,6 @@
 			})
 		}
 	}
-	// The leader's first: it may serve most jobs.
-	slices.SortStableFunc(catalog.offers, func(a, b catalogOffer) int { return cmp.Compare(a.shard, b.shard) })
 	return catalog
 }
 
@@ -83,7 +83,7 @@
 			continue
 		}
 		side.ShardOffers[entry.Name] = sides.shards[i].offers
-		if refusal := refusalOf(job, entry, &sides.shards[i]); refusal != "" {
+		if refusal := c.refusalOf(job, entry, &sides.shards[i]); refusal != "" {
 			refusals = append(refusals, refusal)
 		} else {
 			side.ServedBy = append(side.ServedBy, "shard "+entry.Name)
@@ -119,7 +119,7 @@
 		if side == nil || !side.serves(job) {
 			continue
 		}
-		if offer.shard == leaderSide || acceptsTeam(job, c.shards[offer.shard]) && mayBeAssigned(job) {
+		if offer.shard == leaderSide || acceptsTeam(c.shards[offer.shard], job.Spec.Team) && c.mayBeAssigned(job) {
 			return true
 		}
 	}
@@ -162,23 +162,27 @@
 	return 1
 }
 
-// mayBeAssigned reports whether a waiting job may be assigned to a shard at all.
-func mayBeAssigned(job *cluster.Job) bool { return job.NeverAllocated() }
+// leaderServes reports whether the leader has what all of a job's tasks need together.
+func (c *DividedCatalog) leaderServes(job *cluster.Job) bool {
+	return c.sidesOf(job).leader.serves(job)
+}
 
-// acceptsTeam reports whether a shard takes jobs of a job's team.
-func acceptsTeam(job *cluster.Job, entry shard.Entry) bool {
-	return len(entry.Record.Teams) == 0 || slices.Contains(entry.Record.Teams, job.Spec.Team)
+// mayBeAssigned reports whether a waiting job may be assigned to a shard at all.
+func (c *DividedCatalog) mayBeAssigned(job *cluster.Job) bool {
+	return job.AllocationCount == 0 && (c.continuesJobs || job.NeverAllocated())
 }
 
 // refusalOf says why a shard with offers for a job cannot serve it; "": it can.
-func refusalOf(job *cluster.Job, entry shard.Entry, side *jobSide) string {
+func (c *DividedCatalog) refusalOf(job *cluster.Job, entry shard.Entry, side *jobSide) string {
 	switch {
-	case !acceptsTeam(job, entry):
+	case !acceptsTeam(entry, job.Spec.Team):
 		return fmt.Sprintf("shard %s takes jobs of team %s only", entry.Name, strings.Join(entry.Record.Teams, ", "))
 	case !side.serves(job):
 		return fmt.Sprintf("shard %s holds zone %s only", entry.Name, strings.Join(side.zones, ", "))
-	case !mayBeAssigned(job):
-		return fmt.Sprintf("a task of it had an allocation, so it is not assigned to shard %s", entry.Name)
+	case job.AllocationCount > 0:
+		return fmt.Sprintf("it has allocations at the leader, and goes to shard %s as a whole", entry.Name)
+	case !c.mayBeAssigned(job):
+		return fmt.Sprintf("a task of it had an allocation, and not all controllers could go on with it in shard %s", entry.Name)
 	}
 	return ""
 }
--- a/internal/shard/coordinator/status.go
+++ b/internal/shard/coordinator/status.go
@@ -78,6 +78,9 @@
 	for _, stopping := range update.StoppingJobs {
 		c.cancellationProgress(entry.Name, stopping, now)
 	}
+	c.recallWaitingJobs(entry.Name, update.WaitingJobs, now)
+	c.notePartlyPlaced(entry.Name, update.PartlyPlaced, now)
+	c.applyReleasedJobs(entry, update.ReleasedJobs)
 	c.applyProgress(entry.Name, update.Progress)
 	if term == c.Term.FencingRevision {
 		for _, name := range update.ReadyMachines {
@@ -141,6 +144,9 @@
 	for _, stopping := range update.StoppingJobs {
 		c.acknowledgeEnd(stopping.Job, reply)
 	}
+	for _, released := range update.ReleasedJobs {
+		c.acknowledgeEnd(released.Job, reply)
+	}
 	for _, name := range update.MachinesToTerminate {
 		if c.Cluster.WasTerminated(name) {
 			reply.TerminatedMachines = append(reply.TerminatedMachines, name)
--- a/internal/shard/golden_test.go
+++ b/internal/shard/golden_test.go
@@ -71,6 +71,24 @@
 	}, AssignedAt: 1700000000000001, MaxAllocations: 150, StopRequested: true}
 }
 
+// goldenContinuedAssignment is an assignment with the fields that are written only where they are
+// set, too.
+func goldenContinuedAssignment() Assignment {
+	assignment := goldenAssignment()
+	assignment.Continued = &ContinuedJob{Job: assignment.Job, Revision: 306}
+	assignment.RecallRequested = true
+	return assignment
+}
+
+// goldenRecallUpdate is an update with the fields that are written only where they are set, too.
+func goldenRecallUpdate() ShardUpdate {
+	update := goldenShareTouch()
+	update.WaitingJobs = []string{"j-6"}
+	update.PartlyPlaced = []string{"j-8"}
+	update.ReleasedJobs = []ReleasedJob{{Job: "j-7", Version: 307}}
+	return update
+}
+
 func goldenShareTouch() ShardUpdate {
 	return ShardUpdate{
 		Name:               "gpus",
@@ -94,6 +112,16 @@
 	}
 }
 
+// absentFields are the fields that are written only where they are set, by the case that holds the
+// form without them. TestFormsOfJobsThatChangeHandsKeepTheirBytes holds the form with them.
+var absentFields = map[string][]string{
+	"assignment": {"shard.Assignment.Continued", "shard.Assignment.RecallRequested"},
+	"touch": {
+		"shard.StatusUpdate.Shards[0].WaitingJobs", "shard.StatusUpdate.Shards[0].PartlyPlaced",
+		"shard.StatusUpdate.Shards[0].ReleasedJobs",
+	},
+}
+
 // Controllers of two builds run side by side, on each other's records.
 func TestShardRecordsAndMessagesKeepTheirBytes(t *testing.T) {
 	for _, c := range []struct {
@@ -143,12 +171,62 @@
 				"68656c64207570",
 		},
 	} {
-		if err := golden.Binary(c.value, c.bytes); err != nil {
+		if err := golden.Binary(c.value, c.bytes, absentFields[c.name]...); err != nil {
 			t.Errorf("%s: %v", c.name, err)
 		}
 	}
 }
 
+// A version without these fields reads past them; one that renamed them would lose what a job that
+// changes hands goes on from.
+func TestFormsOfJobsThatChangeHandsKeepTheirBytes(t *testing.T) {
+	assignment := "86a36a6f62de0017a66e616d654964a86a2d303030343132a86a6f62636c617373a5747261696ea66f7574666974a6766973" +
+		"696f6ea57368617065a8656e73656d626c65a472616e6ba6757267656e74a6706965636573ccc8a57663707573cb3fd00000" +
+		"00000000a467707573cb4000000000000000a572616d4762cb400c000000000000a662756e646c65a6696d672d3037a67075" +
+		"6c6c4762cb3ff8000000000000a47269677391a5736d616c6ca479617264a465617374a76f6e655a6f6e65c3a77363617474" +
+		"6572c3a76c6f616e657273c3a6677565737353cb406e000000000000a9626f6f6b6d61726b53cb403e000000000000a67374" +
+		"61736853cb4010000000000000a464756553cb408c200000000000a661776169747391a36a2d31a8617761697473496e06a2" +
+		"6174cf00060a24181e4000a26174cf00060a24181e4001a57461736b73cc96a473746f70c3a9636f6e74696e75656482a36a" +
+		"6f62de0017a66e616d654964a86a2d303030343132a86a6f62636c617373a5747261696ea66f7574666974a6766973696f6e" +
+		"a57368617065a8656e73656d626c65a472616e6ba6757267656e74a6706965636573ccc8a57663707573cb3fd00000000000" +
+		"00a467707573cb4000000000000000a572616d4762cb400c000000000000a662756e646c65a6696d672d3037a670756c6c47" +
+		"62cb3ff8000000000000a47269677391a5736d616c6ca479617264a465617374a76f6e655a6f6e65c3a773636174746572c3" +
+		"a76c6f616e657273c3a6677565737353cb406e000000000000a9626f6f6b6d61726b53cb403e000000000000a67374617368" +
+		"53cb4010000000000000a464756553cb408c200000000000a661776169747391a36a2d31a8617761697473496e06a26174cf" +
+		"00060a24181e4000a3726576cd0132a6726563616c6cc3"
+	if err := golden.Binary(goldenContinuedAssignment(), assignment); err != nil {
+		t.Error(err)
+	}
+	update := "84a46e6f6465a36e2d31a773657373696f6ecd012da47465726dcd0131a673686172657391de0010a46e616d65a467707573" +
+		"a47365656ecd0130a4726f6f6d9187a474797065a3677075a47a6f6e65a465617374a473706f74c3a5636f756e7406a36370" +
+		"75cb401e000000000000a3677075cb4000000000000000a36d656dcb4050000000000000a866696e697368656492a36a2d31" +
+		"a36a2d32a773746f707065649183a36a6f62a36a2d33a468656c6408a57a6f6e657391a477657374a664656d616e649183a3" +
+		"6a6f62a36a2d34a57461736b730aa57a6f6e657391a56e6f727468a870726f67726573739184a36a6f62a36a2d35a4646f6e" +
+		"650ba772756e6e696e670da46e6565640ea2757091a3692d31a672657475726e91a3692d32a86d616368696e657329a5656d" +
+		"70747905a9756e72656163686564c3aa756e61737369676e65640fa469646c6591a36a2d36a77061727469616c91a36a2d38" +
+		"a872656c65617365649182a36a6f62a36a2d37a776657273696f6ecd0133"
+	shards := []ShardUpdate{goldenRecallUpdate()}
+	if err := golden.Binary(StatusUpdate{Node: "n-1", SessionVersion: 301, Term: 305, Shards: shards}, update); err != nil {
+		t.Error(err)
+	}
+	if err := golden.Binary(
+		Announcement{Features: []string{ContinueFeature}}, "81a8666561747572657391a8636f6e74696e7565",
+	); err != nil {
+		t.Error(err)
+	}
+	text := `{"job":{"nameId":"j-000412","jobclass":"train","outfit":"vision","shape":"ensemble","rank":"urgent",` +
+		`"pieces":200,"vcpus":0.25,"gpus":2,"ramGb":3.5,"bundle":"img-07","pullGb":1.5,"rigs":["small"],"yard` +
+		`":"east","oneZone":true,"scatter":true,"loaners":true,"guessS":240,"bookmarkS":30,"stashS":4,"dueS":` +
+		`900,"awaits":["j-1"],"awaitsIn":6,"at":1700000000000000},"at":1700000000000001,"tasks":150,"stop":tr` +
+		`ue,"continued":{"job":{"nameId":"j-000412","jobclass":"train","outfit":"vision","shape":"ensemble","` +
+		`rank":"urgent","pieces":200,"vcpus":0.25,"gpus":2,"ramGb":3.5,"bundle":"img-07","pullGb":1.5,"rigs":` +
+		`["small"],"yard":"east","oneZone":true,"scatter":true,"loaners":true,"guessS":240,"bookmarkS":30,"st` +
+		`ashS":4,"dueS":900,"awaits":["j-1"],"awaitsIn":6,"at":1700000000000000},"rev":306},"recall":true}`
+	if err := golden.JSON(goldenContinuedAssignment(), text); err != nil {
+		t.Error(err)
+	}
+}
+
 // The command line prints a status; the store counts records in this form.
 func TestShardRecordsAndStatusesKeepTheirJSON(t *testing.T) {
 	for _, c := range []struct {
@@ -169,7 +247,7 @@
 			`"speech"],"moves":7,"at":1700000000000000},"version":303,"machines":41,"empty":5,"waiting":12,"jobs":9,` +
 			`"ownerGone":true,"heardAgoS":3,"note":"held up"}`},
 	} {
-		if err := golden.JSON(c.value, c.text); err != nil {
+		if err := golden.JSON(c.value, c.text, absentFields[c.name]...); err != nil {
 			t.Errorf("%s: %v", c.name, err)
 		}
 	}
@@ -180,6 +258,7 @@
 		{"share record", RecordKey("gpus"), "share/gpus"},
 		{"session", SessionKey("n-1"), "owner/n-1"},
 		{"assignment", AssignmentKey("gpus", "j-1"), "assign/gpus/j-1"},
+		{"announcement", AnnouncementKey("n-1"), "can/n-1"},
 		{"allocation", AllocationKey("gpus", "j-1", 12), "alloc/gpus/j-1/12"},
 		{"marker", MarkerKey, "fleet/shares"},
 		{
--- a/internal/shard/keys.go
+++ b/internal/shard/keys.go
@@ -12,6 +12,8 @@
 	AssignmentPrefix  = "assign/"
 	AllocationPrefix  = "alloc/"
 	MachineAgesPrefix = "ages/"
+	// AnnouncementPrefix begins what controllers announced with their sessions. It stays when those end.
+	AnnouncementPrefix = "can/"
 	// MarkerKey exists as long as any shard does. It lies among the records of the
 	// fleet, which every leader reads first.
 	MarkerKey = "fleet/shares"
@@ -23,6 +25,9 @@
 // SessionKey is the key of a controller's session.
 func SessionKey(node string) string { return SessionPrefix + node }
 
+// AnnouncementKey is the key of what a controller announced with its last session.
+func AnnouncementKey(node string) string { return AnnouncementPrefix + node }
+
 // AssignmentPrefixFor begins the keys of a shard's assignments.
 func AssignmentPrefixFor(name string) string { return AssignmentPrefix + name + "/" }
 
@@ -32,9 +37,12 @@
 // AllocationPrefixFor begins the keys of a shard's allocations.
 func AllocationPrefixFor(name string) string { return AllocationPrefix + name + "/" }
 
+// AllocationPrefixForJob begins the keys of a job's allocations in a shard.
+func AllocationPrefixForJob(name, job string) string { return AllocationPrefixFor(name) + job + "/" }
+
 // AllocationKey is the key of the record of a chunk of a job's tasks in a shard.
 func AllocationKey(name, job string, chunk int) string {
-	return AllocationPrefixFor(name) + job + "/" + strconv.Itoa(chunk)
+	return AllocationPrefixForJob(name, job) + strconv.Itoa(chunk)
 }
 
 // ParseAssignmentKey splits the key of an assignment.
--- a/internal/shard/ownership/ownership.go
+++ b/internal/shard/ownership/ownership.go
@@ -82,10 +82,15 @@
 func New[O Owner](config Config, deps Dependencies[O]) *Owners[O] {
 	owners := &Owners[O]{node: config.Node, host: deps.Host, owners: map[string]owned[O]{}}
 	owners.table = shard.NewFollower(deps.Store, deps.Log, owners.tableChanged)
+	features := []string{shard.ContinueFeature}
+	announcement := wire.Change{
+		Put: shard.AnnouncementKey(config.Node), Value: shard.Announcement{Features: features},
+	}
 	owners.session = &election.Election{
 		Key: shard.SessionKey(config.Node), Node: config.Node, Nonce: rand.Text(), Store: deps.Store,
-		TTL: config.SessionTTL, RenewInterval: config.RenewInterval,
-		Log: deps.Log.With("session", config.Node), Now: deps.Now,
+		TTL: config.SessionTTL, RenewInterval: config.RenewInterval, Features: features,
+		WithKey: []wire.Change{announcement},
+		Log:     deps.Log.With("session", config.Node), Now: deps.Now,
 		OnStartedLeading: owners.sessionStarted, OnStoppedLeading: owners.sessionEnded,
 	}
 	return owners
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -144,10 +144,54 @@
 }
 
 // Assignment is a job that the leader gave to a shard. It counts against its team's
-// limit for as long as its record exists, which the shard's owner deletes.
+// limit for as long as its record exists. The shard's owner deletes it, but for that of a job
+// that was recalled: the leader deletes that one.
 type Assignment struct {
+	// Job is the description of a job that never had an allocation; that of any other is in
+	// Continued, and this one is empty.
 	Job            wire.Job `msgpack:"job" json:"job"`
 	AssignedAt     int64    `msgpack:"at" json:"at"`       // when it was assigned, wall clock, microseconds
 	MaxAllocations int      `msgpack:"tasks" json:"tasks"` // how many of its tasks may have places at once; it only grows
 	StopRequested  bool     `msgpack:"stop" json:"stop"`   // its tasks are to be stopped: it is being cancelled
+
+	// Continued is set for a job that had allocations before. A version without this field
+	// finds no job in the assignment, and leaves it alone.
+	Continued *ContinuedJob `msgpack:"continued,omitempty" json:"continued,omitempty"`
+	// RecallRequested is set once the job is to come back to the leader, and stays: no owner
+	// that has read it places any of its tasks.
+	RecallRequested bool `msgpack:"recall,omitempty" json:"recall,omitempty"`
+}
+
+// ContinuedJob is a job that goes on in a shard from the leader's records of its tasks.
+type ContinuedJob struct {
+	Job wire.Job `msgpack:"job" json:"job"`
+	// Revision is the latest version of the leader's records of its tasks, which do not change
+	// while the job is in the shard. A later version of one is what the leader has taken back.
+	Revision wire.Count `msgpack:"rev" json:"rev"`
+}
+
+// NewAssignment is the assignment of a job that goes on from the records of its tasks up to a
+// revision; 0: there are none.
+func NewAssignment(job wire.Job, revision uint64, wall int64) Assignment {
+	if revision == 0 {
+		return Assignment{Job: job, AssignedAt: wall}
+	}
+	return Assignment{Continued: &ContinuedJob{Job: job, Revision: wire.Count(revision)}, AssignedAt: wall}
+}
+
+// Spec is the description of the job that was assigned.
+func (a *Assignment) Spec() wire.Job {
+	if a.Continued != nil {
+		return a.Continued.Job
+	}
+	return a.Job
+}
+
+// Revision is the latest version of the leader's records that the job goes on from; 0: there
+// are none.
+func (a *Assignment) Revision() uint64 {
+	if a.Continued == nil {
+		return 0
+	}
+	return uint64(a.Continued.Revision)
 }
--- a/internal/shard/sessions.go
+++ b/internal/shard/sessions.go
@@ -6,6 +6,16 @@
 	"notchmux.dev/notchmux/wire"
 )
 
+// ContinueFeature is announced by a controller that goes on with jobs which had allocations before,
+// and gives them back when they are recalled: in its session, and for as long as it is away in a
+// record that stays. Such a job changes hands only while every controller of the settings does.
+const ContinueFeature = "continue"
+
+// Announcement is what a controller could do when it last had a session.
+type Announcement struct {
+	Features []string `msgpack:"features" json:"features"`
+}
+
 // Sessions are the controllers that have a session, by node, with its version.
 type Sessions map[string]wire.Count
 
--- a/internal/shard/status_update_size.go
+++ b/internal/shard/status_update_size.go
@@ -19,7 +19,8 @@
 func (u *ShardUpdate) halveLongestLists() {
 	longest := max(
 		len(u.FreeCapacity), len(u.FinishedJobs), len(u.StoppingJobs), len(u.Demand), len(u.Progress),
-		len(u.ReadyMachines), len(u.MachinesToTerminate),
+		len(u.ReadyMachines), len(u.MachinesToTerminate), len(u.WaitingJobs), len(u.PartlyPlaced),
+		len(u.ReleasedJobs),
 	)
 	u.FreeCapacity = halved(u.FreeCapacity, longest)
 	u.FinishedJobs = halved(u.FinishedJobs, longest)
@@ -28,6 +29,9 @@
 	u.Progress = halved(u.Progress, longest)
 	u.ReadyMachines = halved(u.ReadyMachines, longest)
 	u.MachinesToTerminate = halved(u.MachinesToTerminate, longest)
+	u.WaitingJobs = halved(u.WaitingJobs, longest)
+	u.PartlyPlaced = halved(u.PartlyPlaced, longest)
+	u.ReleasedJobs = halved(u.ReleasedJobs, longest)
 }
 
 // halved is the first half of a list that is more than half as long as the longest, else all of it.
