coordinator: a shard is given away once the ends of the tasks on its machines are stored

What callers saw: a task that was done ran again, and the rest of its job waited for 50 s and more, where a leader ended just after it had given a shard away.

Cause: the shard was granted once the leader's memory held no allocation on its machines. The ends of the last tasks waited to be written: their agents told the new owner of them, which did not know the job and had them forgotten, and the next leader took the tasks for running until the machines' leases had run out.

--- a/internal/controller/shard_machines_test.go
+++ b/internal/controller/shard_machines_test.go
@@ -1,13 +1,54 @@
 package controller
 
 import (
+	"sync/atomic"
 	"testing"
 
+	"notchmux.dev/notchmux/internal/fake"
+	"notchmux.dev/notchmux/internal/keys"
 	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/shard"
 	"notchmux.dev/notchmux/wire"
 )
 
-// Machines that change hands with a shard.
+// Machines that change hands with a shard: with the ends of tasks that are not stored yet, and dead.
+
+// A shard is given away before the ends of the tasks on its machines are stored, and they run again.
+//
+// What happened: a shard was granted once the leader's memory held no allocation on its machines. The
+// leader ended before it had stored that: the agents told the new owner of the ends, which did not
+// know the job, and had them forgotten. The next leader took the tasks for running, until their
+// machines' leases had run out, and started them anew.
+func TestShardIsGivenAwayOnlyOnceTheEndsOnItsMachinesAreStored(t *testing.T) {
+	runScenario(t, 90, 3, judgeStarts, func(sim *simCluster) {
+		array := sim.newHandoverArray(false, "team").submit()
+		sim.waitRunning(array, arrayTasksAtOnce)
+		sim.declareShard(onDemand)
+		allow := sim.refuseCommits(keys.ChunkPrefix)
+		sim.waitUntil("the first tasks have ended", micro.Minute, func() bool { return array.doneTasks() == arrayTasksAtOnce })
+		sim.sleep(20 * micro.Second)
+		if entry, ok := sim.shardRecord(); !ok || entry.Record.State != shard.Forming {
+			sim.t.Errorf("the shard is %s", entry.Record.State)
+		}
+		sim.endLeader(5 * micro.Second)
+		sim.sleep(10 * micro.Second)
+		allow()
+		sim.waitShardOwned("n-2", 2*micro.Minute)
+		sim.waitDone(array, servedWithin)
+	})
+}
+
+// refuseCommits has the store refuse all changes of keys with a prefix, until the function that it
+// returns is called.
+func (w *simCluster) refuseCommits(prefix string) (allow func()) {
+	var refused atomic.Bool
+	refused.Store(true)
+	fate := func(int, wire.Change) fake.CommitFault { return fake.CommitFault{Refused: refused.Load()} }
+	for _, controller := range w.controllers {
+		w.onCommit(controller, prefix, fate)
+	}
+	return func() { refused.Store(false) }
+}
 
 // Idle machines of a shard die, its owner ends, and nobody ever gives them back.
 //
--- a/internal/shard/coordinator/coordinator.go
+++ b/internal/shard/coordinator/coordinator.go
@@ -89,9 +89,10 @@
 	views           map[string]*shardView
 	sessions        sessionView
 	policies        policyView
-	commitsInFlight map[string]bool         // shards with a transaction under way
-	assignedJobs    map[string]*assignedJob // by job
-	reclaims        map[string]*reclaim     // shards that are being taken back, by name
+	commitsInFlight map[string]bool           // shards with a transaction under way
+	assignedJobs    map[string]*assignedJob   // by job
+	reclaims        map[string]*reclaim       // shards that are being taken back, by name
+	clearing        map[string]unstoredChunks // what is to be stored before a shard is given away, by its name
 
 	zoneUnreachableAt map[string]micro.Time // when none of a zone's controllers last had a session
 	reconciledAt      micro.Time
@@ -132,6 +133,7 @@
 		commitsInFlight: map[string]bool{},
 		assignedJobs:    map[string]*assignedJob{},
 		reclaims:        map[string]*reclaim{},
+		clearing:        map[string]unstoredChunks{},
 
 		zoneUnreachableAt: map[string]micro.Time{},
 	}
--- a/internal/shard/coordinator/form.go
+++ b/internal/shard/coordinator/form.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"maps"
+
 	"notchmux.dev/notchmux/internal/cluster"
 	"notchmux.dev/notchmux/internal/shard"
 	"notchmux.dev/notchmux/internal/statestore"
@@ -67,7 +69,7 @@
 		return
 	}
 	c.drainReplicas(entry)
-	if c.allocationsIn(entry) > 0 || !c.allRegistered() {
+	if !c.machinesCleared(entry) || !c.allRegistered() {
 		return
 	}
 	owner, ok := c.initialOwner(entry.Name)
@@ -79,6 +81,7 @@
 		c.Log.Debug("shard not granted", "shard", entry.Name, "to", owner.Node, "err", err)
 		return
 	}
+	delete(c.clearing, entry.Name)
 	c.Log.Info("shard granted", "shard", entry.Name, "to", owner.Node)
 	c.commitShard(entry.Name, entry.Update(granted, c.Term.Precondition(), owner.Precondition()))
 }
@@ -92,8 +95,49 @@
 	return c.sessions.current.LeastLoaded(c.table())
 }
 
-// maxReplicasStopping is how many replicas are moved from the machines of a shard that is
-// being formed at a time: a service keeps the others.
+// unstoredChunks are chunks of which something is still to be written, by the version of that.
+type unstoredChunks map[*cluster.TaskChunk]uint64
+
+// machinesCleared reports whether nothing is left on the machines of a shard that is being formed,
+// and the store says so. Given away before, a task whose end was not stored yet ran again: its
+// agent reported the end to the shard's owner, which did not know the job, and the next leader
+// took the machine for one that the task is on.
+func (c *Coordinator) machinesCleared(entry shard.Entry) bool {
+	if c.allocationsIn(entry) > 0 {
+		delete(c.clearing, entry.Name)
+		return false
+	}
+	unstored, known := c.clearing[entry.Name]
+	if !known {
+		unstored = c.listUnstoredChunks()
+		c.clearing[entry.Name] = unstored
+	}
+	maps.DeleteFunc(unstored, func(chunk *cluster.TaskChunk, version uint64) bool {
+		return chunk.StoredVersion >= version || chunk.Job.IsTerminal()
+	})
+	return len(unstored) == 0
+}
+
+// listUnstoredChunks lists the chunks of which something is to be written, and has them written
+// soon.
+func (c *Coordinator) listUnstoredChunks() unstoredChunks {
+	unstored, now := unstoredChunks{}, c.Now()
+	for _, job := range c.Cluster.Jobs {
+		if job.IsTerminal() {
+			continue
+		}
+		for _, chunk := range job.Chunks {
+			if chunk.MemoryVersion > chunk.StoredVersion {
+				unstored[chunk] = chunk.MemoryVersion
+				c.Host.MarkChunkDirty(chunk, now, statestore.PriorityHigh)
+			}
+		}
+	}
+	return unstored
+}
+
+// maxReplicasStopping is how many replicas are moved at a time from the machines of a shard that is
+// being formed to the leader's own: a service keeps the others.
 const maxReplicasStopping = 4
 
 // allocationsIn counts the allocations on the machines of a shard that is being formed, and on
@@ -161,6 +205,7 @@
 		transaction.Then = append(transaction.Then, wire.Change{Delete: shard.MarkerKey})
 		c.marker.SetVersion(0)
 	}
+	delete(c.clearing, entry.Name)
 	c.Log.Info("shard deleted", "shard", entry.Name)
 	c.commitShard(entry.Name, transaction)
 }
