coordinator: replicas without other machines run until their shard is cleared

What callers saw: while a shard is formed over the only machines that a service may use, none of its replicas runs for as long as the longest other task there does.

Why this works: the replicas that the leader has other machines for are moved as before; the others are stopped once nothing else is left on the shard's machines, all at once, and come back in the shard.

--- a/internal/controller/shard_machines_test.go
+++ b/internal/controller/shard_machines_test.go
@@ -82,3 +82,38 @@
 		}
 	})
 }
+
+// Replicas that only the shard's machines can hold are stopped at once when a shard is formed over them,
+// and are down for as long as the longest task there runs.
+func TestReplicasWithNoOtherMachinesRunUntilTheirShardIsCleared(t *testing.T) {
+	runThreeSeeds(t, 92, judgeStarts, func(sim *simCluster) {
+		array := sim.newJob(
+			jobRequest{kind: wire.JobArray, tasks: 2, cpus: 4, runTime: 90 * micro.Second, team: "other"},
+		).submit()
+		sim.waitRunning(array, 2)
+		service := sim.newJob(jobRequest{kind: wire.Service, tasks: 2, cpus: 4}).submit()
+		sim.waitRunning(service, 2)
+		sim.declareShard(onDemand)
+		none := micro.Time(0)
+		for owned := false; !owned || service.runningTasks() < 2; {
+			const step = 50 * micro.Millisecond
+			sim.sleep(step)
+			if service.runningTasks() == 0 {
+				none += step
+			}
+			entry, ok := sim.shardRecord()
+			owned = ok && entry.Record.State == shard.Owned
+			if none > servedWithin {
+				break
+			}
+		}
+		sim.t.Logf("no replica for %v", none.Duration())
+		if array.runningTasks() > 0 {
+			sim.t.Error("the array still runs: the shard was not formed over it")
+		}
+		const most = 30 * micro.Second // far less than the array's tasks run
+		if none > most {
+			sim.t.Errorf("no replica for %v, more than %v", none.Duration(), most.Duration())
+		}
+	})
+}
--- a/internal/shard/coordinator/form.go
+++ b/internal/shard/coordinator/form.go
@@ -159,11 +159,26 @@
 	return machine.TransferPending && entry.Record.Selector.Matches(machineAttributes(machine))
 }
 
-// drainReplicas has the replicas on a shard's machines stopped, a few at a time: other
-// tasks end by themselves.
+// drainReplicas has the replicas on a shard's machines stopped; other tasks end by themselves. A few
+// at a time go to the leader's own machines. Those that have no offer there run until nothing else
+// is left, and come back in the shard: stopped first, they were down for as long as the longest
+// task on the shard's machines ran.
 func (c *Coordinator) drainReplicas(entry shard.Entry) {
 	stopping, replicas := c.replicasIn(entry)
-	c.stopReplicas(replicas[:max(min(len(replicas), maxReplicasStopping-stopping), 0)])
+	others := c.allocationsIn(entry) - stopping - len(replicas)
+	catalog := c.dividedCatalog()
+	var movable, bound []*cluster.Allocation
+	for _, allocation := range replicas {
+		if catalog == nil || catalog.leaderServes(allocation.Job) {
+			movable = append(movable, allocation)
+		} else {
+			bound = append(bound, allocation)
+		}
+	}
+	c.stopReplicas(movable[:max(min(len(movable), maxReplicasStopping-stopping), 0)])
+	if others == 0 && len(movable) == 0 {
+		c.stopReplicas(bound)
+	}
 }
 
 // stopReplicas has replicas stopped, with time for a checkpoint.
