--- a/internal/controller/job_transfers_test.go
+++ b/internal/controller/job_transfers_test.go
@@ -21,7 +21,7 @@
 )
 
 var (
-	transferSeeds   = flag.Int("transfers.seeds", 2, "how many seeds the test of jobs that change hands plays")
+	transferSeeds   = flag.Int("transfers.seeds", 4, "how many seeds the test of jobs that change hands plays")
 	transferMinutes = flag.Int("transfers.minutes", 12, "for how long each of them has jobs change hands")
 )
 
@@ -48,6 +48,7 @@
 	*simCluster
 	end        micro.Time   // of the troubles
 	unreliable bool         // writes and heartbeats meet troubles as well
+	maxPauseS  int          // how long nothing else happens at the most, beyond ten seconds
 	slots      atomic.Int64 // users whose last job is not over
 
 	mu           sync.Mutex
@@ -62,9 +63,12 @@
 // newTransferTrial sets a simulation up: a shard of all spot machines, which are dearer at times.
 func newTransferTrial(sim *simCluster, unreliable bool) *transferTrial {
 	trial := &transferTrial{
-		simCluster: sim, end: micro.Time(*transferMinutes) * micro.Minute, unreliable: unreliable,
+		simCluster: sim, end: micro.Time(*transferMinutes) * micro.Minute, unreliable: unreliable, maxPauseS: 180,
 		lastAttempts: map[string]uint64{}, done: map[string]map[int]bool{},
 	}
+	if unreliable {
+		trial.maxPauseS = 30
+	}
 	sim.onTaskStart = trial.judgeStart
 	sim.cloud.Capacity = 64
 	for i := range sim.cloud.Types {
@@ -167,17 +171,21 @@
 	r.cloud.failsBoot = nil
 }
 
-// meetTroubles has controllers end and the shard move until the troubles end. Halfway, the shard is
+// meetTroubles has controllers end, the shard move and machines die until the troubles end. Halfway, the shard is
 // released and formed again.
 func (r *transferTrial) meetTroubles() {
 	reformed := false
 	for r.now() < r.end {
-		r.sleep(micro.Time(10+r.randomInt(30)) * micro.Second)
+		r.sleep(micro.Time(10+r.randomInt(r.maxPauseS)) * micro.Second)
 		back := micro.Time(100+r.randomInt(8000)) * micro.Millisecond
 		switch entry, owned := r.shardRecord(); {
 		case !reformed && r.now() > r.end/2:
 			reformed = true
 			r.formAgain()
+		case r.randomChance(0.2):
+			for _, machine := range r.randomMachines(2) {
+				machine.terminate()
+			}
 		case r.randomChance(0.3):
 			if leader := r.leader(); leader != nil {
 				r.restartController(leader, back)
