--- a/cmd/notchmux/waiting_jobs.go
+++ b/cmd/notchmux/waiting_jobs.go
@@ -41,7 +41,8 @@
 			side = "none: " + job.UnservedReason
 		}
 		fmt.Fprintf(
-			&text, "    %s of team %s, %d tasks for %d s, may be served by: %s\n", job.ID, job.Team, job.Tasks, job.WaitingS, side,
+			&text, "    %s of team %s, %d tasks for %d s, may be served by: %s\n", job.ID, job.Team, job.Tasks, job.WaitingS,
+			side,
 		)
 	}
 	_, err := io.WriteString(out, text.String())
--- a/internal/detector/sweep.go
+++ b/internal/detector/sweep.go
@@ -184,12 +184,13 @@
 	if unreported == 0 || unreachable || machine.State != cluster.Registering && machine.State != cluster.Up {
 		return
 	}
-	bootTimedOut := machine.State == cluster.Registering && machine.CloudState == wire.MachineBooting && now-machine.LastListed < d.maxInventoryAge &&
-		now-machine.RequestedAt > d.bootTimeout(machine)
+	timedOut := now-machine.RequestedAt > d.bootTimeout(machine)
+	stillBooting := machine.State == cluster.Registering && machine.CloudState == wire.MachineBooting &&
+		now-machine.LastListed < d.maxInventoryAge
 	switch {
-	case d.missingFromInventory(machine), bootTimedOut:
+	case d.missingFromInventory(machine), stillBooting && timedOut:
 		d.host.Terminate(machine, "did not come up in its shard")
-	case unreported > 2*d.cluster.LeaseDuration && now-machine.RequestedAt > d.bootTimeout(machine):
+	case timedOut && unreported > 2*d.cluster.LeaseDuration:
 		d.host.Terminate(machine, "not known to its shard's owner")
 	}
 }
--- a/internal/shard/coordinator/handover_test.go
+++ b/internal/shard/coordinator/handover_test.go
@@ -58,6 +58,7 @@
 func (r leaderRole) Preconditions() []wire.Precondition {
 	return []wire.Precondition{r.term.Precondition()}
 }
+
 func (leaderRole) ChunkKey(job string, index int, _ bool) string {
 	return keys.CompactChunk(job, index)
 }
@@ -89,15 +90,19 @@
 func (h handoverHost) WriteJobEnd(job *cluster.Job, state wire.JobState) {
 	h.leader.ends[job.Spec.ID] += string(state)
 }
+
 func (h handoverHost) CancellationPending(job *cluster.Job) {
 	h.leader.cancelled = append(h.leader.cancelled, job)
 }
+
 func (h handoverHost) MarkChunkDirty(chunk *cluster.TaskChunk, now micro.Time, priority statestore.Priority) {
 	h.leader.records.ChunkRecord(chunk).MarkDirty(now, priority)
 }
+
 func (h handoverHost) ChunkRevision(chunk *cluster.TaskChunk) (uint64, bool) {
 	return h.leader.records.ChunkRevision(chunk)
 }
+
 func (h handoverHost) JobRevision(job *cluster.Job) (uint64, bool) {
 	return h.leader.records.JobRevision(job)
 }
