--- a/internal/shard/coordinator/assignment.go
+++ b/internal/shard/coordinator/assignment.go
@@ -1,24 +1,18 @@
 package coordinator
 
 import (
-	"context"
-	"math"
 	"slices"
 	"sort"
 
 	"notchmux.dev/notchmux/internal/cluster"
 	"notchmux.dev/notchmux/internal/keys"
 	"notchmux.dev/notchmux/internal/micro"
-	"notchmux.dev/notchmux/internal/scheduler"
 	"notchmux.dev/notchmux/internal/shard"
 	"notchmux.dev/notchmux/internal/statestore"
-	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
 )
 
 const (
-	// maxCapacityAge is how old what an owner told of its free capacity may be.
-	maxCapacityAge = 3 * micro.Second
 	// assignDelay is how long a job waits for capacity among the leader's own machines
 	// before it goes to a shard, and partialAssignDelay before an array or a service goes
 	// to one that has capacity for a part of it.
@@ -29,8 +23,6 @@
 	minReassignInterval = 30 * micro.Second
 	// maxAssignmentsPerRound is how many jobs are assigned in one round.
 	maxAssignmentsPerRound = 24
-	// capacityTolerance makes up for rounding where a machine takes a whole number of tasks.
-	capacityTolerance = 1e-9
 )
 
 // assignedJob is a job that was assigned to a shard.
@@ -44,10 +36,10 @@
 	endRequested bool     // the end of the cancellation is being written
 	fencedZones  []string // where tasks may still run, after its user was told
 
-	createdUnder uint64  // latest version of the shard's record under which the creation was tried
-	deleting     bool    // its shard is taken back: the record is to go
-	recall       *recall // nil: it was not recalled, or its owner has not released it yet
-	partial      partialStay
+	createdUnder uint64      // latest version of the shard's record under which the creation was tried
+	deleting     bool        // its shard is taken back: the record is to go
+	recall       *recall     // nil: it was not recalled, or its owner has not released it yet
+	partial      partialStay // of a service, as its owner told
 
 	handedBack     bool   // its owner deleted the record though the job is not over
 	fenceVersion   uint64 // the shard's record must have a later version before it is the leader's again
@@ -71,20 +63,6 @@
 	}
 }
 
-// shardsWithCapacity lists the shards whose owners told of free capacity of late.
-func (c *Coordinator) shardsWithCapacity(now micro.Time) []shard.Entry {
-	var open []shard.Entry
-	c.table().Each(func(entry shard.Entry) bool {
-		view := c.viewOf(entry.Name)
-		recent := now-view.capacityAt < maxCapacityAge
-		if entry.Record.State == shard.Owned && recent && len(view.freeCapacity) > 0 {
-			open = append(open, entry)
-		}
-		return true
-	})
-	return open
-}
-
 // assignableJobs lists the jobs that may be assigned, in the order in which they get capacity.
 func (c *Coordinator) assignableJobs() []*cluster.Job {
 	var jobs []*cluster.Job
@@ -155,62 +133,6 @@
 	return true
 }
 
-// tasksThatFit is how many of a job's tasks fit the free capacity, by its rules on zones.
-func (c *Coordinator) tasksThatFit(capacity []shard.FreeCapacity, spec *wire.Job) int {
-	zones := map[string]int{}
-	for i := range capacity {
-		zones[capacity[i].Zone] += capacity[i].Count * c.tasksPerMachine(&capacity[i], spec)
-	}
-	sum, largest := 0, 0
-	for _, count := range zones {
-		if spec.Spread {
-			count = min(count, (spec.Tasks+1)/2)
-		}
-		sum, largest = sum+count, max(largest, count)
-	}
-	if spec.OneZone {
-		return largest
-	}
-	return sum
-}
-
-// tasksPerMachine is how many of a job's tasks one machine with so much free capacity takes.
-func (c *Coordinator) tasksPerMachine(capacity *shard.FreeCapacity, spec *wire.Job) int {
-	machineType := c.Cluster.Types[capacity.Type]
-	if machineType == nil || !scheduler.Allowed(spec, machineType, capacity.Zone, capacity.Spot) {
-		return 0
-	}
-	scaledCPUs := scheduler.ScaledCPUs(spec.CPUs, machineType.SpeedFactor, machineType.CPUs)
-	resources := []struct{ free, needed float64 }{
-		{capacity.CPU, max(spec.CPUs, scaledCPUs)},
-		{capacity.GPU, spec.GPUs},
-		{capacity.Mem, spec.MemoryGB},
-	}
-	count := math.MaxInt32
-	for _, resource := range resources {
-		if resource.needed > 0 {
-			count = min(count, int(resource.free/resource.needed+capacityTolerance))
-		}
-	}
-	return count
-}
-
-// deductCapacity takes the capacity for so many tasks out of what is free.
-func (c *Coordinator) deductCapacity(view *shardView, spec *wire.Job, tasks int) {
-	for i := range view.freeCapacity {
-		capacity := &view.freeCapacity[i]
-		perMachine := c.tasksPerMachine(capacity, spec)
-		if perMachine == 0 {
-			continue
-		}
-		machines := min((tasks+perMachine-1)/perMachine, capacity.Count)
-		capacity.Count -= machines
-		if tasks -= machines * perMachine; tasks <= 0 {
-			return
-		}
-	}
-}
-
 // storeAssignment keeps the record of an assignment.
 func (c *Coordinator) storeAssignment(shardName string, job *cluster.Job, assignment shard.Assignment) *assignedJob {
 	assigned := &assignedJob{
@@ -274,35 +196,6 @@
 	}
 }
 
-// reconcileHandedBack brings jobs that were handed back to the leader's own, once no late write
-// can assign them again.
-func (c *Coordinator) reconcileHandedBack() {
-	for _, assigned := range c.assignedJobs {
-		if !assigned.handedBack || assigned.lookupInFlight {
-			continue
-		}
-		entry, ok := c.table().Get(assigned.shardName)
-		switch {
-		case ok && entry.Version > assigned.fenceVersion:
-			c.verifyHandedBack(assigned)
-		case ok && entry.OwnedElsewhere() && !c.commitsInFlight[entry.Name]:
-			c.commitShard(entry.Name, entry.Update(entry.Record.Rewritten(int64(c.Wall())), c.Term.Precondition()))
-		}
-	}
-}
-
-// verifyHandedBack looks whether a late write has assigned a job again before the shard's
-// record changed.
-func (c *Coordinator) verifyHandedBack(assigned *assignedJob) {
-	assigned.lookupInFlight = true
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), shard.CommitTimeout)
-		defer cancel()
-		item, err := c.Store.Get(ctx, store.Routine, assigned.storeRecord.Key)
-		c.Loop.Post(handedBackVerified{c, assigned, item, err})
-	}()
-}
-
 // dropAssignment makes a job the leader's own again, or lets go of one that is over.
 func (c *Coordinator) dropAssignment(assigned *assignedJob) {
 	if c.assignedJobs[assigned.job.Spec.ID] != assigned {
