--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -71,7 +71,6 @@
 	ShardDoneTasks    int    // tasks that are done, as the owner last said
 
 	UnassignedAt micro.Time // when it last came back from a shard in this term; 0: never
-	HeldUntil    micro.Time // its tasks are not placed before: it is to go to a shard
 }
 
 // FailureHistory is what is known of a job's failed attempts.
--- a/internal/controller/lease_proxy.go
+++ b/internal/controller/lease_proxy.go
@@ -125,6 +125,7 @@
 	if wire.Unmarshal(body, &request) != nil {
 		return http.StatusBadRequest, nil
 	}
+	l.renewalBound.NoteRequest(request.Node, n.Now())
 	if !l.cancellations.FencedZonesKnown() {
 		return http.StatusServiceUnavailable, nil // it goes by the answer that it had of the last leader
 	}
--- a/internal/controller/shard_outages_test.go
+++ b/internal/controller/shard_outages_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"testing"
 
 	"notchmux.dev/notchmux/internal/micro"
@@ -125,3 +126,70 @@
 		}
 	})
 }
+
+// partitionZoneFromNodes cuts a zone off from the other zones' nodes and machines, for so long: its own
+// controllers reach the store, and keep their sessions.
+func (w *simCluster) partitionZoneFromNodes(zone string, d micro.Time) {
+	set := func(on bool) func() {
+		return func() {
+			w.mu.Lock()
+			w.partitionedZones[zone] = on
+			w.mu.Unlock()
+		}
+	}
+	w.injectFault(d, set(true), set(false))
+}
+
+// The zone of a shard is cut off from all but the store, and an owner outside takes the shard over
+// meanwhile. In the moment in which the cut ends the zone counts as reachable, and idle machines of which
+// the owner could not hear for the length of the cut are terminated.
+func TestIdleMachinesOfAShardAreKeptWhenACutEndsInWhichItsOwnerChanged(t *testing.T) {
+	for _, nodes := range []int{3, 5} { // zone b has one controller, or two, and lease proxies
+		for _, storeCut := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d nodes, store cut off %v", nodes, storeCut), func(t *testing.T) {
+				runIdleMachinesBeyondACut(t, nodes, storeCut)
+			})
+		}
+	}
+}
+
+func runIdleMachinesBeyondACut(t *testing.T, nodes int, storeCut bool) {
+	t.Helper()
+	runScenario(t, 210, nodes, func(sim *simCluster) {
+		sim.config.LeaseProxyFactor = 20
+		withShard(sim)
+		sim.config.IdleTerminateAfter = 30 * micro.Minute
+	}, func(sim *simCluster) {
+		sim.waitShardOwned("n-2", 2*micro.Minute)
+		service := sim.newJob(jobRequest{kind: wire.Service, tasks: 3, cpus: 4, zone: "b"}).submit()
+		sim.waitRunning(service, 3)
+		sim.waitRunning(sim.newJob(jobRequest{kind: wire.Service, tasks: 1, cpus: 4, zone: "a", team: "other"}).submit(), 1)
+		sim.ensureLeaderOutside("b")
+		sim.sleep(10 * micro.Second)
+		machines := service.machines()
+		service.cancel()
+		sim.waitUntil("idle", micro.Minute, func() bool { return service.runningTasks() == 0 })
+		sim.sleep(2 * micro.Second)
+		sim.moveShard("n-2")
+		from := sim.now()
+		if storeCut {
+			sim.partitionZone("b", 4*micro.Minute)
+		} else {
+			sim.partitionZoneFromNodes("b", 4*micro.Minute)
+		}
+		sim.moveShard("n-0")
+		last := ""
+		for sim.now() < from+6*micro.Minute {
+			sim.sleep(50 * micro.Millisecond)
+			if entry, _ := sim.shardRecord(); entry.Record.Owner.Node != last {
+				last = entry.Record.Owner.Node
+				sim.t.Logf("%.1f s: owner %s", (sim.now() - from).Seconds(), last)
+			}
+			for _, machine := range machines {
+				if !machine.isUp() {
+					sim.t.Fatalf("%s was terminated %.1f s after the cut of 240 s began", machine.agent.Name, (sim.now() - from).Seconds())
+				}
+			}
+		}
+	})
+}
--- a/internal/controller/shard_owner.go
+++ b/internal/controller/shard_owner.go
@@ -22,6 +22,7 @@
 	*controlLoop
 	ownership        *shard.Owner
 	name             string
+	startedAt        micro.Time  // when the loop began, by the wall clock
 	firstLoop        bool        // no other loop of this process ran under the record's version
 	responsesBlocked atomic.Bool // nothing may be said: a transfer is under way or in doubt
 
@@ -56,6 +57,7 @@
 	previousVersion, _ := n.ownedVersions.Swap(entry.Name, entry.Version)
 	o := &ShardOwner{
 		ownership: shard.NewOwner(entry, term, self, log.Info), name: entry.Name,
+		startedAt:   n.Wall(),
 		firstLoop:   previousVersion != entry.Version,
 		assignments: map[string]*statestore.Record{}, assignedAt: map[string]micro.Time{},
 		finished: map[*cluster.Job]bool{}, cancelling: map[*cluster.Job]bool{},
--- a/internal/controller/shard_owner_continue.go
+++ b/internal/controller/shard_owner_continue.go
@@ -128,15 +128,12 @@
 	o.log.Info("recalled job taken back by the leader", "job", id)
 }
 
-// reportRecalls tells which jobs wait without any allocation or are placed in part, and which
-// recalled ones the leader may take back.
+// reportRecalls tells which jobs wait without any allocation, and which recalled ones the leader
+// may take back.
 func (o *ShardOwner) reportRecalls(report *shard.ShardUpdate, now micro.Time) {
 	for job := range o.cluster.PendingJobs {
-		switch {
-		case o.waitsInVain(job, now) && len(report.WaitingJobs) < shard.MaxStatusItems:
+		if len(report.WaitingJobs) < shard.MaxStatusItems && o.waitsInVain(job, now) {
 			report.WaitingJobs = append(report.WaitingJobs, job.Spec.ID)
-		case waitsInPart(job, now) && len(report.PartlyPlaced) < shard.MaxStatusItems:
-			report.PartlyPlaced = append(report.PartlyPlaced, job.Spec.ID)
 		}
 	}
 	for job := range o.held {
@@ -161,12 +158,6 @@
 		job.UnallocatedFor(now) > handBackTimeout && o.node.Wall()-o.assignedAt[job.Spec.ID] > handBackTimeout
 }
 
-// waitsInPart reports whether a service has some of its replicas, and has waited for long for others.
-func waitsInPart(job *cluster.Job, now micro.Time) bool {
-	return job.Spec.Kind == wire.Service && job.State == cluster.Active && job.AllocationCount > 0 &&
-		now-job.WaitingSince > shard.PartialServiceDelay
-}
-
 // mayRelease reports whether nothing of a recalled job is left but stored records.
 func (o *ShardOwner) mayRelease(job *cluster.Job) bool {
 	if job.State != cluster.Assigned || job.AllocationCount > 0 || o.assignments[job.Spec.ID] == nil {
--- a/internal/controller/shard_owner_status.go
+++ b/internal/controller/shard_owner_status.go
@@ -83,7 +83,7 @@
 func (o *ShardOwner) buildShardUpdate(now micro.Time) shard.ShardUpdate {
 	report := shard.ShardUpdate{
 		Name: o.name, AssignmentRevision: o.assignmentRevision, FreeCapacity: update.FreeCapacity(o.cluster, now),
-		Unreachable: o.unreachable,
+		Unreachable: o.unreachable, LoopStartedAt: int64(o.startedAt),
 	}
 	o.unreachable = false // unless the next look finds it so again
 	for job := range o.finished {
--- a/internal/leasekeeper/renewal_bound.go
+++ b/internal/leasekeeper/renewal_bound.go
@@ -17,6 +17,8 @@
 	mu       sync.Mutex
 	zones    map[string][]string // the zones that can have lease proxies, with their nodes
 	contacts map[string]*nodeContact
+
+	lastRequests map[string]micro.Time // when each node last asked this leader, whether it may proxy leases or not
 }
 
 // nodeContact is the leader's contact with one node.
@@ -35,6 +37,7 @@
 ) *RenewalBound {
 	bound := &RenewalBound{
 		term: term, termStart: termStart, window: window, zones: map[string][]string{}, contacts: map[string]*nodeContact{},
+		lastRequests: map[string]micro.Time{},
 	}
 	if window == 0 {
 		return bound
@@ -56,6 +59,24 @@
 	return bound
 }
 
+// NoteRequest notes that a node asks this leader now, whatever the answer.
+func (b *RenewalBound) NoteRequest(node string, now micro.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lastRequests[node] = now
+}
+
+// HeardLately reports whether a node asked this leader just now. Each does every RequestInterval.
+func (b *RenewalBound) HeardLately(node string, now micro.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at, heard := b.lastRequests[node]
+	return heard && now-at < missedRequests*RequestInterval
+}
+
+// missedRequests is how many requests of a node that fail to come show that it is out of reach.
+const missedRequests = 3
+
 // HandleRequest takes in a node's request and gives the answer to it; the caller must still
 // hold the leadership lease when it sends that.
 func (b *RenewalBound) HandleRequest(request Request, now micro.Time) LeaderTimestamp {
--- a/internal/shard/coordinator/assignment.go
+++ b/internal/shard/coordinator/assignment.go
@@ -36,10 +36,9 @@
 	endRequested bool     // the end of the cancellation is being written
 	fencedZones  []string // where tasks may still run, after its user was told
 
-	createdUnder uint64      // latest version of the shard's record under which the creation was tried
-	deleting     bool        // its shard is taken back: the record is to go
-	recall       *recall     // nil: it was not recalled, or its owner has not released it yet
-	partial      partialStay // of a service, as its owner told
+	createdUnder uint64  // latest version of the shard's record under which the creation was tried
+	deleting     bool    // its shard is taken back: the record is to go
+	recall       *recall // nil: it was not recalled, or its owner has not released it yet
 
 	handedBack     bool   // its owner deleted the record though the job is not over
 	fenceVersion   uint64 // the shard's record must have a later version before it is the leader's again
@@ -145,6 +144,9 @@
 		if assigned.mayDeleteAssignment() {
 			return nil, 0
 		}
+		if assigned.storeRecord.Version() == 0 && !assigned.stored && !c.mayCreateAssignment(shardName) {
+			return statestore.NotReady, 0
+		}
 		if assigned.storeRecord.Version() > 0 || !assigned.stored && !job.IsTerminal() {
 			return assigned.assignment, 0
 		}
@@ -163,6 +165,14 @@
 	return assigned
 }
 
+// mayCreateAssignment reports whether an assignment to a shard may be created: a shard that is taken
+// back gets none any more. Created under the version of its released record, one stayed in the store
+// for good, of a job that was the leader's again.
+func (c *Coordinator) mayCreateAssignment(shardName string) bool {
+	entry, ok := c.table().Get(shardName)
+	return ok && entry.OwnedElsewhere()
+}
+
 // assignmentPreconditions are further conditions of the write that creates an assignment. An
 // earlier try without an answer may be carried out late, after the owner has deleted the
 // record: with the condition on its key alone, a job whose user was told that it is
--- a/internal/shard/coordinator/coordinator.go
+++ b/internal/shard/coordinator/coordinator.go
@@ -94,7 +94,7 @@
 	reclaims        map[string]*reclaim       // shards that are being taken back, by name
 	clearing        map[string]unstoredChunks // what is to be stored before a shard is given away, by its name
 
-	zoneUnreachableAt map[string]micro.Time // when none of a zone's controllers last had a session
+	zoneUnreachableAt map[string]micro.Time // when none of a zone's controllers was heard of last
 	reconciledAt      micro.Time
 	marker            *statestore.Record // exists as long as any shard does
 }
@@ -118,7 +118,8 @@
 	pendingTasks       int
 	unreachable        bool
 	ownership          uint64          // the change of owner that this is known of
-	readyMachines      map[string]bool // the machines that this owner said are up
+	loopStartedAt      int64           // when the owner's loop began, by its wall clock
+	readyMachines      map[string]bool // the machines that this loop said are up
 	allMachinesKnownAt micro.Time      // since when these are all that heartbeat to it; 0: not yet
 	handovers          int             // moves in a row because no agent reached the owner
 	handedOverAt       micro.Time      // the last of them
@@ -159,7 +160,7 @@
 		}
 		return true
 	})
-	return append(demands, c.partialDemands()...)
+	return demands
 }
 
 func (c *Coordinator) appendDemands(demands []autoscaler.ShardDemand, entry shard.Entry) []autoscaler.ShardDemand {
@@ -194,7 +195,7 @@
 func (c *Coordinator) viewOf(name string) *shardView {
 	view := c.views[name]
 	if view == nil {
-		view = &shardView{}
+		view = &shardView{readyMachines: map[string]bool{}}
 		c.views[name] = view
 	}
 	return view
@@ -241,7 +242,6 @@
 	c.reconcileHandedBack()
 	c.reconcileRecalls(now)
 	c.assignJobs(now)
-	c.movePartialServices(now)
 }
 
 // maxSessions is how many controllers' sessions are read: one request holds them all.
--- a/internal/shard/coordinator/events.go
+++ b/internal/shard/coordinator/events.go
@@ -8,6 +8,7 @@
 	"notchmux.dev/notchmux/internal/election"
 	"notchmux.dev/notchmux/internal/eventloop"
 	"notchmux.dev/notchmux/internal/shard"
+	"notchmux.dev/notchmux/internal/statestore"
 	"notchmux.dev/notchmux/internal/store"
 	"notchmux.dev/notchmux/wire"
 )
@@ -43,11 +44,29 @@
 		e.decode(item, &record)
 		node := item.Key[len(shard.SessionPrefix):]
 		sessions.current[node] = item.Version
+		announced := sessions.continuing[node]
 		sessions.continuing[node] = slices.Contains(record.Features, shard.ContinueFeature)
+		if announced && !sessions.continuing[node] {
+			e.coordinator.withdrawAnnouncement(node, e.announced)
+		}
 	}
 	e.coordinator.Cluster.ContinuesJobs = e.coordinator.allContinueJobs()
 }
 
+// withdrawAnnouncement deletes what a controller announced that has a session without it now: it runs
+// an earlier version, and must not count for the later one while it is away.
+func (c *Coordinator) withdrawAnnouncement(node string, announced wire.Page) {
+	for _, item := range announced.Items {
+		if item.Key != shard.AnnouncementKey(node) {
+			continue
+		}
+		record := c.Records.Record(item.Key)
+		record.SetVersion(uint64(item.Version))
+		record.Build = func() (any, uint64) { return nil, 0 }
+		record.MarkDirty(c.Now(), statestore.PriorityHigh)
+	}
+}
+
 // decode reads a record; what cannot be read announces nothing.
 func (e sessionsRead) decode(item wire.Item, into any) {
 	if err := wire.Unmarshal(item.Value, into); err != nil {
--- a/internal/shard/coordinator/machines.go
+++ b/internal/shard/coordinator/machines.go
@@ -89,13 +89,12 @@
 	return max(now-max(settledAt, machine.RequestedAt), 0)
 }
 
-// noteUnreachableZones notes the zones that may be cut off now, since none of their controllers has
-// a session: that an owner outside has not heard of machines there says nothing of them.
+// noteUnreachableZones notes the zones that may be cut off now, since none of their controllers is
+// heard of: that an owner outside has not heard of machines there says nothing of them.
 func (c *Coordinator) noteUnreachableZones(now micro.Time) {
 	reachable := map[string]bool{c.Config.Zone: true}
 	for _, peer := range c.Config.Peers {
-		_, hasSession := c.sessions.current.Controller(peer.Node)
-		reachable[peer.Zone] = reachable[peer.Zone] || hasSession
+		reachable[peer.Zone] = reachable[peer.Zone] || c.RenewalBound.HeardLately(peer.Node, now)
 	}
 	for zone, isReachable := range reachable {
 		if !isReachable {
--- a/internal/shard/coordinator/status.go
+++ b/internal/shard/coordinator/status.go
@@ -65,9 +65,9 @@
 // applyShardUpdate takes in what the owner of a shard tells of it.
 func (c *Coordinator) applyShardUpdate(entry shard.Entry, update *shard.ShardUpdate, term uint64, now micro.Time) {
 	view := c.viewOf(entry.Name)
-	if view.ownership != entry.Record.OwnerChanges {
-		view.ownership, view.allMachinesKnownAt = entry.Record.OwnerChanges, 0
-		view.readyMachines = map[string]bool{}
+	if view.ownership != entry.Record.OwnerChanges || update.LoopStartedAt > view.loopStartedAt {
+		view.ownership, view.loopStartedAt = entry.Record.OwnerChanges, update.LoopStartedAt
+		view.allMachinesKnownAt, view.readyMachines = 0, map[string]bool{}
 	}
 	view.observe(update, now, c.Config.SuspectAfter)
 	for _, id := range update.FinishedJobs {
@@ -79,10 +79,9 @@
 		c.cancellationProgress(entry.Name, stopping, now)
 	}
 	c.recallWaitingJobs(entry.Name, update.WaitingJobs, now)
-	c.notePartlyPlaced(entry.Name, update.PartlyPlaced, now)
 	c.applyReleasedJobs(entry, update.ReleasedJobs)
 	c.applyProgress(entry.Name, update.Progress)
-	if term == c.Term.FencingRevision {
+	if term == c.Term.FencingRevision && update.LoopStartedAt == view.loopStartedAt {
 		for _, name := range update.ReadyMachines {
 			view.readyMachines[name] = true // also one that this leader does not know yet
 			c.machineUp(name)
