--- a/internal/shard/coordinator/assignment.go
+++ b/internal/shard/coordinator/assignment.go
@@ -37,7 +37,7 @@
 	fencedZones  []string // where tasks may still run, after its user was told
 
 	createdUnder uint64  // latest version of the shard's record under which the creation was tried
-	deleting     bool    // its shard is taken back: the record is to go
+	dropped      bool    // its shard is taken back, and the record is to be deleted
 	recall       *recall // nil: it was not recalled, or its owner has not released it yet
 
 	handedBack     bool   // its owner deleted the record though the job is not over
--- a/internal/shard/coordinator/reclaim.go
+++ b/internal/shard/coordinator/reclaim.go
@@ -177,11 +177,11 @@
 		if assigned.shardName != shardName {
 			continue
 		}
-		if assigned.deleting && assigned.storeRecord.Absent() {
+		if assigned.dropped && assigned.storeRecord.AbsentAsRead() {
 			c.dropAssignment(assigned) // it never was in the store, and a late write of it fails by the shard's version
 			continue
 		}
-		assigned.deleting = true
+		assigned.dropped = true
 		assigned.storeRecord.Build = func() (any, uint64) { return nil, 0 }
 		assigned.storeRecord.OnCommitted = func(uint64) { c.dropAssignment(assigned) }
 		assigned.storeRecord.MarkDirty(now, statestore.PriorityHigh)
--- a/internal/statestore/record.go
+++ b/internal/statestore/record.go
@@ -76,9 +76,11 @@
 // may be executed after the read.
 func (r *Record) Uncertain() bool { return r.uncertain }
 
-// Absent reports whether the key does not exist as far as is known, and nothing of the record is to
+// AbsentAsRead reports whether the key does not exist as far as was read, and nothing of the record is to
 // be written or read. A write without an answer may still be executed.
-func (r *Record) Absent() bool { return r.version == 0 && !r.dirty && !r.inFlight && !r.needsVerify }
+func (r *Record) AbsentAsRead() bool {
+	return r.version == 0 && !r.dirty && !r.inFlight && !r.needsVerify
+}
 
 // Settled reports whether nothing of the record is still to be written or uncertain.
 func (r *Record) Settled() bool { return !r.dirty && !r.inFlight && !r.needsVerify && !r.uncertain }
