--- a/internal/shard/coordinator/form_warnings_test.go
+++ b/internal/shard/coordinator/form_warnings_test.go
@@ -1,9 +1,9 @@
 package coordinator
 
 import (
-	"bytes"
 	"log/slog"
 	"strings"
+	"sync"
 	"testing"
 
 	"notchmux.dev/notchmux/internal/config"
@@ -18,6 +18,26 @@
 	}})
 }
 
+// lockedBuffer takes in log lines, also of goroutines that a test does not wait for.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write takes in one line.
+func (b *lockedBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// String is all that was written so far.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // The shard "east" has all of zone b.
 func TestFormingAShardTellsOfTheWorkThatItLeavesWithoutAPlace(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -36,8 +56,8 @@
 			declared := config.DeclaredShard{Name: []string{"s-0", "s-1"}[i], Selector: selector}
 			test.Config.Shards.Declared = append(test.Config.Shards.Declared, declared)
 		}
-		var out bytes.Buffer
-		test.Log = slog.New(slog.NewTextHandler(&out, nil))
+		out := &lockedBuffer{}
+		test.Log = slog.New(slog.NewTextHandler(out, nil))
 		test.marker.SetVersion(1)
 		test.Cluster.CompactRecords = true
 		test.formDeclaredShards()
