referral: agents that reach no controller are no reason to hand over

Cause: a peer's probe reached them, and was taken for a sign that the leader is cut off.

Why this works: the leader probes the same agents itself, at the same time. One that answers it too says nothing.

--- a/internal/controller/handover.go
+++ b/internal/controller/handover.go
@@ -82,8 +82,9 @@
 	}
 	l.referralsAsked = true
 	query := referral.Query{Node: l.node.Cfg.Node, Agents: l.agentsToProbe(now)}
+	asker := referral.Asker{Caller: l.node.Peers, Prober: l.node.Prober, Peers: l.node.peerNames()}
 	go func() {
-		answer := referral.Ask(context.Background(), l.node.Peers, l.node.peerNames(), query)
+		answer := asker.Ask(context.Background(), query)
 		l.loop.Post(referralsAnswered{l, answer, now, then})
 	}()
 }
--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -161,3 +161,25 @@
 	w.t.Fatalf("no such node: %s", controller.name)
 	return nil
 }
+
+// Agents that can open no connection to any controller answer what is sent to them, also by the leader:
+// no other node would hear them either. A first version of the probes took a peer's for a sign that
+// the leader is cut off, and handed over.
+func TestLeaderStaysWhereAgentsReachNoController(t *testing.T) {
+	for _, nodes := range []int{3, 5} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			runSeeds(t, 4, nodes, func(sim *simCluster) {
+				sim.fillZone("a", 4)
+				sim.waitForRestoredLeader()
+				term := sim.currentTerm()
+				for _, machine := range sim.liveMachines() {
+					machine.loseHeartbeats(micro.Minute)
+				}
+				sim.sleep(micro.Minute)
+				if sim.currentTerm() != term {
+					sim.t.Error("the lead changed, though agents reach no other node either")
+				}
+			})
+		})
+	}
+}
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -569,15 +569,15 @@
 // agentProber carries the probes of one process.
 type agentProber struct{ process *controllerProcess }
 
-// Probe asks an agent for its status. One that hangs does not answer in time, nor does one of
-// whose links either direction is down.
+// Probe asks an agent for its status. One that hangs does not answer in time. One whose heartbeats
+// are lost answers what comes to it, as it does commands.
 func (p agentProber) Probe(addr string) (*wire.Heartbeat, error) {
 	p.process.waitWhileFrozen()
 	sim := p.process.sim
 	machine := sim.machineNamed(addr[:len(addr)-len(":9000")])
 	answers := make(chan *wire.Heartbeat, 1)
 	if machine != nil && p.process.runningNode() != nil && !p.process.partitionedFrom("workers") &&
-		!sim.isPartitioned(machine.agent.Zone, p.process.zone) && !machine.responsesLost() && !machine.heartbeatsLost() {
+		!sim.isPartitioned(machine.agent.Zone, p.process.zone) && !machine.responsesLost() {
 		go func() {
 			sim.waitAgentLatency()
 			machine.waitWhileHung()
--- a/internal/referral/referral.go
+++ b/internal/referral/referral.go
@@ -6,8 +6,9 @@
 //
 // That an agent was not referred says little at first: it waits out a timeout at each node that it
 // does not reach, and may come to those before it comes to the peer that it does. So the node
-// names some agents that it does not hear, and its peers probe them. If none answers, and none
-// was referred, no agent is there to reach the node.
+// names some agents that it does not hear, and its peers and itself probe them. One that answers a
+// peer but not the node is alive, and the network between it and the node is at fault. If there is
+// none such, and none was referred, no agent is there that would reach another node.
 //
 // A Responder belongs to a node; any goroutine may call its methods.
 package referral
@@ -15,8 +16,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
-	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
 
@@ -47,9 +48,9 @@
 
 // Reply answers a Query.
 type Reply struct {
-	Referred bool  `msgpack:"referred"`          // an agent was referred to the node
-	Age      int64 `msgpack:"age"`               // how long ago the last one was, in microseconds
-	Reached  bool  `msgpack:"reached,omitempty"` // one of the agents answered a probe
+	Referred bool     `msgpack:"referred"`          // an agent was referred to the node
+	Age      int64    `msgpack:"age"`               // how long ago the last one was, in microseconds
+	Reached  []string `msgpack:"reached,omitempty"` // the machines of the agents that answered a probe
 }
 
 // Log remembers when a node last referred an agent to each other node. The zero value is ready.
@@ -93,29 +94,34 @@
 	if referred {
 		reply.Age = int64(now - at)
 	}
-	reply.Reached = r.reachesOne(query.Agents)
+	reply.Reached = probe(r.Prober, query.Agents)
 	return http.StatusOK, wire.MustMarshal(reply)
 }
 
-// reachesOne probes agents, and reports whether one of them answers.
-func (r *Responder) reachesOne(agents []Agent) bool {
-	if r.Prober == nil {
-		return false
+// probe probes agents, MaxProbedAgents at most, and names the machines of those that answer.
+func probe(prober agent.Prober, agents []Agent) []string {
+	if prober == nil {
+		return nil
 	}
-	var reached atomic.Bool
+	agents = agents[:min(len(agents), MaxProbedAgents)]
+	answered := make([]bool, len(agents))
 	var group errgroup.Group
-	for _, probed := range agents[:min(len(agents), MaxProbedAgents)] {
+	for i, probed := range agents {
 		group.Go(func() error {
-			heartbeat, err := r.Prober.Probe(probed.Addr)
+			heartbeat, err := prober.Probe(probed.Addr)
 			// Another machine may have got the address of one that is gone.
-			if err == nil && heartbeat.Machine == probed.Machine {
-				reached.Store(true)
-			}
+			answered[i] = err == nil && heartbeat.Machine == probed.Machine
 			return nil
 		})
 	}
 	_ = group.Wait() // no probe returns an error
-	return reached.Load()
+	var machines []string
+	for i, probed := range agents {
+		if answered[i] {
+			machines = append(machines, probed.Machine)
+		}
+	}
+	return machines
 }
 
 // Answer is what all peers together know of agents that were referred to a node.
@@ -123,7 +129,7 @@
 	Unanswered int        // peers that did not say
 	Referred   bool       // an agent was referred to the node
 	Age        micro.Time // how long ago the last one was
-	Reached    bool       // a peer reached an agent that the node does not hear
+	Reached    bool       // a peer reached an agent that does not answer the node
 }
 
 // AgentsMayBeThere reports whether there may be agents that do not reach the node: a peer reached
@@ -138,20 +144,28 @@
 	return a.Unanswered > 0 || a.Referred && a.Age < d
 }
 
-// Ask asks the peers. One of a version that does not know the call counts as one that did not
+// Asker asks the peers of a node.
+type Asker struct {
+	Caller peer.Caller
+	Prober agent.Prober // probes for the node itself; nil: no agent answers it
+	Peers  []string     // by name
+}
+
+// Ask asks all peers. One of a version that does not know the call counts as one that did not
 // answer; one that does not know of probes answers without.
-func Ask(ctx context.Context, caller peer.Caller, peers []string, query Query) Answer {
+func (a Asker) Ask(ctx context.Context, query Query) Answer {
 	body := wire.MustMarshal(query)
-	replies := make([]*Reply, len(peers))
+	replies := make([]*Reply, len(a.Peers))
 	var group errgroup.Group
-	for i, name := range peers {
+	for i, name := range a.Peers {
 		group.Go(func() error {
-			replies[i] = askOne(ctx, caller, name, body)
+			replies[i] = askOne(ctx, a.Caller, name, body)
 			return nil
 		})
 	}
+	reachedHere := probe(a.Prober, query.Agents)
 	_ = group.Wait() // no call returns an error
-	return combine(replies)
+	return combine(replies, reachedHere)
 }
 
 // askOne asks one peer; nil: it did not answer.
@@ -164,17 +178,29 @@
 	return &reply
 }
 
-func combine(replies []*Reply) Answer {
+// combine takes the replies together. An agent that answers the node itself, too, says nothing: only
+// its own calls fail, which they do to any node.
+func combine(replies []*Reply, reachedHere []string) Answer {
 	var answer Answer
 	for _, reply := range replies {
 		if reply == nil {
 			answer.Unanswered++
 			continue
 		}
-		answer.Reached = answer.Reached || reply.Reached
+		answer.Reached = answer.Reached || !containsAll(reachedHere, reply.Reached)
 		if reply.Referred && (!answer.Referred || micro.Time(reply.Age) < answer.Age) {
 			answer.Referred, answer.Age = true, micro.Time(reply.Age)
 		}
 	}
 	return answer
 }
+
+// containsAll reports whether all of some machines are among others.
+func containsAll(machines, some []string) bool {
+	for _, machine := range some {
+		if !slices.Contains(machines, machine) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/referral/referral_test.go
+++ b/internal/referral/referral_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"testing"
 
 	"notchmux.dev/notchmux/internal/golden"
@@ -27,6 +29,12 @@
 	return status, out, nil
 }
 
+// ask asks them all, for a node that reaches some agents itself.
+func (p peers) ask(here reachableAgents, query Query) Answer {
+	asker := Asker{Caller: p, Prober: here, Peers: slices.Sorted(maps.Keys(p))}
+	return asker.Ask(context.Background(), query)
+}
+
 // A leader whose machines were all dead could not tell that from a network that keeps its agents
 // from it: only its peers know whether agents look for it.
 func TestPeersTellWhetherAgentsLookForANode(t *testing.T) {
@@ -58,7 +66,7 @@
 		"one peer does not answer": {peers{"n-1": {}, "n-2": nil}, Answer{Unanswered: 1}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			got := Ask(context.Background(), row.peers, []string{"n-1", "n-2"}, Query{Node: "n-0"})
+			got := row.peers.ask(nil, Query{Node: "n-0"})
 			if got != row.want {
 				t.Errorf("%+v, want %+v", got, row.want)
 			}
@@ -84,28 +92,29 @@
 // that they did not reach either: until then none had been referred to it.
 func TestPeersProbeAgentsThatWereNotReferredYet(t *testing.T) {
 	silent := []Agent{{"m-1", "a-1"}, {"m-2", "a-2"}}
+	both := reachableAgents{"a-1": "m-1", "a-2": "m-2"}
+	second := reachableAgents{"a-2": "m-2"}
+	replaced := reachableAgents{"a-2": "m-3"}
+	other := reachableAgents{"a-3": "m-3"}
 	probing := func(agents reachableAgents) *Responder { return &Responder{Prober: agents} }
 	for name, row := range map[string]struct {
-		peers     peers
-		mayBeHere bool
+		peers      peers
+		here       reachableAgents // those that answer the node itself
+		mayBeThere bool
 	}{
-		"no peer reaches one":  {peers{"n-1": probing(nil), "n-2": probing(nil)}, false},
-		"one peer reaches one": {peers{"n-1": probing(nil), "n-2": probing(reachableAgents{"a-2": "m-2"})}, true},
-		"both reach both": {
-			peers{
-				"n-1": probing(reachableAgents{"a-1": "m-1", "a-2": "m-2"}),
-				"n-2": probing(reachableAgents{"a-1": "m-1", "a-2": "m-2"}),
-			},
-			true,
-		},
-		"the address is another's":    {peers{"n-1": probing(nil), "n-2": probing(reachableAgents{"a-2": "m-3"})}, false},
-		"peers that do not probe":     {peers{"n-1": {}, "n-2": {}}, false},
-		"a peer does not answer":      {peers{"n-1": probing(nil), "n-2": nil}, true},
-		"others than those are there": {peers{"n-1": probing(nil), "n-2": probing(reachableAgents{"a-3": "m-3"})}, false},
+		"no peer reaches one":                   {peers{"n-1": probing(nil), "n-2": probing(nil)}, nil, false},
+		"one peer reaches one":                  {peers{"n-1": probing(nil), "n-2": probing(second)}, nil, true},
+		"both reach both":                       {peers{"n-1": probing(both), "n-2": probing(both)}, nil, true},
+		"both reach both, the node one of them": {peers{"n-1": probing(both), "n-2": probing(both)}, second, true},
+		"all reach both":                        {peers{"n-1": probing(both), "n-2": probing(both)}, both, false},
+		"the address is another's":              {peers{"n-1": probing(nil), "n-2": probing(replaced)}, nil, false},
+		"peers that do not probe":               {peers{"n-1": {}, "n-2": {}}, nil, false},
+		"a peer does not answer":                {peers{"n-1": probing(nil), "n-2": nil}, nil, true},
+		"others than those are there":           {peers{"n-1": probing(nil), "n-2": probing(other)}, nil, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			answer := Ask(context.Background(), row.peers, []string{"n-1", "n-2"}, Query{Node: "n-0", Agents: silent})
-			if got := answer.AgentsMayBeThere(10 * micro.Second); got != row.mayBeHere {
+			answer := row.peers.ask(row.here, Query{Node: "n-0", Agents: silent})
+			if got := answer.AgentsMayBeThere(10 * micro.Second); got != row.mayBeThere {
 				t.Errorf("%+v: %v", answer, got)
 			}
 		})
@@ -122,11 +131,11 @@
 	last := agents[MaxProbedAgents]
 	reachable[last.Addr] = last.Machine
 	asked := peers{"n-1": {Prober: reachable}}
-	if answer := Ask(context.Background(), asked, []string{"n-1"}, Query{"n-0", agents}); answer.Reached {
+	if answer := asked.ask(nil, Query{"n-0", agents}); answer.Reached {
 		t.Error("the last one was probed as well")
 	}
 	agents[0] = last
-	if answer := Ask(context.Background(), asked, []string{"n-1"}, Query{"n-0", agents}); !answer.Reached {
+	if answer := asked.ask(nil, Query{"n-0", agents}); !answer.Reached {
 		t.Error("the first one was not probed")
 	}
 }
@@ -150,7 +159,8 @@
 		t.Error(err)
 	}
 	if err := golden.Binary(
-		Reply{Referred: true, Age: 70000, Reached: true}, "83a87265666572726564c3a3616765ce00011170a772656163686564c3",
+		Reply{Referred: true, Age: 70000, Reached: []string{"m-1"}},
+		"83a87265666572726564c3a3616765ce00011170a77265616368656491a36d2d31",
 	); err != nil {
 		t.Error(err)
 	}
