referral: the leader probes too, and no agent that reached it meanwhile is missed

Why this works: what answers a peer is probed by the leader after that, so that one which came back in between answers both; the time to connect is a part of the probe's 300 ms; the answer is taken in with the heartbeats as of now.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -35,6 +35,7 @@
 // Client speaks to real agents.
 type Client struct {
 	timeout     micro.Time
+	dialProbe   fasthttp.DialFuncWithTimeout
 	mu          sync.Mutex
 	hostClients map[string]*fasthttp.HostClient
 }
@@ -46,7 +47,9 @@
 
 // NewClient makes a client that gives an agent the time to answer.
 func NewClient(timeout micro.Time) *Client {
-	return &Client{timeout: timeout, hostClients: map[string]*fasthttp.HostClient{}}
+	return &Client{
+		timeout: timeout, dialProbe: fasthttp.DialTimeout, hostClients: map[string]*fasthttp.HostClient{},
+	}
 }
 
 func (c *Client) hostClient(addr string) *fasthttp.HostClient {
@@ -95,14 +98,22 @@
 	return heartbeat, status == fasthttp.StatusOK, err
 }
 
-// Probe asks for the agent's status.
+// Probe asks for the agent's status, over a connection of its own: ProbeTimeout bounds also the time to connect.
 func (c *Client) Probe(addr string) (*wire.Heartbeat, error) {
+	client := fasthttp.HostClient{
+		Addr:                      addr,
+		MaxIdemponentCallAttempts: 1,
+		NoDefaultUserAgentHeader:  true,
+		DialTimeout:               c.dialProbe,
+	}
+	defer client.CloseIdleConnections()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(fasthttp.MethodGet)
 	req.SetRequestURI("http://" + addr + "/status")
-	if err := c.hostClient(addr).DoTimeout(req, resp, ProbeTimeout.Duration()); err != nil {
+	req.SetConnectionClose()
+	if err := client.DoTimeout(req, resp, ProbeTimeout.Duration()); err != nil {
 		return nil, fmt.Errorf("agent: probe: %w", err)
 	}
 	if status := resp.StatusCode(); status != fasthttp.StatusOK {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -201,3 +201,20 @@
 		}
 	}
 }
+
+// A peer that waited a second for a connection to a machine that is switched off answered the leader too
+// late, and so counted as one that might reach agents: the lead went round where all machines had died.
+func TestProbeBoundsTheTimeToConnect(t *testing.T) {
+	client := NewClient(ampleTimeout)
+	var allowed time.Duration
+	client.dialProbe = func(_ string, timeout time.Duration) (net.Conn, error) {
+		allowed = timeout
+		return nil, fasthttp.ErrDialTimeout
+	}
+	if _, err := client.Probe("127.0.0.1:1"); !errors.Is(err, fasthttp.ErrDialTimeout) {
+		t.Error(err)
+	}
+	if allowed <= 0 || allowed > ProbeTimeout.Duration() {
+		t.Errorf("%v to connect, want %v at most", allowed, ProbeTimeout.Duration())
+	}
+}
--- a/internal/controller/handover.go
+++ b/internal/controller/handover.go
@@ -112,7 +112,7 @@
 // Apply goes on with the answer.
 func (e referralsAnswered) Apply() {
 	e.loop.referralsAsked = false
-	if e.loop.holdsLease() && e.loop.node.handovers.LastContact() <= e.askedAt {
+	if e.loop.holdsLease() && !e.loop.detector.ReachedSince(e.askedAt) {
 		e.then(e.answer)
 	}
 }
--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"testing"
 
+	"notchmux.dev/notchmux/internal/cluster"
 	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/referral"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -183,3 +185,60 @@
 		})
 	}
 }
+
+// All machines stand still for longer than until they are suspect, and go on.
+//
+// What happened: a machine that goes on answered a peer's probe at once, and reached the leader only a second
+// later, once it had given up the heartbeat that it was waiting for. A probe in between showed a live agent, and
+// the leader handed over though every agent reaches it.
+func TestLeadStaysWhereAllMachinesHangForAWhile(t *testing.T) {
+	const hang = 12 * micro.Second
+	runSeeds(t, 16, 3, func(sim *simCluster) {
+		sim.fillZone("a", 4)
+		sim.waitForRestoredLeader()
+		sim.sleep(10 * micro.Second)
+		term := sim.currentTerm()
+		for _, machine := range sim.liveMachines() {
+			machine.hang(hang)
+		}
+		sim.sleep(hang + 5*micro.Second)
+		if sim.currentTerm() != term {
+			sim.t.Error("the lead changed, though agents reach every node alike")
+		}
+	})
+}
+
+// An agent reaches the leader while the peers are being asked; their answer comes before the next sweep.
+//
+// What happened: only a sweep, every half second, took note of the contact, and a peer whose probes are not all
+// answered takes 300 ms. So the leader handed over though an agent has reached it meanwhile.
+func TestLeaderThatAnAgentReachedSinceItAskedStays(t *testing.T) {
+	runSeeds(t, 1, 3, func(sim *simCluster) {
+		sim.fillZone("a", 4)
+		leader, _ := sim.waitForRestoredLeader()
+		loop := leader.runningNode().activeLeader()
+		wentOn := 0
+		const looks = 200
+		for range looks {
+			looked := make(chan struct{})
+			loop.post(func() {
+				defer close(looked)
+				var reachedAt micro.Time
+				for _, machine := range loop.cluster.SortedMachines() {
+					if machine.State == cluster.Up {
+						reachedAt = max(reachedAt, machine.LastHeartbeat)
+					}
+				}
+				askedAt := reachedAt - 1
+				referralsAnswered{
+					loop.controlLoop, referral.Answer{Reached: true}, askedAt, func(referral.Answer) { wentOn++ },
+				}.Apply()
+			})
+			<-looked
+			sim.sleep(50 * micro.Millisecond)
+		}
+		if wentOn > 0 {
+			sim.t.Errorf("%d of %d answers count, though an agent has reached the node since it asked", wentOn, looks)
+		}
+	})
+}
--- a/internal/detector/guards_test.go
+++ b/internal/detector/guards_test.go
@@ -54,3 +54,44 @@
 		}
 	}
 }
+
+// An agent whose silence says nothing of this node must not be probed for a sign that it is cut off: another's
+// machine, one that was silent before, one that is surely lost, or one that is up.
+func TestOnlyMachinesWhoseSilenceSpeaksAgainstThisNodeAreProbed(t *testing.T) {
+	test := newTestDetector()
+	at := termStart + 30*micro.Second
+	test.listening.resumedAt = termStart
+	reachedAt := termStart + 15*micro.Second
+	test.handovers.ObserveContact(reachedAt)
+	suspect := func(heard micro.Time, prepare func(*cluster.Machine)) func(*cluster.Machine) {
+		return func(machine *cluster.Machine) {
+			test.heardAt(heard)(machine)
+			test.cluster.TransitionMachine(machine, cluster.Suspect, "for a test")
+			machine.Addr = "10.0.0.1:9000"
+			prepare(machine)
+		}
+	}
+	unchanged := func(*cluster.Machine) {}
+	for i, prepare := range []func(*cluster.Machine){
+		suspect(reachedAt, unchanged), // the one to be probed
+		suspect(reachedAt, func(machine *cluster.Machine) { machine.Addr = "" }),
+		suspect(reachedAt, func(machine *cluster.Machine) { machine.OwnedElsewhere = true }),
+		suspect(reachedAt, func(machine *cluster.Machine) {
+			test.cluster.TransitionMachine(machine, cluster.Terminating, "for a test")
+		}),
+		suspect(reachedAt-test.config.SuspectAfter-1, unchanged), // silent when the last agent reached this node
+		func(machine *cluster.Machine) {
+			test.heardAt(at - test.config.SuspectAfter)(machine) // still up
+			machine.Addr = "10.0.0.1:9000"
+		},
+	} {
+		test.addMachines(i, i+1, prepare)
+	}
+	silent := test.SilentMachines(at)
+	if len(silent) != 1 || silent[0].Name != "i-000000" {
+		for _, machine := range silent {
+			t.Errorf("%s is to be probed", machine.Name)
+		}
+		t.Error("want i-000000 alone")
+	}
+}
--- a/internal/detector/reachability.go
+++ b/internal/detector/reachability.go
@@ -72,6 +72,17 @@
 	d.handovers.ObserveContact(machine.LastHeartbeat)
 }
 
+// ReachedSince reports whether an agent has reached this node since a time. The last sweep may not know of it
+// yet.
+func (d *Detector) ReachedSince(at micro.Time) bool {
+	for _, machine := range d.cluster.SortedMachines() {
+		if machine.State == cluster.Up && !machine.OwnedElsewhere {
+			d.observeContact(machine)
+		}
+	}
+	return d.handovers.LastContact() > at
+}
+
 // reachedForAWhile reports whether agents reached this node for longer than it takes until
 // machines that send no heartbeats are suspect. A single one that came up for a moment
 // does not show that the next handover would be for another reason than the last.
--- a/internal/referral/referral.go
+++ b/internal/referral/referral.go
@@ -6,9 +6,10 @@
 //
 // That an agent was not referred says little at first: it waits out a timeout at each node that it
 // does not reach, and may come to those before it comes to the peer that it does. So the node
-// names some agents that it does not hear, and its peers and itself probe them. One that answers a
-// peer but not the node is alive, and the network between it and the node is at fault. If there is
-// none such, and none was referred, no agent is there that would reach another node.
+// names some agents that it does not hear, and its peers probe them; then it probes those that
+// answered. One that answers a peer but not the node is alive, and the network between it and the
+// node is at fault. If there is none such, and none was referred, no agent is there that would reach
+// another node.
 //
 // A Responder belongs to a node; any goroutine may call its methods.
 package referral
@@ -16,7 +17,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -129,7 +129,7 @@
 	Unanswered int        // peers that did not say
 	Referred   bool       // an agent was referred to the node
 	Age        micro.Time // how long ago the last one was
-	Reached    bool       // a peer reached an agent that does not answer the node
+	Reached    bool       // an agent answers a peer, and does not answer the node
 }
 
 // AgentsMayBeThere reports whether there may be agents that do not reach the node: a peer reached
@@ -147,7 +147,7 @@
 // Asker asks the peers of a node.
 type Asker struct {
 	Caller peer.Caller
-	Prober agent.Prober // probes for the node itself; nil: no agent answers it
+	Prober agent.Prober // probes for the node itself; nil: no agent answers the node
 	Peers  []string     // by name
 }
 
@@ -163,9 +163,11 @@
 			return nil
 		})
 	}
-	reachedHere := probe(a.Prober, query.Agents)
 	_ = group.Wait() // no call returns an error
-	return combine(replies, reachedHere)
+	answer, reached := combine(replies, query.Agents)
+	// Only now: an agent that was not there a moment ago would answer the peers alone.
+	answer.Reached = len(probe(a.Prober, reached)) < len(reached)
+	return answer
 }
 
 // askOne asks one peer; nil: it did not answer.
@@ -178,29 +180,25 @@
 	return &reply
 }
 
-// combine takes the replies together. An agent that answers the node itself, too, says nothing: only
-// its own calls fail, which they do to any node.
-func combine(replies []*Reply, reachedHere []string) Answer {
-	var answer Answer
+// combine takes the replies together, and lists those of the named agents that answered a peer.
+func combine(replies []*Reply, agents []Agent) (answer Answer, reached []Agent) {
+	answered := map[string]bool{}
 	for _, reply := range replies {
 		if reply == nil {
 			answer.Unanswered++
 			continue
 		}
-		answer.Reached = answer.Reached || !containsAll(reachedHere, reply.Reached)
+		for _, machine := range reply.Reached {
+			answered[machine] = true
+		}
 		if reply.Referred && (!answer.Referred || micro.Time(reply.Age) < answer.Age) {
 			answer.Referred, answer.Age = true, micro.Time(reply.Age)
 		}
 	}
-	return answer
-}
-
-// containsAll reports whether all of some machines are among others.
-func containsAll(machines, some []string) bool {
-	for _, machine := range some {
-		if !slices.Contains(machines, machine) {
-			return false
+	for _, probed := range agents {
+		if answered[probed.Machine] {
+			reached = append(reached, probed)
 		}
 	}
-	return true
+	return answer, reached
 }
