Test: the stream of small jobs waits for the last cancellation before it counts them

The test failed in 1 of 19 whole runs and in 2 of 150 runs alone beside three busy processes: "119 of 120 cancellations were answered".

Cause: the test's construction. The 480th job is cancelled up to 6 s after its submission, but the scenario ended once all jobs were over: in the trace that job is done at 123.9 s, and the scenario stops at 125.55 s, before its cancellation was due.

Change: it waits for all cancellations, each of which is due after 6 s at most; the count and the bound of 2 s on the slowest stay.

--- a/internal/controller/fleet_faults_test.go
+++ b/internal/controller/fleet_faults_test.go
@@ -271,7 +271,11 @@
 }
 
 func runStreamUnderWriteLimit(t *testing.T, changes float64) {
-	const stream = 2 * micro.Minute
+	const (
+		stream               = 2 * micro.Minute
+		latestCancel         = 6 * micro.Second // after a job's submission
+		cancelAnsweredWithin = 2 * micro.Second
+	)
 	runScenario(t, 8, 3, func(sim *simCluster) {
 		sim.fastBoot = true
 		sim.writeRPS = changes
@@ -296,7 +300,7 @@
 				},
 			)
 			jobs = append(jobs, job)
-			cancel, after := len(jobs)%4 == 0, sim.randomDuration(0, 6*micro.Second)
+			cancel, after := len(jobs)%4 == 0, sim.randomDuration(0, latestCancel)
 			go func() {
 				job.submit()
 				if cancel {
@@ -328,6 +332,12 @@
 			page, err := sim.store.Range(sim.ctx, store.Routine, "run/", "", 1)
 			return err == nil && len(page.Items) == 0
 		})
+		// The last job's cancellation may be due only after its end.
+		sim.waitUntil("all cancellations answered", latestCancel+cancelAnsweredWithin, func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return cancels == len(jobs)/4
+		})
 		events, err := sim.store.Watch(sim.ctx, "", 0, 0)
 		if err != nil {
 			sim.t.Fatal(err)
@@ -362,7 +372,7 @@
 				sim.t.Errorf("%.2f changes a job are for %q, at most %.1f", got, kind, most)
 			}
 		}
-		if cancels < len(jobs)/4 || slowest > 2*micro.Second {
+		if cancels < len(jobs)/4 || slowest > cancelAnsweredWithin {
 			sim.t.Errorf(
 				"%d of %d cancellations were answered, the slowest after %.1f s", cancels, len(jobs)/4, slowest.Seconds(),
 			)
