Shard owners: a test for the probes of their agents; an answer takes back no heartbeat gap

Cause: the owner's half of the probes had no test; and the peers' answer, which may take 700 ms, overwrote what a heartbeat gap had shown in the meantime (found by reading, in the review).

--- a/internal/controller/handover.go
+++ b/internal/controller/handover.go
@@ -69,7 +69,10 @@
 		return
 	}
 	o.askForReferrals(now, func(answer referral.Answer) {
-		o.unreachable = answer.AgentsMayBeThere(evidence.SinceContact)
+		// Never taken back here: a heartbeat gap may have been found meanwhile.
+		if answer.AgentsMayBeThere(evidence.SinceContact) {
+			o.unreachable = true
+		}
 	})
 }
 
--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -242,3 +242,26 @@
 		}
 	})
 }
+
+// The owner of a shard is cut off from all agents, and so is the node that they try next.
+//
+// What would happen without probes: the owner does not say that no agent reaches it until agents have waited out
+// their timeouts at both nodes, and come to the third.
+func TestShardMovesThoughAgentsTryAnotherCutNodeFirst(t *testing.T) {
+	runShardScenario(t, 4, 3, func(sim *simCluster) {
+		sim.waitShardOwned("n-2", 2*micro.Minute)
+		owner := sim.controllers[2]
+		service := sim.newJob(jobRequest{kind: wire.Service, tasks: 4, cpus: 4, zone: "b", team: "team"}).submit()
+		sim.waitRunning(service, 4)
+		sim.sleep(10 * micro.Second) // what was requested beside is up
+		before, _ := sim.shardRecord()
+		for _, controller := range sim.otherControllers(sim.lastTriedAfter(owner)) {
+			sim.partitionNode(controller, 3*micro.Minute, "workers")
+		}
+		movedWithin := sim.handoverBound() + statusUpdateInterval
+		sim.waitUntil("the shard is moved", movedWithin, func() bool {
+			after, _ := sim.shardRecord()
+			return after.Record.OwnerChanges != before.Record.OwnerChanges
+		})
+	})
+}
