cluster, scheduler: quota and machines can be kept for a service that changes hands

Cause: what a stopped replica frees, of its team's quota and of machines, goes to whoever comes next, so a service that is stopped to change hands may be placed on neither side.

Change: Job.QuotaHoldTasks counts a service's quota as used while its replicas are stopped, once beside its allocations; its assignment takes the place of what is held. A machine with KeptForMove takes no other job at any relaxation. A job with ChangingHands is not placed, and no machines are requested for it. Nothing sets these yet.

--- a/internal/autoscaler/demand.go
+++ b/internal/autoscaler/demand.go
@@ -74,7 +74,7 @@
 	}
 	sort.Slice(jobs, func(a, b int) bool { return jobs[a].Spec.ID < jobs[b].Spec.ID })
 	for _, job := range jobs {
-		if job.NotBefore > now+maxBackoffAhead && job.InBackoff(now) {
+		if job.ChangingHands || job.NotBefore > now+maxBackoffAhead && job.InBackoff(now) {
 			continue
 		}
 		tasks := planned.take(job, job.Demand(now))
--- a/internal/cluster/allocation.go
+++ b/internal/cluster/allocation.go
@@ -61,7 +61,7 @@
 	allocation.ChunkVersion = s.markChunkDirty(job, index).MemoryVersion
 	s.ChunkUrgent(job.Chunk(index))
 	job.WaitingSince = now
-	if machine.ReservedFor == job {
+	if machine.ReservedFor == job && !machine.KeptForMove {
 		machine.ReservedFor, machine.UnusedReservationSince = nil, 0
 	}
 	return allocation
@@ -78,9 +78,8 @@
 	machine.CountUse(allocation.resources(), 1)
 	machine.account(allocation, 1)
 	s.updatePool(machine)
-	s.chargeQuota(job, 1)
 	job.Tasks[allocation.Index].AllocationCount++
-	job.AllocationCount++
+	s.countAllocation(job, 1)
 	job.Class.AllocationCount++
 	job.AllocationsByZone[machine.Zone]++
 	chunk := job.Chunk(allocation.Index)
@@ -96,9 +95,8 @@
 		machine.ClearUse()
 	}
 	s.updatePool(machine)
-	s.chargeQuota(job, -1)
 	job.Tasks[allocation.Index].AllocationCount--
-	job.AllocationCount--
+	s.countAllocation(job, -1)
 	job.Class.AllocationCount--
 	job.AllocationsByZone[machine.Zone]--
 	chunk := job.Chunk(allocation.Index)
--- a/internal/cluster/assignment.go
+++ b/internal/cluster/assignment.go
@@ -50,7 +50,7 @@
 	if tasks == 0 || !s.MayChangeHands(job) {
 		return 0
 	}
-	if job.Team != nil && !job.Team.WithinLimit(job.Spec.CPUs, job.Spec.GPUs, tasks) {
+	if !job.WithinQuota(tasks) {
 		if job.Spec.Kind != wire.JobArray {
 			return 0
 		}
@@ -58,6 +58,7 @@
 			return 0
 		}
 	}
+	s.ReleaseQuotaHold(job) // the assignment takes its place
 	s.transitionJob(job, Assigned)
 	s.setAssignment(job, shard, tasks)
 	return tasks
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -71,6 +71,14 @@
 	ShardDoneTasks    int    // tasks that are done, as the owner last said
 
 	UnassignedAt micro.Time // when it last came back from a shard in this term; 0: never
+	Move
+}
+
+// Move is what is kept for a service while it changes hands as a whole.
+type Move struct {
+	ChangingHands  bool // its replicas are stopped so that it goes to a shard: none is placed here
+	MachinesKept   bool // machines are kept for it alone, see Reservation.KeptForMove
+	QuotaHoldTasks int  // for so many tasks, its allocations among them, its team's quota is held; 0: none
 }
 
 // FailureHistory is what is known of a job's failed attempts.
--- a/internal/cluster/machine.go
+++ b/internal/cluster/machine.go
@@ -71,6 +71,7 @@
 	ReservedFor              *Job
 	ReservedAt               micro.Time
 	StarvationReservation    bool       // for a job that has waited long
+	KeptForMove              bool       // for a service that comes back from a shard: closed to all others until that ends
 	UnusedReservationSince   micro.Time // since when it is reserved, for one job or another, and none of them used it
 	UnusedReservationEndedAt micro.Time // when a reservation of it last ended unused
 }
--- a/internal/cluster/quarantine.go
+++ b/internal/cluster/quarantine.go
@@ -29,8 +29,11 @@
 // submission: it is tried seldom, and no machine is held responsible for it.
 func (j *Job) failsEverywhere(now micro.Time) bool { return j.FailedWidely() && !j.proven(now) }
 
-// InBackoff reports whether the job waits for its next try, as one that fails everywhere does.
-func (j *Job) InBackoff(now micro.Time) bool { return j.NotBefore > now && !j.proven(now) }
+// InBackoff reports whether the job waits for its next try, as one that fails everywhere does, or for
+// its way to a shard.
+func (j *Job) InBackoff(now micro.Time) bool {
+	return j.ChangingHands || j.NotBefore > now && !j.proven(now)
+}
 
 // SchedulableTasks is how many more tasks of the job may be placed now, whatever resources
 // are free. A gang starts whole or not at all.
--- a/internal/scheduler/allocation.go
+++ b/internal/scheduler/allocation.go
@@ -98,6 +98,9 @@
 	if team == nil {
 		return true
 	}
+	if job.QuotaHoldTasks > 0 {
+		return job.WithinQuota(tasks)
+	}
 	if holder := team.QuotaReservedFor; holder != nil && holder != job && job.PriorityLevel > highestPriorityLevel &&
 		(holder.Spec.GPUs > 0 && job.Spec.GPUs > 0 || team.CPULimit > 0) {
 		return false
--- a/internal/scheduler/eligibility.go
+++ b/internal/scheduler/eligibility.go
@@ -70,7 +70,7 @@
 // by small work costs a large part of the bill; work that is overdue, or of the highest
 // priority and without other capacity, takes it nevertheless.
 func (s *Scheduler) tooExpensive(placement *placementRequest, pool *cluster.MachinePool) bool {
-	return !placement.anyPrice && s.relaxation == relaxNone && s.WithinPrice != nil &&
+	return !placement.anyPrice && !placement.job.MachinesKept && s.relaxation == relaxNone && s.WithinPrice != nil &&
 		!s.WithinPrice(placement.job, pool.Type, pool.Spot, placement.now)
 }
 
@@ -112,8 +112,12 @@
 }
 
 // reservedForOther reports whether a machine is kept for another job. Reservations follow
-// one another; capacity that none of them used for long is open to overdue work.
+// one another; capacity that none of them used for long is open to overdue work. A machine
+// that is kept for a service which comes back from a shard, and was stopped for it, is open to none.
 func (s *Scheduler) reservedForOther(job *cluster.Job, m *cluster.Machine, now micro.Time) bool {
+	if m.KeptForMove {
+		return m.ReservedFor != job
+	}
 	return m.ReservedFor != nil && m.ReservedFor != job && reservationBlocks(m, job) &&
 		(s.relaxation < relaxReservations || now-m.UnusedReservationSince < overdueAfter)
 }
--- a/internal/scheduler/pending_reason.go
+++ b/internal/scheduler/pending_reason.go
@@ -56,7 +56,7 @@
 		return ReasonGangStopping
 	case len(job.NextTasks(now, needed)) < needed:
 		return ReasonBackoff
-	case job.Team != nil && !job.Team.WithinLimit(job.Spec.CPUs, job.Spec.GPUs, needed):
+	case !job.WithinQuota(needed):
 		return ReasonQuota
 	case !withinQuota(job, needed):
 		return ReasonQuotaReserved
--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -6,8 +6,10 @@
 	"notchmux.dev/notchmux/wire"
 )
 
-// hasReservation reports whether machines are reserved for the job.
-func (s *Scheduler) hasReservation(job *cluster.Job) bool { return s.countReserved(job) > 0 }
+// hasReservation reports whether machines are reserved for the job, or kept for it.
+func (s *Scheduler) hasReservation(job *cluster.Job) bool {
+	return job.MachinesKept || s.countReserved(job) > 0
+}
 
 // transferReservation keeps a machine that was reserved for a job for the next of its class and
 // team that none was placed of, as long as it would have been kept for the first: a
@@ -80,6 +82,10 @@
 		}
 	}
 	for machine := range s.reservedMachines {
+		if machine.KeptForMove {
+			delete(s.reservedMachines, machine) // it was reserved before, and is another's to give up
+			continue
+		}
 		if machine.ReservedFor != nil && reservationOver(machine, now) {
 			machine.ReservedFor, machine.UnusedReservationEndedAt = nil, now
 		}
--- a/internal/scheduler/starvation.go
+++ b/internal/scheduler/starvation.go
@@ -169,7 +169,7 @@
 
 // startReservation begins to reserve capacity for a job, or what it lacks of its team's quota.
 func (s *Scheduler) startReservation(job *cluster.Job, now micro.Time) {
-	if team := job.Team; team != nil && !team.WithinLimit(job.Spec.CPUs, job.Spec.GPUs, minAllocations(job)) {
+	if !job.WithinQuota(minAllocations(job)) {
 		reserveQuota(job, now)
 		return
 	}
