shard: owners report services that are placed in part

An owner names services whose rest has waited for a minute, or two boots, beside replicas that run on machines within reach.

--- a/internal/controller/shard_owner_continue.go
+++ b/internal/controller/shard_owner_continue.go
@@ -7,6 +7,7 @@
 	"notchmux.dev/notchmux/internal/keys"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/shard"
+	"notchmux.dev/notchmux/internal/shard/update"
 	"notchmux.dev/notchmux/internal/statestore"
 	"notchmux.dev/notchmux/wire"
 )
@@ -128,12 +129,15 @@
 	o.log.Info("recalled job taken back by the leader", "job", id)
 }
 
-// reportRecalls tells which jobs wait without any allocation, and which recalled ones the leader
-// may take back.
+// reportRecalls tells which jobs wait without any allocation or are placed in part, and which
+// recalled ones the leader may take back.
 func (o *ShardOwner) reportRecalls(report *shard.ShardUpdate, now micro.Time) {
 	for job := range o.cluster.PendingJobs {
-		if len(report.WaitingJobs) < shard.MaxStatusItems && o.waitsInVain(job, now) {
+		switch {
+		case o.waitsInVain(job, now) && len(report.WaitingJobs) < shard.MaxStatusItems:
 			report.WaitingJobs = append(report.WaitingJobs, job.Spec.ID)
+		case update.PlacedInPart(o.cluster, job, now) && len(report.PartlyPlaced) < shard.MaxStatusItems:
+			report.PartlyPlaced = append(report.PartlyPlaced, job.Spec.ID)
 		}
 	}
 	for job := range o.held {
--- a/internal/shard/messages.go
+++ b/internal/shard/messages.go
@@ -11,6 +11,10 @@
 	MaxStatusItems = 300
 )
 
+// PartialServiceDelay is for how long the rest of a service that is placed in part waits on its side
+// before the other one is tried.
+const PartialServiceDelay = micro.Minute
+
 // StatusUpdate is what an owner tells the leader, every second and when something is urgent.
 type StatusUpdate struct {
 	Node           string        `msgpack:"node"`
@@ -42,6 +46,8 @@
 	// WaitingJobs are jobs with records of their tasks, and without any allocation for long:
 	// there may be capacity elsewhere by now.
 	WaitingJobs []string `msgpack:"idle,omitempty"`
+	// PartlyPlaced are services whose rest has waited for long beside the replicas that they have.
+	PartlyPlaced []string `msgpack:"partial,omitempty"`
 	// ReleasedJobs are recalled jobs of which nothing is left in the shard but stored records.
 	ReleasedJobs []ReleasedJob `msgpack:"released,omitempty"`
 }
--- a/internal/shard/status_update_size.go
+++ b/internal/shard/status_update_size.go
@@ -19,7 +19,8 @@
 func (u *ShardUpdate) halveLongestLists() {
 	longest := max(
 		len(u.FreeCapacity), len(u.FinishedJobs), len(u.StoppingJobs), len(u.Demand), len(u.Progress),
-		len(u.ReadyMachines), len(u.MachinesToTerminate), len(u.WaitingJobs), len(u.ReleasedJobs),
+		len(u.ReadyMachines), len(u.MachinesToTerminate), len(u.WaitingJobs), len(u.PartlyPlaced),
+		len(u.ReleasedJobs),
 	)
 	u.FreeCapacity = halved(u.FreeCapacity, longest)
 	u.FinishedJobs = halved(u.FinishedJobs, longest)
@@ -29,6 +30,7 @@
 	u.ReadyMachines = halved(u.ReadyMachines, longest)
 	u.MachinesToTerminate = halved(u.MachinesToTerminate, longest)
 	u.WaitingJobs = halved(u.WaitingJobs, longest)
+	u.PartlyPlaced = halved(u.PartlyPlaced, longest)
 	u.ReleasedJobs = halved(u.ReleasedJobs, longest)
 }
 
--- a/internal/shard/update/update.go
+++ b/internal/shard/update/update.go
@@ -3,6 +3,7 @@
 package update
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"sort"
@@ -98,10 +99,7 @@
 	capacity := make([]shard.FreeCapacity, 0, len(counts))
 	for key, count := range counts {
 		if key.cpu > 0 {
-			capacity = append(capacity, shard.FreeCapacity{
-				Type: key.pool.Type.Name, Zone: key.pool.Zone, Spot: key.pool.Spot, Count: count,
-				CPU: float64(key.cpu), GPU: float64(key.gpu), Mem: float64(key.mem),
-			})
+			capacity = append(capacity, freeCapacityOf(key, count))
 		}
 	}
 	sort.Slice(capacity, func(a, b int) bool { return hasMoreCapacity(capacity[a], capacity[b]) })
@@ -129,17 +127,59 @@
 	return false
 }
 
-// countFreeCapacity adds the machines of a pool that take tasks, by what is free on them.
-func countFreeCapacity(pool *cluster.MachinePool, counts map[capacityKey]int, now micro.Time) {
-	for row := range pool.Rows() {
-		for _, machine := range pool.Row(row) {
-			if machine.Schedulable(now) && machine.ReservedFor == nil {
-				counts[capacityOf(pool, machine)]++
+// FreeMachine is a machine that takes tasks, with what is free on it.
+type FreeMachine struct {
+	Machine *cluster.Machine
+	shard.FreeCapacity
+}
+
+// FreeMachines lists, by name, the machines whose capacity FreeCapacity counts, but for those that may
+// not be reached.
+func FreeMachines(state *cluster.State, now micro.Time) []FreeMachine {
+	waiting := schedulableJobs(state, now)
+	var machines []FreeMachine
+	for _, pool := range state.Pools {
+		if usableByAny(waiting, pool) {
+			continue
+		}
+		for machine := range freeMachinesOf(pool, now) {
+			if state.MachineReachable(machine) {
+				capacity := freeCapacityOf(capacityOf(pool, machine), 1)
+				machines = append(machines, FreeMachine{Machine: machine, FreeCapacity: capacity})
+			}
+		}
+	}
+	sort.Slice(machines, func(a, b int) bool { return machines[a].Machine.Name < machines[b].Machine.Name })
+	return machines
+}
+
+// freeMachinesOf gives the machines of a pool that take tasks, and are not reserved.
+func freeMachinesOf(pool *cluster.MachinePool, now micro.Time) iter.Seq[*cluster.Machine] {
+	return func(yield func(*cluster.Machine) bool) {
+		for row := range pool.Rows() {
+			for _, machine := range pool.Row(row) {
+				if machine.Schedulable(now) && machine.ReservedFor == nil && !yield(machine) {
+					return
+				}
 			}
 		}
 	}
 }
 
+func freeCapacityOf(key capacityKey, count int) shard.FreeCapacity {
+	return shard.FreeCapacity{
+		Type: key.pool.Type.Name, Zone: key.pool.Zone, Spot: key.pool.Spot, Count: count,
+		CPU: float64(key.cpu), GPU: float64(key.gpu), Mem: float64(key.mem),
+	}
+}
+
+// countFreeCapacity adds the machines of a pool that take tasks, by what is free on them.
+func countFreeCapacity(pool *cluster.MachinePool, counts map[capacityKey]int, now micro.Time) {
+	for machine := range freeMachinesOf(pool, now) {
+		counts[capacityOf(pool, machine)]++
+	}
+}
+
 func capacityOf(pool *cluster.MachinePool, machine *cluster.Machine) capacityKey {
 	cpu := min(machine.Type.CPUs-machine.UsedScaledCPU, machine.Type.CPUs-machine.UsedCPU)
 	return capacityKey{
--- a/internal/shard/update/update_test.go
+++ b/internal/shard/update/update_test.go
@@ -12,10 +12,11 @@
 // noEffects is a cluster's effects where none matters.
 type noEffects struct{ cluster.Effects }
 
-func (noEffects) ChunkDirty(*cluster.TaskChunk) {}
-func (noEffects) DispatchSoon(*cluster.Machine) {}
-func (noEffects) ScheduleSoon()                 {}
-func (noEffects) Log(string, ...any)            {}
+func (noEffects) ChunkDirty(*cluster.TaskChunk)  {}
+func (noEffects) ChunkUrgent(*cluster.TaskChunk) {}
+func (noEffects) DispatchSoon(*cluster.Machine)  {}
+func (noEffects) ScheduleSoon()                  {}
+func (noEffects) Log(string, ...any)             {}
 
 const now = micro.Minute
 
