coordinator: a service placed in part moves whole, and what it is stopped for is kept

Cause: a job changes hands only without any allocation.

Change: a move of a service keeps capacity (taken out of the owner's updates as they come; at the leader machines that take no other job) and the quota of all replicas, from the decision until it is placed, bounded by a checkpoint and two minutes. Before the stop: all controllers go on with begun jobs, all records are stored, the assignment or recall fits a value, the whole service fits by its rules on zones and machines. One service at a time for each shard; 5, 10, 20, 40 minutes between tries. Nothing new is stored: the next leader goes on with the service as with any other. deductCapacity takes capacity in the zones where tasks go.

Not covered: another job within the shard may take the capacity before the owner places the service; a service in a shard whose other side is another shard stays.

--- a/internal/controller/partial_services_test.go
+++ b/internal/controller/partial_services_test.go
@@ -46,7 +46,7 @@
 
 // One replica of a service waits on a side that gets no machines, for good, though the other side would.
 func TestServicePlacedInPartIsServedByTheOtherSide(t *testing.T) {
-	for name, selector := range map[string]shard.Selector{"from the leader": onDemand, "from a shard": spotOnly} {
+	for name, selector := range bothDirections {
 		t.Run(name, func(t *testing.T) {
 			runPartialService(t, selector, true, func(sim *simCluster, service *userJob) {
 				sim.waitUntil("one replica runs", micro.Minute, func() bool { return service.runningTasks() == 1 })
@@ -75,3 +75,46 @@
 		})
 	}
 }
+
+// bothDirections are selectors of the shard for a service that moves to it, and from it.
+var bothDirections = map[string]shard.Selector{"from the leader": onDemand, "from a shard": spotOnly}
+
+// runMovedService plays what befalls a service while it is moved: none of its replicas runs.
+func runMovedService(t *testing.T, scenario func(sim *simCluster, service *userJob)) {
+	t.Helper()
+	for name, selector := range bothDirections {
+		t.Run(name, func(t *testing.T) {
+			runPartialService(t, selector, true, func(sim *simCluster, service *userJob) {
+				sim.waitUntil("its replica is stopped", servedWithin, func() bool { return service.runningTasks() == 0 })
+				scenario(sim, service)
+			})
+		})
+	}
+}
+
+// A service is served by neither side for good after the leader, or the shard's owner, has ended while it
+// was moved: nothing of the move is stored.
+func TestServiceThatIsMovedIsServedThoughAControllerEnds(t *testing.T) {
+	for name, ending := range map[string]func(sim *simCluster) *controllerProcess{
+		"the leader": (*simCluster).leader,
+		"the owner":  func(sim *simCluster) *controllerProcess { return sim.controllers[2] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runMovedService(t, func(sim *simCluster, service *userJob) {
+				sim.restartController(ending(sim), micro.Minute)
+				sim.waitServed(service, 2)
+			})
+		})
+	}
+}
+
+// The user of a service that is cancelled while it is moved is never told, or the quota that was held for it is
+// not given back.
+func TestServiceThatIsCancelledWhileItIsMovedEnds(t *testing.T) {
+	runMovedService(t, func(sim *simCluster, service *userJob) {
+		go service.cancel()
+		sim.waitUntil("the user is told", toldWithin, func() bool { return service.knowledge().aborted })
+		const replicas = teamMaxCPUs / 4
+		sim.waitServed(sim.newJob(jobRequest{kind: wire.Service, tasks: replicas, cpus: 4}).submit(), replicas)
+	})
+}
--- a/internal/shard/coordinator/assignment.go
+++ b/internal/shard/coordinator/assignment.go
@@ -40,6 +40,8 @@
 	dropped      bool    // its shard is taken back, and the record is to be deleted
 	recall       *recall // nil: it was not recalled, or its owner has not released it yet
 
+	partlyPlacedAt micro.Time // when its owner last told that it is placed in part
+
 	handedBack     bool   // its owner deleted the record though the job is not over
 	fenceVersion   uint64 // the shard's record must have a later version before it is the leader's again
 	lookupInFlight bool   // whether the record is really gone is being looked up
@@ -67,7 +69,7 @@
 	var jobs []*cluster.Job
 	for job := range c.Cluster.PendingJobs {
 		// One that was taken back with its shard is the leader's, and its former assignment still stored.
-		if c.assignedJobs[job.Spec.ID] == nil && c.Cluster.MayChangeHands(job) {
+		if c.assignedJobs[job.Spec.ID] == nil && c.moves[job.Spec.ID] == nil && c.Cluster.MayChangeHands(job) {
 			jobs = append(jobs, job)
 		}
 	}
@@ -109,6 +111,13 @@
 	if fitting < total && !partial {
 		return false
 	}
+	return c.assignWithRecords(entry, job, fitting, now)
+}
+
+// assignWithRecords assigns a job to a shard that has capacity for so many of its tasks, once all of
+// its records are stored.
+func (c *Coordinator) assignWithRecords(entry shard.Entry, job *cluster.Job, fitting int, now micro.Time) bool {
+	view, total := c.viewOf(entry.Name), job.UnfinishedTasks()
 	revision, persisted := c.Host.JobRevision(job)
 	if !persisted {
 		c.Host.PersistJob(job)
@@ -215,6 +224,9 @@
 	c.Records.Drop(assigned.storeRecord)
 	assigned.storeRecord.ClearDirty()
 	c.Cluster.Unassign(assigned.job, c.Now())
+	if move := c.moves[assigned.job.Spec.ID]; move != nil && move.toLeader && assigned.job.State == cluster.Active {
+		c.Cluster.HoldQuota(assigned.job, move.tasks) // as long as the machines are kept
+	}
 	c.Cluster.FinishJobRestore(assigned.job, c.Now()) // all of it may be done
 	if assigned.cancelling && !assigned.endRequested && assigned.job.State == cluster.Aborting {
 		c.Host.CancellationPending(assigned.job) // nothing of it is anywhere: its user may be told
--- a/internal/shard/coordinator/capacity.go
+++ b/internal/shard/coordinator/capacity.go
@@ -72,18 +72,57 @@
 	return count
 }
 
-// deductCapacity takes the capacity for so many tasks out of what is free.
+// deductCapacity takes the capacity for so many tasks out of what is free, in the zones where they may go.
 func (c *Coordinator) deductCapacity(view *shardView, spec *wire.Job, tasks int) {
+	zones := c.newZoneAllowance(view.freeCapacity, spec)
 	for i := range view.freeCapacity {
 		capacity := &view.freeCapacity[i]
 		perMachine := c.tasksPerMachine(capacity, spec)
 		if perMachine == 0 {
 			continue
 		}
-		machines := min((tasks+perMachine-1)/perMachine, capacity.Count)
-		capacity.Count -= machines
-		if tasks -= machines * perMachine; tasks <= 0 {
+		taken := zones.take(capacity.Zone, min(tasks, capacity.Count*perMachine))
+		capacity.Count -= min((taken+perMachine-1)/perMachine, capacity.Count)
+		if tasks -= taken; tasks <= 0 {
 			return
 		}
 	}
 }
+
+// zoneAllowance is how many of a job's tasks may still go to each zone.
+type zoneAllowance struct {
+	oneZone string // where all of them go; "": to several
+	perZone int    // 0: any number
+	taken   map[string]int
+}
+
+// newZoneAllowance begins to put tasks of a job on free capacity, by its rules on zones.
+func (c *Coordinator) newZoneAllowance(capacity []shard.FreeCapacity, spec *wire.Job) *zoneAllowance {
+	allowance := &zoneAllowance{taken: map[string]int{}}
+	if spec.Spread {
+		allowance.perZone = (spec.Tasks + 1) / 2
+	}
+	if spec.OneZone {
+		fitting := map[string]int{}
+		for i := range capacity {
+			zone := capacity[i].Zone
+			fitting[zone] += capacity[i].Count * c.tasksPerMachine(&capacity[i], spec)
+			if fitting[zone] > fitting[allowance.oneZone] {
+				allowance.oneZone = zone
+			}
+		}
+	}
+	return allowance
+}
+
+// take takes up to so many tasks in a zone, and says how many go there.
+func (a *zoneAllowance) take(zone string, tasks int) int {
+	if a.oneZone != "" && zone != a.oneZone {
+		return 0
+	}
+	if a.perZone > 0 {
+		tasks = min(tasks, a.perZone-a.taken[zone])
+	}
+	a.taken[zone] += tasks
+	return tasks
+}
--- a/internal/shard/coordinator/coordinator.go
+++ b/internal/shard/coordinator/coordinator.go
@@ -92,6 +92,9 @@
 	commitsInFlight map[string]bool           // shards with a transaction under way
 	assignedJobs    map[string]*assignedJob   // by job
 	reclaims        map[string]*reclaim       // shards that are being taken back, by name
+	moves           map[string]*serviceMove   // services that change hands as a whole, by job
+	moveTries       map[string]*moveTries     // by job
+	movable         []partlyPlaced            // services for which the other side is looked at now
 	clearing        map[string]unstoredChunks // what is to be stored before a shard is given away, by its name
 
 	zoneUnreachableAt map[string]micro.Time // when none of a zone's controllers was heard of last
@@ -135,6 +138,8 @@
 		assignedJobs:    map[string]*assignedJob{},
 		reclaims:        map[string]*reclaim{},
 		clearing:        map[string]unstoredChunks{},
+		moves:           map[string]*serviceMove{},
+		moveTries:       map[string]*moveTries{},
 
 		zoneUnreachableAt: map[string]micro.Time{},
 	}
@@ -160,7 +165,7 @@
 		}
 		return true
 	})
-	return demands
+	return append(demands, c.moveDemands()...)
 }
 
 func (c *Coordinator) appendDemands(demands []autoscaler.ShardDemand, entry shard.Entry) []autoscaler.ShardDemand {
@@ -242,6 +247,7 @@
 	c.reconcileHandedBack()
 	c.reconcileRecalls(now)
 	c.assignJobs(now)
+	c.moveServices(now) // for what no job waits for that has no allocation at all
 }
 
 // maxSessions is how many controllers' sessions are read: one request holds them all.
--- a/internal/shard/coordinator/recall.go
+++ b/internal/shard/coordinator/recall.go
@@ -41,12 +41,17 @@
 			assigned.assignment.RecallRequested {
 			continue
 		}
-		assigned.assignment.RecallRequested = true
-		c.Log.Info("job recalled", "job", id, "shard", shardName, "reason", "it waits there without any allocation")
-		assigned.storeRecord.MarkDirty(now, statestore.PriorityHigh)
+		c.recallJob(assigned, "it waits there without any allocation", now)
 	}
 }
 
+// recallJob marks a job in its assignment as recalled.
+func (c *Coordinator) recallJob(assigned *assignedJob, reason string, now micro.Time) {
+	assigned.assignment.RecallRequested = true
+	c.Log.Info("job recalled", "job", assigned.job.Spec.ID, "shard", assigned.shardName, "reason", reason)
+	assigned.storeRecord.MarkDirty(now, statestore.PriorityHigh)
+}
+
 // heldByOwner reports whether the shard's owner has the job, and nothing else is to become of it.
 func (assigned *assignedJob) heldByOwner() bool {
 	return assigned.stored && !assigned.handedBack && !assigned.cancelling && assigned.job.State == cluster.Assigned
--- a/internal/shard/coordinator/status.go
+++ b/internal/shard/coordinator/status.go
@@ -69,7 +69,9 @@
 		view.ownership, view.loopStartedAt = entry.Record.OwnerChanges, update.LoopStartedAt
 		view.allMachinesKnownAt, view.readyMachines = 0, map[string]bool{}
 	}
-	view.observe(update, now, c.Config.SuspectAfter)
+	if view.observe(update, now, c.Config.SuspectAfter) {
+		c.keepCapacityForMoves(entry.Name, view, update.AssignmentRevision)
+	}
 	for _, id := range update.FinishedJobs {
 		if job := c.Cluster.Jobs[id]; job != nil && job.Shard == entry.Name {
 			c.Cluster.FinishAssigned(job)
@@ -79,6 +81,7 @@
 		c.cancellationProgress(entry.Name, stopping, now)
 	}
 	c.recallWaitingJobs(entry.Name, update.WaitingJobs, now)
+	c.notePartlyPlaced(entry.Name, update.PartlyPlaced, now)
 	c.applyReleasedJobs(entry, update.ReleasedJobs)
 	c.applyProgress(entry.Name, update.Progress)
 	if term == c.Term.FencingRevision && update.LoopStartedAt == view.loopStartedAt {
@@ -100,20 +103,23 @@
 	}
 }
 
-// observe takes in what an update says of the shard as a whole. Machines that are up within
+// observe takes in what an update says of the shard as a whole, and reports whether that holds for
+// its free capacity. Machines that are up within
 // reachedTime after a move do not show that it was of use: dead ones are not suspect anew by
 // then, and a single machine that came up in each ownership once kept a shard going round.
-func (view *shardView) observe(update *shard.ShardUpdate, now, reachedTime micro.Time) {
+func (view *shardView) observe(update *shard.ShardUpdate, now, reachedTime micro.Time) (capacityKnown bool) {
 	view.machineCount, view.idleMachines = update.MachineCount, update.IdleMachines
 	view.pendingTasks = update.PendingTasks
 	view.unreachable, view.demand = update.Unreachable, update.Demand
 	if update.MachineCount > 0 && now-view.handedOverAt > reachedTime {
 		view.handovers = 0
 	}
-	if update.AssignmentRevision >= view.assignedRevision {
-		// The owner knows of all that it was given: its free capacity is net of that.
-		view.freeCapacity, view.capacityAt = update.FreeCapacity, now
+	if update.AssignmentRevision < view.assignedRevision {
+		return false
 	}
+	// The owner knows of all that it was given: its free capacity is net of that.
+	view.freeCapacity, view.capacityAt = update.FreeCapacity, now
+	return true
 }
 
 // applyProgress takes in how far the jobs of a shard are.
