Tests: a machine kept for a service is handed on to the next of its class, for good

Cause: Allocate clears ReservedFor and leaves StarvationReservation until the next pass. A machine kept in between goes on by transferReservation when the first replica is placed; endMove finds another holder, KeptForMove stays.

--- /dev/null
+++ b/internal/shard/coordinator/service_moves_review_test.go
@@ -0,0 +1,62 @@
+package coordinator
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"notchmux.dev/notchmux/internal/cluster"
+	"notchmux.dev/notchmux/internal/config"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/scheduler"
+	"notchmux.dev/notchmux/wire"
+)
+
+// newScheduler is the leader's scheduler.
+func (s *partialSite) newScheduler() *scheduler.Scheduler {
+	properties := config.Defaults()
+	return &scheduler.Scheduler{
+		Cluster: s.leader.Cluster, Objectives: scheduler.NewObjectives(nil), Properties: &properties,
+		Rand: rand.New(rand.NewPCG(1, 2)),
+	}
+}
+
+// A machine that was reserved for starved work just before it was kept for a service goes on to the next
+// job of the service's class once a replica is placed, and is closed to all others for good.
+func TestMachineKeptForAServiceIsNotHandedOnToTheNextOfItsClass(t *testing.T) {
+	runTwoServices(t, "west", func(site *partialSite, _, _ *assignedJob) {
+		site.addLeaderMachine("i-5")
+		machine, placing := site.leader.Cluster.Machines["i-5"], site.newScheduler()
+		site.do(func() { // its reservation is used: Allocate clears the holder, and the mark goes with the next pass only
+			holder := site.leader.Cluster.AddJob(
+				wire.Job{ID: "j-4", Team: "team", Class: "d", Kind: wire.JobArray, Tasks: 1, MemoryGB: 1}, site.now(), site.now(),
+			)
+			machine.ReservedFor, machine.ReservedAt, machine.StarvationReservation = holder, site.now(), true
+			site.leader.Cluster.Allocate(holder, 0, machine, 1, 0, site.now())
+		})
+		site.tellPartlyPlaced("east", "j-1")
+		if !machine.KeptForMove {
+			t.Fatal("not kept")
+		}
+		site.recallUntilBack()
+		var next *cluster.Job
+		site.do(func() {
+			next = site.leader.Cluster.AddJob(
+				wire.Job{ID: "j-3", Team: "team", Class: "c", Kind: wire.Service, Tasks: 1, CPUs: 8, MemoryGB: 1},
+				site.now(), site.now(),
+			)
+			placing.Schedule(site.now())
+		})
+		if site.job().AllocationCount != 2 {
+			t.Errorf("%d replicas placed", site.job().AllocationCount)
+		}
+		site.do(func() { site.leader.Cluster.FinalizeJob(next, true, site.now()) })
+		for range 5 * 60 {
+			site.sleep(micro.Second)
+			site.do(func() { placing.Schedule(site.now()) })
+		}
+		if machine.KeptForMove || machine.ReservedFor != nil {
+			t.Errorf("kept: %v, reserved for %s, five minutes later", machine.KeptForMove, machine.ReservedFor.Spec.ID)
+		}
+	})
+}
+
