Tests: a service in part takes the quota saved up for another job of its team

HoldQuota and withinQuota pass over Team.QuotaReservedFor; the service waits for that quota, not for machines.

Measured: fails: the replica is stopped, and two CPUs are held.

--- a/internal/shard/coordinator/service_moves_review_test.go
+++ b/internal/shard/coordinator/service_moves_review_test.go
@@ -60,3 +60,23 @@
 	})
 }
 
+// A service is stopped, and takes the quota that is saved up for a starved job of its team: it waits for
+// that quota, not for machines.
+func TestServiceDoesNotTakeQuotaThatIsSavedUpForAnotherJob(t *testing.T) {
+	runPartial(t, wire.Job{}, func(site *partialSite) {
+		team := site.leader.Cluster.Teams["team"]
+		site.runReplica(0)
+		site.do(func() {
+			gang := site.leader.Cluster.AddJob(
+				wire.Job{ID: "j-7", Team: "team", Class: "d", Kind: wire.Gang, Tasks: 6, CPUs: 1, MemoryGB: 1},
+				site.now(), site.now(),
+			)
+			team.QuotaReservedFor, team.QuotaReservedAt = gang, site.now()
+		})
+		site.offerCapacity(longEnough, 1, 2)
+		if site.stopping() {
+			t.Errorf("stopped; %v of %v CPUs are used, %d held", team.UsedCPU, team.CPULimit, site.job().QuotaHoldTasks)
+		}
+	})
+}
+
