--- a/internal/shard/coordinator/service_moves_review_test.go
+++ b/internal/shard/coordinator/service_moves_review_test.go
@@ -8,6 +8,7 @@
 	"notchmux.dev/notchmux/internal/config"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/scheduler"
+	"notchmux.dev/notchmux/internal/shard"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -80,3 +81,26 @@
 	})
 }
 
+// A service without GPUs is stopped for GPU machines of a shard, which its owner's scheduler keeps from it: the leader's
+// own are left out for that.
+func TestServiceWithoutGPUsIsNotStoppedForGPUMachines(t *testing.T) {
+	runPartial(t, wire.Job{}, func(site *partialSite) {
+		site.do(func() {
+			c := site.leader.Cluster
+			c.Types["g"] = &cluster.MachineType{
+				MachineType: wire.MachineType{Name: "g", CPUs: 16, GPUs: 4, MemoryGB: 64}, SpeedFactor: 1,
+			}
+			c.EnsureClass("gpu").LastJob = &wire.Job{ID: "j-9", Kind: wire.Gang, Tasks: 1, CPUs: 4, GPUs: 1, MemoryGB: 1}
+		})
+		site.runReplica(0)
+		for end := site.now() + longEnough; site.now() < end; site.sleep(500 * micro.Millisecond) {
+			site.tell(shard.ShardUpdate{
+				FreeCapacity: []shard.FreeCapacity{{Type: "g", Zone: "b", Count: 1, CPU: 16, GPU: 4, Mem: 64}},
+			})
+		}
+		if site.stopping() {
+			t.Error("stopped")
+		}
+	})
+}
+
