--- a/internal/shard/coordinator/service_moves_review_test.go
+++ b/internal/shard/coordinator/service_moves_review_test.go
@@ -104,3 +104,22 @@
 	})
 }
 
+// A service is never moved to the leader's free machines while any job waits there for its team's quota.
+func TestJobBeyondItsQuotaDoesNotKeepAServiceInPart(t *testing.T) {
+	runTwoServices(t, "west", func(site *partialSite, assigned, _ *assignedJob) {
+		site.addLeaderMachine("i-5")
+		site.leader.Cluster.Teams["poor"] = &cluster.Team{Name: "poor", CPULimit: 1}
+		site.do(func() {
+			site.leader.Cluster.AddJob(
+				wire.Job{ID: "j-7", Team: "poor", Class: "d", Kind: wire.JobArray, Tasks: 1, CPUs: 2, MemoryGB: 1},
+				site.now(), site.now(),
+			)
+		})
+		for range 30 {
+			site.tellPartlyPlaced("east", "j-1")
+		}
+		if !assigned.assignment.RecallRequested {
+			t.Error("not recalled")
+		}
+	})
+}
