Tests: a try to move a service ends before the machines that it requests are up

serviceMoveWindow is two minutes, whatever a boot takes; the next try begins 5 to 40 minutes later, when the idle machines may be returned.

Measured: fails with boots of three minutes: not moved with capacity in the 30 s after.

--- a/internal/shard/coordinator/service_moves_review_test.go
+++ b/internal/shard/coordinator/service_moves_review_test.go
@@ -123,3 +123,28 @@
 		}
 	})
 }
+
+// A shard whose machines take longer to boot than a try lasts has capacity when nobody looks: the machines are
+// idle, are returned, and are requested again with the next try, for good.
+func TestTryToMoveAServiceLastsUntilTheMachinesThatItRequestsAreUp(t *testing.T) {
+	runPartial(t, wire.Job{}, func(site *partialSite) {
+		const boot = 3 * micro.Minute
+		site.do(func() {
+			machineType := site.leader.Cluster.Types["m"]
+			machineType.BootS, machineType.Zones = float64(boot/micro.Second), []string{"a", "b"}
+		})
+		site.runReplica(0)
+		requested := func() bool { return len(site.leader.ShardDemands()) > 0 }
+		for end := site.now() + 10*micro.Minute; site.now() < end && !requested(); {
+			site.sleep(micro.Second)
+		}
+		if !requested() {
+			t.Fatal("nothing is requested")
+		}
+		site.sleep(boot)
+		site.offerCapacity(30*micro.Second, 1, 2)
+		if !site.stopping() {
+			t.Error("not moved once the machines that were requested are up")
+		}
+	})
+}
