--- a/internal/shard/coordinator/service_moves_review_test.go
+++ b/internal/shard/coordinator/service_moves_review_test.go
@@ -148,3 +148,18 @@
 		}
 	})
 }
+
+// Capacity is kept, and all other services of the shard stay, for as long as a replica says that its
+// checkpoint takes: a day.
+func TestCapacityIsNotKeptForADayForASlowCheckpoint(t *testing.T) {
+	runPartial(t, wire.Job{CheckpointDurationS: 86400}, func(site *partialSite) {
+		site.runReplica(0)
+		site.offerCapacity(longEnough, 1, 2)
+		for end := site.now() + 60 * micro.Minute; site.now() < end; site.sleep(micro.Minute) {
+			site.tellCapacity(1, 2)
+		}
+		if len(site.leader.moves) > 0 {
+			t.Error("kept an hour later")
+		}
+	})
+}
