Tests: a service waits without replicas for a shard that is gone

reconcileMoveToShard waits servicePlacementMargin though nothing can come of it.

Measured: fails: ChangingHands two seconds after its last replica.

--- a/internal/shard/coordinator/service_moves_review_test.go
+++ b/internal/shard/coordinator/service_moves_review_test.go
@@ -163,3 +163,18 @@
 		}
 	})
 }
+
+// A service stays without any replica for the rest of its time after the shard where it was to go is gone.
+func TestServiceIsPlacedAgainAtOnceAfterItsShardIsGone(t *testing.T) {
+	runPartial(t, wire.Job{}, func(site *partialSite) {
+		site.runReplica(0)
+		site.offerUntilStopped(longEnough)
+		site.commit(wire.Change{Delete: shard.RecordKey("east")})
+		site.sleep(2 * micro.Second)
+		site.exitStopped()
+		site.sleep(2 * micro.Second)
+		if site.job().ChangingHands {
+			t.Error("it may not be placed, though nothing can come of its move")
+		}
+	})
+}
