--- a/internal/shard/coordinator/service_moves_review_test.go
+++ b/internal/shard/coordinator/service_moves_review_test.go
@@ -178,3 +178,21 @@
 		}
 	})
 }
+
+// A shard is formed anew for other teams while a service is stopped for it: the service is assigned to a shard
+// that takes no jobs of its team.
+func TestServiceIsNotAssignedToAShardThatTakesItsTeamNoMore(t *testing.T) {
+	runPartial(t, wire.Job{}, func(site *partialSite) {
+		site.runReplica(0)
+		site.offerUntilStopped(longEnough)
+		record := shard.NewRecord(shard.Selector{Zone: "b"}, []string{"other"}, 0)
+		record.State, record.Owner = shard.Owned, site.owner()
+		site.put(shard.RecordKey("east"), record)
+		site.sleep(2 * micro.Second)
+		site.exitStopped()
+		site.offerCapacity(10*micro.Second, 1, 2)
+		if site.job().Shard != "" {
+			t.Errorf("assigned to %s", site.job().Shard)
+		}
+	})
+}
