--- a/internal/shard/coordinator/service_moves_review_test.go
+++ b/internal/shard/coordinator/service_moves_review_test.go
@@ -6,6 +6,7 @@
 
 	"notchmux.dev/notchmux/internal/cluster"
 	"notchmux.dev/notchmux/internal/config"
+	"notchmux.dev/notchmux/internal/fake"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/scheduler"
 	"notchmux.dev/notchmux/internal/shard"
@@ -155,7 +156,7 @@
 	runPartial(t, wire.Job{CheckpointDurationS: 86400}, func(site *partialSite) {
 		site.runReplica(0)
 		site.offerCapacity(longEnough, 1, 2)
-		for end := site.now() + 60 * micro.Minute; site.now() < end; site.sleep(micro.Minute) {
+		for end := site.now() + 60*micro.Minute; site.now() < end; site.sleep(micro.Minute) {
 			site.tellCapacity(1, 2)
 		}
 		if len(site.leader.moves) > 0 {
@@ -196,3 +197,61 @@
 		}
 	})
 }
+
+// A shard is released while one of its services is on its way to the leader, or the other way: machines or quota
+// are kept for good, or the service may not be placed.
+func TestNothingIsKeptAfterTheShardIsReleasedDuringAMove(t *testing.T) {
+	release := func(site *partialSite) {
+		record := shard.NewRecord(shard.Selector{Zone: "b"}, nil, 0)
+		record.State = shard.Released
+		site.put(shard.RecordKey("east"), record)
+		site.sleep(3 * micro.Minute)
+	}
+	expectFree := func(t *testing.T, site *partialSite) {
+		job := site.job()
+		if len(site.leader.moves) > 0 || job.ChangingHands || job.MachinesKept || job.QuotaHoldTasks > 0 {
+			t.Errorf("moves %v, %+v", site.leader.moves, job.Move)
+		}
+		if job.State != cluster.Active || job.Shard != "" {
+			t.Errorf("%v in %q", job.State, job.Shard)
+		}
+	}
+	t.Run("to the leader", func(t *testing.T) {
+		runTwoServices(t, "west", func(site *partialSite, _, _ *assignedJob) {
+			site.addLeaderMachine("i-5")
+			site.tellPartlyPlaced("east", "j-1")
+			release(site)
+			expectFree(t, site)
+			if machine := site.leader.Cluster.Machines["i-5"]; machine.KeptForMove || machine.ReservedFor != nil {
+				t.Error("a machine is kept")
+			}
+			site.expectQuota(16)
+		})
+	})
+	t.Run("to the shard", func(t *testing.T) {
+		runPartial(t, wire.Job{}, func(site *partialSite) {
+			site.runReplica(0)
+			site.offerUntilStopped(longEnough)
+			site.exitStopped()
+			release(site)
+			expectFree(t, site)
+			site.expectQuota(0)
+		})
+	})
+	t.Run("assigned, not stored", func(t *testing.T) {
+		runPartial(t, wire.Job{}, func(site *partialSite) {
+			site.runReplica(0)
+			site.offerUntilStopped(longEnough)
+			site.failWrites(shard.AssignmentPrefix, fake.CommitFault{Refused: true})
+			site.exitStopped()
+			site.offerCapacity(5*micro.Second, 1, 2)
+			if site.job().Shard == "" {
+				t.Fatal("not assigned")
+			}
+			site.setFault(nil)
+			release(site)
+			expectFree(t, site)
+			site.expectQuota(0)
+		})
+	})
+}
