Tests that go on with one term have a lease that outlasts a standstill of their process

Cause: the tests' construction. They keep the Leader that they found, whose lease of 600 ms on the real clock ran out in the standstill; what they post to it after that goes nowhere. None of them is about the lease.

--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -100,7 +100,10 @@
 func TestValueThatTheStoreRejectsIsDeferred(t *testing.T) {
 	env := newTestCluster(t)
 	var log logLines
-	node, _ := env.startNodeWith("n-0", func(node *Node) { node.Log = slog.New(slog.NewTextHandler(&log, nil)) })
+	node, _ := env.startNodeWith("n-0", func(node *Node) {
+		withLongLease(node)
+		node.Log = slog.New(slog.NewTextHandler(&log, nil))
+	})
 	waitUntil(t, "leading", func() bool { return node.activeLeader() != nil })
 	leader := node.activeLeader()
 	env.store.SetLimits(fake.Limits{ValueBytes: 1 << 10}) // long before it was to be expected
@@ -221,7 +224,11 @@
 func TestOneLateAnswerBlocksNoOtherKey(t *testing.T) {
 	env := newTestCluster(t)
 	s := blockingStore{nil, "hire/r-0", make(chan struct{}), make(chan struct{}, 1)}
-	node, _ := env.startNodeWith("n-0", func(node *Node) { s.Store = node.Store; node.Store = s })
+	node, _ := env.startNodeWith("n-0", func(node *Node) {
+		withLongLease(node)
+		s.Store = node.Store
+		node.Store = s
+	})
 	waitUntil(t, "leading", func() bool { return node.activeLeader() != nil })
 	leader := node.activeLeader()
 	put := func(key, value string) {
--- a/internal/controller/pipeline_test.go
+++ b/internal/controller/pipeline_test.go
@@ -316,7 +316,11 @@
 func TestLeaderDoesNotAnswerFromMemoryOnceAnEndWasDelayed(t *testing.T) {
 	env := newTestCluster(t)
 	d := heldWriteStore{nil, keys.JobEnd("j-1"), &sync.Mutex{}, &[]wire.Transaction{}, new(int)}
-	node, _ := env.startNodeWith("n-0", func(node *Node) { d.Store = node.Store; node.Store = d })
+	node, _ := env.startNodeWith("n-0", func(node *Node) {
+		withLongLease(node)
+		d.Store = node.Store
+		node.Store = d
+	})
 	node.Submit(submission("j-1", wire.JobArray))
 	reader, _ := env.startNodeWith("n-1", func(node *Node) { node.election.SuspendCampaign(10 * micro.Minute) })
 	stop := make(chan struct{})
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -16,7 +16,7 @@
 )
 
 // withLongLease makes a lease that outlives the test, so that whoever leads does not owe
-// it to an expiry.
+// it to an expiry, and a term does not end where the test's process stands still.
 func withLongLease(n *Node) {
 	n.election.TTL, n.election.RenewInterval = 10*micro.Minute, 50*micro.Millisecond
 }
@@ -60,7 +60,7 @@
 // user waited for it though a peer could have stored the job at once.
 func TestSubmissionIsHedgedToAPeerWhileTheStoreIsSlow(t *testing.T) {
 	env := newTestCluster(t)
-	leader, _ := env.startNode("n-1")
+	leader, _ := env.startNodeWith("n-1", withLongLease)
 	waitUntil(t, "leading", func() bool { return leader.activeLeader() != nil })
 	addr := env.servePeer(leader)
 	isolated, _ := env.startNode("n-0")
@@ -82,7 +82,7 @@
 // their next heartbeat.
 func TestMachineProvesItselfAliveByAnsweringAnEmptyDispatch(t *testing.T) {
 	env := newTestCluster(t)
-	node, _ := env.startNode("n-0")
+	node, _ := env.startNodeWith("n-0", withLongLease)
 	waitUntil(t, "leading", func() bool { return node.activeLeader() != nil })
 	fakeAgent := fake.NewAgent("i-9", "small", "a", 30*micro.Second)
 	env.agents.mu.Lock()
