--- a/internal/controller/fleet_faults_test.go
+++ b/internal/controller/fleet_faults_test.go
@@ -270,6 +270,27 @@
 	}
 }
 
+// storedChangesByKind counts the changes of the store since its beginning, by what they are for.
+func (w *simCluster) storedChangesByKind() (byKind map[string]int, total int) {
+	w.t.Helper()
+	events, err := w.store.Watch(w.ctx, "", 0, 0)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	byKind = map[string]int{}
+	for _, event := range events.Events {
+		kind, _, _ := strings.Cut(event.Put+event.Delete, "/")
+		if kind == "job" {
+			kind = event.Put[strings.LastIndex(event.Put, "/")+1:]
+		}
+		if event.Delete != "" {
+			kind += " deleted"
+		}
+		byKind[kind]++
+	}
+	return byKind, len(events.Events)
+}
+
 func runStreamUnderWriteLimit(t *testing.T, changes float64) {
 	const (
 		stream               = 2 * micro.Minute
@@ -338,21 +359,7 @@
 			defer mu.Unlock()
 			return cancels == len(jobs)/4
 		})
-		events, err := sim.store.Watch(sim.ctx, "", 0, 0)
-		if err != nil {
-			sim.t.Fatal(err)
-		}
-		by := map[string]int{}
-		for _, e := range events.Events {
-			kind, _, _ := strings.Cut(e.Put+e.Delete, "/")
-			if kind == "job" {
-				kind = e.Put[strings.LastIndex(e.Put, "/")+1:]
-			}
-			if e.Delete != "" {
-				kind += " deleted"
-			}
-			by[kind]++
-		}
+		by, total := sim.storedChangesByKind()
 		n := float64(len(jobs))
 		mu.Lock() // polls that were under way may still end
 		defer mu.Unlock()
@@ -360,7 +367,7 @@
 			"%d jobs: %v changes, %.2f a job in all; %d of %d polls not answered; %d cancelled, the slowest told after %.2f s; %d times over the store's rate",
 			len(jobs),
 			by,
-			float64(len(events.Events))/n,
+			float64(total)/n,
 			failed,
 			asked,
 			cancels,
