Shards: records of a job that changes hands move, so that a version before loses nothing of it

Cause: the assignment of such a job had its description where a version before does not look, and the leader's older records of its tasks stayed beside the owner's. A version before took the owner's records for orphans and deleted them, wrote the assignment anew without the job, and as a leader that takes a shard back took the leader's records for later ones than the owner's.

Why this works: a job that has changed hands is stored as one that never ran: its description in the ordinary field, the owner's records alone. In between, while both sides have records, its zone is one that no machine is in: any version keeps the records and places none of its tasks. The leader deletes its records once the owner has stored copies; on the way back the owner's are deleted once the leader's are stored, as before. What earlier builds stored goes on, and is turned into the ordinary form. Without shards no byte changes.

--- a/internal/cluster/assignment.go
+++ b/internal/cluster/assignment.go
@@ -8,7 +8,7 @@
 // A job may be assigned as a whole to a shard of the machines, whose owner schedules its
 // tasks. From then on all of them count against its team's quota, until the record of
 // the assignment is gone: only then is surely none of them on a machine. While it is assigned,
-// the leader's records of its tasks stay as they are.
+// the leader's records of its tasks stay as they are, or are deleted once the owner has its own.
 
 // NeverAllocated reports whether none of a job's tasks was ever allocated: there are no records
 // of its tasks.
@@ -96,11 +96,8 @@
 	s.chargeQuota(job, -job.ReservedTasks)
 	job.Shard, job.ReservedTasks, job.ShardRunningTasks, job.ShardDoneTasks = "", 0, 0, 0
 	job.UnassignedAt = now
-	if job.State == Assigned {
-		s.leaveTeam(job)
-		s.transitionJob(job, Active)
-		job.WaitingSince = now
-	}
+	s.restoreHandedOver(job)
+	s.ResumeTransferred(job, now)
 	s.ScheduleSoon()
 }
 
@@ -127,6 +124,28 @@
 	}
 }
 
+// ResumeTransferred has a job that was kept from being scheduled here scheduled: it is this
+// controller's by now.
+func (s *State) ResumeTransferred(job *Job, now micro.Time) {
+	if job.State != Assigned {
+		return
+	}
+	s.leaveTeam(job)
+	s.transitionJob(job, Active)
+	job.WaitingSince = now
+}
+
+// restoreHandedOver has the records written anew that were deleted as a job went to a shard.
+func (s *State) restoreHandedOver(job *Job) {
+	for _, chunk := range job.Chunks {
+		if chunk.HandedOver {
+			chunk.HandedOver = false
+			chunk.MemoryVersion++
+			s.ChunkDirty(chunk)
+		}
+	}
+}
+
 // ReleaseQuota gives back what a job in a shard has reserved beyond the tasks that it may still
 // run at once.
 func (s *State) ReleaseQuota(job *Job, needed int) {
--- a/internal/cluster/chunk.go
+++ b/internal/cluster/chunk.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"reflect"
+
 	"notchmux.dev/notchmux/internal/cluster/records"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/wire"
@@ -57,7 +59,9 @@
 		s.AcquireMachine(s.EnsureMachine(entry.Machine, now), now)
 	}
 	s.restoreTasks(job, expanded, job.chunkIncludes(index), now)
-	job.Chunks[index].MemoryVersion++
+	chunk := job.Chunks[index]
+	chunk.HandedOver = false
+	chunk.MemoryVersion++
 }
 
 // RestoreContinuedChunk reads what the leader recorded of a chunk of a job that goes on in a
@@ -71,9 +75,11 @@
 		s.Log("allocations of a job that changed hands", "job", job.Spec.ID, "chunk", index)
 	}
 	expanded.Allocations = nil
+	chunk := job.Chunks[index]
+	before := chunk.Record()
 	s.restoreTasks(job, expanded, job.chunkIncludes(index), now)
-	if chunk := job.Chunks[index]; !chunk.Stored {
-		chunk.MemoryVersion++ // the shard's own record is still to be written
+	if !chunk.Stored || !reflect.DeepEqual(before, chunk.Record()) {
+		chunk.MemoryVersion++ // the shard's own record lacks some of it
 	}
 }
 
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -16,6 +16,7 @@
 	StoredVersion uint64        // version known to be in the store
 	KeyRevision   uint64        // the key's version in the store
 	Stored        bool          // the key is in the store, in the form of this chunk
+	HandedOver    bool          // the key is to be deleted, or is: the owner of the job's shard has its own
 	Legacy        *LegacyRecord // the record in the first form that this chunk comes from
 }
 
--- a/internal/controller/guards_owner_handover_test.go
+++ b/internal/controller/guards_owner_handover_test.go
@@ -71,13 +71,20 @@
 	return record.Compact()
 }
 
-// continuedAssignment is the assignment of j-1, which goes on from the leader's records.
-func continuedAssignment(revision uint64) shard.Assignment {
-	assignment := shard.NewAssignment(wire.Job{
+// handoverJob is the description of j-1.
+func handoverJob() wire.Job {
+	return wire.Job{
 		ID: "j-1", Team: "team", Class: "c", Kind: wire.JobArray, Priority: wire.Normal, Tasks: 6, CPUs: 0.5, MemoryGB: 1,
-	}, revision, 1)
-	assignment.MaxAllocations = 6
-	return assignment
+	}
+}
+
+// continuedAssignment is the assignment of j-1, which goes on from the leader's records, as the version
+// before stored it.
+func continuedAssignment(revision uint64) shard.Assignment {
+	return shard.Assignment{
+		Continued:  &shard.ContinuedJob{Job: handoverJob(), Revision: wire.Count(revision)},
+		AssignedAt: 1, MaxAllocations: 6,
+	}
 }
 
 var assignmentKeyOfJob = shard.AssignmentKey("gpus", "j-1")
@@ -140,7 +147,7 @@
 	o.t.Helper()
 	o.heartbeat()
 	o.heartbeat()
-	o.schedulePending, o.lastSchedule = true, 0
+	o.schedulePending, o.lastSchedule, o.scheduleInterval = true, 0, 0 // also a second time at once
 	o.schedule(o.node.Now())
 	return o.allocated()
 }
--- a/internal/controller/job_transfers_test.go
+++ b/internal/controller/job_transfers_test.go
@@ -306,7 +306,7 @@
 	}
 	if !assigned[id] {
 		r.toShard++
-		if assignment.Continued != nil {
+		if assignment.Revision() > 0 {
 			r.continued++
 		}
 	}
--- a/internal/controller/shard_coordinator.go
+++ b/internal/controller/shard_coordinator.go
@@ -76,6 +76,11 @@
 // PersistJob has what is still to be written of a job's chunks written soon.
 func (h coordinatorHost) PersistJob(job *cluster.Job) { h.leader.records.PersistJob(job) }
 
+// DeleteHandedOver has the records of a job's chunks deleted, and reports whether none is left.
+func (h coordinatorHost) DeleteHandedOver(job *cluster.Job) (gone bool) {
+	return h.leader.records.DeleteHandedOver(job)
+}
+
 // CancellationPending notes that the end of a cancelled job is to be written once its user
 // may be told.
 func (h coordinatorHost) CancellationPending(job *cluster.Job) {
--- a/internal/controller/shard_owner.go
+++ b/internal/controller/shard_owner.go
@@ -35,6 +35,7 @@
 	cancelling          map[*cluster.Job]bool         // jobs that are being cancelled
 	recalled            map[*cluster.Job]bool         // jobs that go back to the leader
 	held                map[*cluster.Job]bool         // jobs that are not placed: records of theirs are missing
+	copies              map[*cluster.Job]*recordsCopy // jobs that came with records of the leader's
 	pendingTerminations map[*cluster.Machine]bool     // machines to be terminated
 	transferInFlight    bool                          // a transfer, or a look at what came of it, is under way
 	unreachable         bool                          // no agent reaches this node
@@ -63,6 +64,7 @@
 		finished: map[*cluster.Job]bool{}, cancelling: map[*cluster.Job]bool{},
 		recalled:            map[*cluster.Job]bool{},
 		held:                map[*cluster.Job]bool{},
+		copies:              map[*cluster.Job]*recordsCopy{},
 		pendingTerminations: map[*cluster.Machine]bool{},
 		reports:             ownerReports{reportedMachines: map[string]bool{}},
 	}
--- a/internal/controller/shard_owner_continue.go
+++ b/internal/controller/shard_owner_continue.go
@@ -7,7 +7,6 @@
 	"notchmux.dev/notchmux/internal/keys"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/shard"
-	"notchmux.dev/notchmux/internal/statestore"
 	"notchmux.dev/notchmux/wire"
 )
 
@@ -42,7 +41,7 @@
 			o.log.Debug("assignment not understood", "key", event.Put, "err", err)
 			continue
 		}
-		if assignment.Continued == nil || read[event.Put] {
+		if !assignment.ReadsLeaderRecords() || read[event.Put] {
 			continue
 		}
 		if !o.readLeaderRecords(ctx, assignment.Spec().ID, found) {
@@ -87,21 +86,13 @@
 	return true
 }
 
-// copyLeaderRecords has the owner's own records take the place of the leader's, which go with the
-// end of the job.
-func (o *ShardOwner) copyLeaderRecords(job *cluster.Job) {
-	now := o.node.Now()
-	for _, chunk := range job.Chunks {
-		if chunk.MemoryVersion > chunk.StoredVersion {
-			o.records.ChunkRecord(chunk).MarkDirty(now, statestore.PriorityLow)
-		}
-	}
-}
-
 // holdJob keeps a job from being placed whose records are not all there: what is done could be
 // done again. It is reported as one that waits, so that the leader recalls it, whose records are.
 func (o *ShardOwner) holdJob(job *cluster.Job, now micro.Time) {
 	o.log.Error("job not continued: records of its tasks are missing", "job", job.Spec.ID)
+	if o.copies[job] != nil {
+		return // it waits already
+	}
 	o.held[job] = true
 	o.cluster.PrepareTransfer(job, now)
 }
@@ -141,6 +132,7 @@
 			report.WaitingJobs = append(report.WaitingJobs, job.Spec.ID)
 		}
 	}
+	o.reportCopies(report, now)
 	for job := range o.recalled {
 		id := job.Spec.ID
 		if len(report.ReleasedJobs) < shard.MaxStatusItems && o.mayRelease(job) {
--- /dev/null
+++ b/internal/controller/shard_owner_copies.go
@@ -0,0 +1,81 @@
+package controller
+
+import (
+	"notchmux.dev/notchmux/internal/cluster"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/internal/shard"
+	"notchmux.dev/notchmux/internal/statestore"
+)
+
+// Jobs that come to a shard with records of the leader's: the owner copies those before it places
+// any of the job's tasks. The leader's part is in package coordinator, hand_over.go.
+
+// recordsCopy is how far an owner is with the records of a job that came with records of the leader's.
+type recordsCopy struct {
+	since  micro.Time // when the job came
+	read   bool       // all of the leader's records were read
+	stored bool       // the owner's records have held all of them in the store
+	waits  bool       // the job changes hands: none of its tasks is placed
+}
+
+// beginTransferred notes that a job came that changes hands, and keeps it from being placed.
+func (o *ShardOwner) beginTransferred(job *cluster.Job, now micro.Time) {
+	o.copies[job] = &recordsCopy{since: now, waits: true}
+	o.cluster.PrepareTransfer(job, now)
+}
+
+// copyLeaderRecords has the owner's own records take the place of the leader's, all of which were read.
+func (o *ShardOwner) copyLeaderRecords(job *cluster.Job) {
+	now, priority := o.node.Now(), statestore.PriorityHigh
+	if o.copies[job] == nil { // it goes on meanwhile
+		o.copies[job], priority = &recordsCopy{since: now}, statestore.PriorityLow
+	}
+	o.copies[job].read = true
+	for _, chunk := range job.Chunks {
+		if chunk.MemoryVersion > chunk.StoredVersion {
+			o.records.ChunkRecord(chunk).MarkDirty(now, priority)
+		}
+	}
+}
+
+// endTransferred goes on with a job that has changed hands: its assignment names no records of the
+// leader's any more.
+func (o *ShardOwner) endTransferred(job *cluster.Job, now micro.Time) {
+	progress := o.copies[job]
+	if progress == nil {
+		return
+	}
+	delete(o.copies, job)
+	if progress.waits && !o.recalled[job] {
+		o.log.Info("job handed over", "job", job.Spec.ID, "done", job.DoneTasks)
+		o.cluster.ResumeTransferred(job, now)
+	}
+}
+
+// reportCopies tells of which jobs the owner's records hold all that the leader's do, and which it
+// cannot take over, or waits for in vain: they go back.
+func (o *ShardOwner) reportCopies(report *shard.ShardUpdate, now micro.Time) {
+	for job, progress := range o.copies {
+		id := job.Spec.ID
+		if o.recalled[job] || o.cancelling[job] || o.assignments[id] == nil {
+			continue
+		}
+		if o.copyStored(job, progress) && len(report.CopiedJobs) < shard.MaxStatusItems {
+			report.CopiedJobs = append(
+				report.CopiedJobs, shard.CopiedJob{Job: id, Version: o.assignments[id].Version()},
+			)
+		}
+		inVain := !progress.read || now-progress.since > handBackTimeout
+		if progress.waits && inVain && len(report.WaitingJobs) < shard.MaxStatusItems {
+			report.WaitingJobs = append(report.WaitingJobs, id)
+		}
+	}
+}
+
+// copyStored reports whether all that was read of the leader's records is in the store in the owner's.
+func (o *ShardOwner) copyStored(job *cluster.Job, progress *recordsCopy) bool {
+	if progress.read && !progress.stored {
+		_, progress.stored = o.records.JobRevision(job)
+	}
+	return progress.stored
+}
--- a/internal/controller/shard_owner_recovery.go
+++ b/internal/controller/shard_owner_recovery.go
@@ -39,7 +39,7 @@
 	var continued []continuedJob
 	for _, item := range assignments {
 		if job, assignment := o.applyAssignment(item.Key, item.Value, uint64(item.Version)); job != nil &&
-			assignment.Continued != nil {
+			assignment.ReadsLeaderRecords() {
 			continued = append(continued, continuedJob{job, assignment.Revision()})
 		}
 	}
@@ -72,7 +72,8 @@
 		return // nothing more of it is recorded here
 	}
 	complete := o.restoreContinued(continued, items, now)
-	if !complete && job.State == cluster.Active && job.UnfinishedTasks() > 0 {
+	waits := job.State == cluster.Active || o.copies[job] != nil
+	if !complete && waits && job.UnfinishedTasks() > 0 {
 		o.holdJob(job, now)
 		return
 	}
@@ -136,6 +137,9 @@
 		job = o.insertAssignedJob(&assignment)
 		inserted = job
 	}
+	if !assignment.ReadsLeaderRecords() && !assignment.InTransfer() {
+		o.endTransferred(job, o.node.Now())
+	}
 	if assignment.MaxAllocations > job.MaxAllocations {
 		job.MaxAllocations = assignment.MaxAllocations
 		o.cluster.ScheduleSoon()
@@ -165,6 +169,9 @@
 	spec := assignment.Spec()
 	spec.Dependencies, spec.DependencyChunks = nil, 0 // all of them are done
 	job := o.intake.InsertJob(spec, o.node.Now(), o.node.Wall())
+	if assignment.InTransfer() {
+		o.beginTransferred(job, o.node.Now())
+	}
 	o.assignedAt[spec.ID] = micro.Time(assignment.AssignedAt)
 	o.log.Info(
 		"job assigned", "job", spec.ID, "class", spec.Class, "tasks", spec.Tasks,
@@ -241,7 +248,7 @@
 // applyAssignmentChange takes in one assignment; a new job goes on from the leader's records of it.
 func (o *ShardOwner) applyAssignmentChange(event wire.Event, records leaderRecords) {
 	job, assignment := o.applyAssignment(event.Put, event.Value, uint64(event.Version))
-	if job == nil || assignment.Continued == nil || o.recalled[job] {
+	if job == nil || !assignment.ReadsLeaderRecords() || o.recalled[job] {
 		return
 	}
 	now := o.node.Now()
@@ -296,6 +303,7 @@
 	delete(o.cancelling, job)
 	delete(o.recalled, job)
 	delete(o.held, job)
+	delete(o.copies, job)
 	o.intake.Forget(id)
 	if job.IsTerminal() {
 		for _, chunk := range job.Chunks {
--- a/internal/persist/chunks.go
+++ b/internal/persist/chunks.go
@@ -18,13 +18,22 @@
 		if chunk.Job.IsTerminal() && len(chunk.Allocations) == 0 {
 			return nil, chunk.MemoryVersion // its end says all there is to know
 		}
+		if chunk.HandedOver {
+			return nil, chunk.MemoryVersion // the owner of its shard has a record of its own
+		}
 		value := chunk.Record()
 		if compact {
 			return value.Compact(), chunk.MemoryVersion
 		}
 		return value, chunk.MemoryVersion
 	}
-	record.OnCommitted = func(version uint64) { r.cluster.ChunkPersisted(chunk, version) }
+	record.OnCommitted = func(version uint64) {
+		if record.Version() == 0 && !chunk.Job.IsTerminal() {
+			r.handedOverDeleted(chunk, record, version)
+			return
+		}
+		r.cluster.ChunkPersisted(chunk, version)
+	}
 	r.chunks[chunk] = record
 	return record
 }
--- a/internal/persist/records_test.go
+++ b/internal/persist/records_test.go
@@ -21,6 +21,7 @@
 	cluster.Effects
 	now     micro.Time
 	records *Records
+	store   *fake.Store
 	cluster *cluster.State
 	events  chan eventloop.Event
 	ended   map[string]wire.JobState
@@ -71,6 +72,7 @@
 func newTestHost(role Role) *testHost {
 	host := &testHost{
 		now:    1000 * micro.Second,
+		store:  fake.NewStore(),
 		events: make(chan eventloop.Event, 100),
 		ended:  map[string]wire.JobState{},
 	}
@@ -81,7 +83,7 @@
 		Limits:  testLimits{},
 		Cluster: host.cluster,
 		Speeds:  scheduler.NewSpeedEstimator(),
-		Store:   fake.NewStore(),
+		Store:   host.store,
 		Log:     slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	return host
--- a/internal/shard/coordinator/assignment.go
+++ b/internal/shard/coordinator/assignment.go
@@ -36,6 +36,8 @@
 	endRequested bool     // the end of the cancellation is being written
 	fencedZones  []string // where tasks may still run, after its user was told
 
+	recordsCopied bool // the owner's records hold all that the leader's do, and those are to be deleted
+
 	createdUnder uint64  // latest version of the shard's record under which the creation was tried
 	dropped      bool    // its shard is taken back, and the record is to be deleted
 	recall       *recall // nil: it was not recalled, or its owner has not released it yet
@@ -115,7 +117,7 @@
 		return false
 	}
 	assignment := shard.NewAssignment(job.Spec, revision, int64(c.Wall()))
-	if wire.JSONSize(assignment) > c.Host.MaxValueBytes() {
+	if wire.JSONSize(largestForm(assignment)) > c.Host.MaxValueBytes() {
 		return false
 	}
 	assigned := c.Cluster.Assign(job, entry.Name)
@@ -132,6 +134,13 @@
 	return true
 }
 
+// largestForm is an assignment as it may be stored once its job comes back.
+func largestForm(assignment shard.Assignment) shard.Assignment {
+	assignment = assignment.BeginTransfer()
+	assignment.RecallRequested = true
+	return assignment
+}
+
 // storeAssignment keeps the record of an assignment.
 func (c *Coordinator) storeAssignment(shardName string, job *cluster.Job, assignment shard.Assignment) *assignedJob {
 	assigned := &assignedJob{
--- a/internal/shard/coordinator/coordinator.go
+++ b/internal/shard/coordinator/coordinator.go
@@ -50,6 +50,8 @@
 	JobRevision(job *cluster.Job) (revision uint64, persisted bool)
 	// PersistJob has what is still to be written of a job's chunks written soon.
 	PersistJob(job *cluster.Job)
+	// DeleteHandedOver has the records of a job's chunks deleted, and reports whether none is left.
+	DeleteHandedOver(job *cluster.Job) (gone bool)
 	// CancellationPending notes that the end of a cancelled job is to be written once its
 	// user may be told.
 	CancellationPending(job *cluster.Job)
@@ -240,6 +242,7 @@
 	c.formDeclaredShards()
 	c.evaluatePolicies(now)
 	c.reconcileHandedBack()
+	c.reconcileHandovers(now)
 	c.reconcileRecalls(now)
 	c.assignJobs(now)
 }
--- a/internal/shard/coordinator/coordinator_test.go
+++ b/internal/shard/coordinator/coordinator_test.go
@@ -62,6 +62,7 @@
 }
 func (h *leadingHost) JobRevision(*cluster.Job) (uint64, bool) { return 0, true }
 func (h *leadingHost) PersistJob(*cluster.Job)                 {}
+func (h *leadingHost) DeleteHandedOver(*cluster.Job) bool      { return true }
 
 func (h *leadingHost) MarkChunkDirty(*cluster.TaskChunk, micro.Time, statestore.Priority) {}
 
--- a/internal/shard/coordinator/handover_test.go
+++ b/internal/shard/coordinator/handover_test.go
@@ -108,6 +108,10 @@
 }
 func (h handoverHost) PersistJob(job *cluster.Job) { h.leader.records.PersistJob(job) }
 
+func (h handoverHost) DeleteHandedOver(job *cluster.Job) bool {
+	return h.leader.records.DeleteHandedOver(job)
+}
+
 func (l *testLeader) ChunkDirty(chunk *cluster.TaskChunk)  { l.records.ChunkDirty(chunk) }
 func (l *testLeader) ChunkUrgent(chunk *cluster.TaskChunk) { l.records.ChunkUrgent(chunk) }
 
--- a/internal/shard/coordinator/recall.go
+++ b/internal/shard/coordinator/recall.go
@@ -15,8 +15,10 @@
 //  2. The owner says that nothing of the job is left but stored records.
 //  3. The shard's record gets a later version, so that no late write fits it any more: neither a copy
 //     of the one that created the assignment, nor one of an earlier loop of the owner.
-//  4. The owner's records of the tasks are read into the leader's, which are written.
-//  5. Then the owner's records are deleted, and last the assignment. The job is the leader's.
+//  4. The leader stores in the assignment that the job changes hands, if it does not say so yet: a
+//     controller of a version before, which does not know of recalls, places none of its tasks either.
+//  5. The owner's records of the tasks are read into the leader's, which are written.
+//  6. Then the owner's records are deleted, and last the assignment. The job is the leader's.
 //
 // A leader that takes over finds the assignment, and begins anew with the second step: what the
 // owner recorded does not change any more, and reading it twice changes nothing.
@@ -38,7 +40,7 @@
 	for _, id := range waiting {
 		assigned := c.assignedJobs[id]
 		if assigned == nil || assigned.shardName != shardName || !assigned.heldByOwner() ||
-			assigned.assignment.RecallRequested {
+			assigned.assignment.RecallRequested || assigned.recordsCopied {
 			continue
 		}
 		assigned.assignment.RecallRequested = true
@@ -86,6 +88,10 @@
 		if !c.commitsInFlight[entry.Name] {
 			c.commitShard(entry.Name, entry.Update(entry.Record.Rewritten(int64(c.Wall())), c.Term.Precondition()))
 		}
+	case !assigned.assignment.InTransfer():
+		assigned.assignment = assigned.assignment.BeginTransfer()
+		assigned.storeRecord.MarkDirty(now, statestore.PriorityHigh)
+	case !recall.merged && !assigned.storeRecord.Settled():
 	case !recall.merged:
 		c.readReleasedJob(assigned)
 	case len(recall.pendingDeletes) > 0:
--- a/internal/shard/coordinator/recovery.go
+++ b/internal/shard/coordinator/recovery.go
@@ -77,6 +77,7 @@
 	assigned := c.storeAssignment(stored.shardName, job, stored.assignment)
 	assigned.stored = true
 	assigned.storeRecord.SetVersion(stored.version)
+	assigned.recordsCopied = stored.assignment.RecordsCopied()
 }
 
 // FinishRecovery goes on with what the leader before had begun, once all that the store holds
--- a/internal/shard/coordinator/status.go
+++ b/internal/shard/coordinator/status.go
@@ -78,6 +78,7 @@
 	for _, stopping := range update.StoppingJobs {
 		c.cancellationProgress(entry.Name, stopping, now)
 	}
+	c.applyCopiedJobs(entry, update.CopiedJobs)
 	c.recallWaitingJobs(entry.Name, update.WaitingJobs, now)
 	c.applyReleasedJobs(entry, update.ReleasedJobs)
 	c.applyProgress(entry.Name, update.Progress)
--- a/internal/shard/golden_test.go
+++ b/internal/shard/golden_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"encoding/hex"
 	"strings"
 	"testing"
 
@@ -80,6 +81,15 @@
 	return assignment
 }
 
+// goldenTransferAssignment is the assignment of a job that changes hands, and is recalled.
+func goldenTransferAssignment() Assignment {
+	assignment := goldenAssignment()
+	assignment = assignment.BeginTransfer()
+	assignment.Transfer.Revision = 308
+	assignment.RecallRequested = true
+	return assignment
+}
+
 // goldenRecallUpdate is an update with the fields that are written only where they are set, too.
 func goldenRecallUpdate() ShardUpdate {
 	update := goldenShareTouch()
@@ -115,10 +125,16 @@
 // absentFields are the fields that are written only where they are set, by the case that holds the
 // form without them. TestFormsOfJobsThatChangeHandsKeepTheirBytes holds the form with them.
 var absentFields = map[string][]string{
-	"assignment": {"shard.Assignment.Continued", "shard.Assignment.RecallRequested"},
+	"assignment": {
+		"shard.Assignment.Continued", "shard.Assignment.RecallRequested", "shard.Assignment.Transfer",
+	},
+	"continued assignment":   {"shard.Assignment.Transfer"},
+	"assignment in transfer": {"shard.Assignment.Continued"},
+	"recall update":          {"shard.StatusUpdate.Shards[0].CopiedJobs"},
 	"touch": {
 		"shard.StatusUpdate.Shards[0].LoopStartedAt",
 		"shard.StatusUpdate.Shards[0].WaitingJobs", "shard.StatusUpdate.Shards[0].ReleasedJobs",
+		"shard.StatusUpdate.Shards[0].CopiedJobs",
 	},
 }
 
@@ -194,7 +210,7 @@
 		"a76c6f616e657273c3a6677565737353cb406e000000000000a9626f6f6b6d61726b53cb403e000000000000a67374617368" +
 		"53cb4010000000000000a464756553cb408c200000000000a661776169747391a36a2d31a8617761697473496e06a26174cf" +
 		"00060a24181e4000a3726576cd0132a6726563616c6cc3"
-	if err := golden.Binary(goldenContinuedAssignment(), assignment); err != nil {
+	if err := golden.Binary(goldenContinuedAssignment(), assignment, absentFields["continued assignment"]...); err != nil {
 		t.Error(err)
 	}
 	update := "84a46e6f6465a36e2d31a773657373696f6ecd012da47465726dcd0131a673686172657391de0010a46e616d65a467707573" +
@@ -206,7 +222,8 @@
 		"70747905a9756e72656163686564c3aa756e61737369676e65640fa573696e6365cf00060a24181e4002a469646c6591a36a" +
 		"2d36a872656c65617365649182a36a6f62a36a2d37a776657273696f6ecd0133"
 	shards := []ShardUpdate{goldenRecallUpdate()}
-	if err := golden.Binary(StatusUpdate{Node: "n-1", SessionVersion: 301, Term: 305, Shards: shards}, update); err != nil {
+	recallUpdate := StatusUpdate{Node: "n-1", SessionVersion: 301, Term: 305, Shards: shards}
+	if err := golden.Binary(recallUpdate, update, absentFields["recall update"]...); err != nil {
 		t.Error(err)
 	}
 	if err := golden.Binary(
@@ -222,9 +239,41 @@
 		`rank":"urgent","pieces":200,"vcpus":0.25,"gpus":2,"ramGb":3.5,"bundle":"img-07","pullGb":1.5,"rigs":` +
 		`["small"],"yard":"east","oneZone":true,"scatter":true,"loaners":true,"guessS":240,"bookmarkS":30,"st` +
 		`ashS":4,"dueS":900,"awaits":["j-1"],"awaitsIn":6,"at":1700000000000000},"rev":306},"recall":true}`
-	if err := golden.JSON(goldenContinuedAssignment(), text); err != nil {
+	if err := golden.JSON(goldenContinuedAssignment(), text, absentFields["continued assignment"]...); err != nil {
+		t.Error(err)
+	}
+}
+
+// A version before reads past what says how far a job has changed hands, and finds no machine in the zone
+// of its description. One that renamed either would place it in the midst of that.
+func TestFormsOfJobsInTransferKeepTheirBytes(t *testing.T) {
+	assignment := "86a36a6f62de0017a66e616d654964a86a2d303030343132a86a6f62636c617373a5747261696ea66f7574666974a6766973" +
+		"696f6ea57368617065a8656e73656d626c65a472616e6ba6757267656e74a6706965636573ccc8a57663707573cb3fd00000" +
+		"00000000a467707573cb4000000000000000a572616d4762cb400c000000000000a662756e646c65a6696d672d3037a67075" +
+		"6c6c4762cb3ff8000000000000a47269677391a5736d616c6ca479617264af286368616e6765732068616e647329a76f6e65" +
+		"5a6f6e65c3a773636174746572c3a76c6f616e657273c3a6677565737353cb406e000000000000a9626f6f6b6d61726b53cb" +
+		"403e000000000000a6737461736853cb4010000000000000a464756553cb408c200000000000a661776169747391a36a2d31" +
+		"a8617761697473496e06a26174cf00060a24181e4000a26174cf00060a24181e4001a57461736b73cc96a473746f70c3a672" +
+		"6563616c6cc3a87472616e7366657282a47a6f6e65a465617374a3726576cd0134"
+	if err := golden.Binary(goldenTransferAssignment(), assignment, absentFields["assignment in transfer"]...); err != nil {
+		t.Error(err)
+	}
+	text := `{"job":{"nameId":"j-000412","jobclass":"train","outfit":"vision","shape":"ensemble","rank":"urgent",` +
+		`"pieces":200,"vcpus":0.25,"gpus":2,"ramGb":3.5,"bundle":"img-07","pullGb":1.5,"rigs":["small"],"yard` +
+		`":"(changes hands)","oneZone":true,"scatter":true,"loaners":true,"guessS":240,"bookmarkS":30,"stashS` +
+		`":4,"dueS":900,"awaits":["j-1"],"awaitsIn":6,"at":1700000000000000},"at":1700000000000001,"tasks":15` +
+		`0,"stop":true,"recall":true,"transfer":{"zone":"east","rev":308}}`
+	if err := golden.JSON(goldenTransferAssignment(), text, absentFields["assignment in transfer"]...); err != nil {
 		t.Error(err)
 	}
+	if err := golden.Binary(CopiedJob{Job: "j-8", Version: 309}, "82a36a6f62a36a2d38a776657273696f6ecd0135"); err != nil {
+		t.Error(err)
+	}
+	update := ShardUpdate{CopiedJobs: []CopiedJob{{Job: "j-8", Version: 309}}}
+	encoded := hex.EncodeToString(wire.MustMarshal(update))
+	if want := "a6636f706965649182"; !strings.Contains(encoded, want) {
+		t.Errorf("%s, want one with %s", encoded, want)
+	}
 }
 
 // The command line prints a status; the store counts records in this form.
--- a/internal/shard/messages.go
+++ b/internal/shard/messages.go
@@ -44,6 +44,8 @@
 	WaitingJobs []string `msgpack:"idle,omitempty"`
 	// ReleasedJobs are recalled jobs of which nothing is left in the shard but stored records.
 	ReleasedJobs []ReleasedJob `msgpack:"released,omitempty"`
+	// CopiedJobs are jobs that came with records of the leader's, all of which the owner's own hold.
+	CopiedJobs []CopiedJob `msgpack:"copied,omitempty"`
 }
 
 // ReleasedJob is a recalled job of which nothing is left in the shard but stored records.
@@ -52,6 +54,12 @@
 	Version uint64 `msgpack:"version"` // of the assignment that the owner read
 }
 
+// CopiedJob is a job of which the owner's records hold all that the leader's do.
+type CopiedJob struct {
+	Job     string `msgpack:"job"`
+	Version uint64 `msgpack:"version"` // of the assignment that the owner read
+}
+
 // FreeCapacity is a number of like machines with so much free each.
 type FreeCapacity struct {
 	Type  string  `msgpack:"type"`
--- a/internal/shard/status_update_size.go
+++ b/internal/shard/status_update_size.go
@@ -20,6 +20,7 @@
 	longest := max(
 		len(u.FreeCapacity), len(u.FinishedJobs), len(u.StoppingJobs), len(u.Demand), len(u.Progress),
 		len(u.ReadyMachines), len(u.MachinesToTerminate), len(u.WaitingJobs), len(u.ReleasedJobs),
+		len(u.CopiedJobs),
 	)
 	u.FreeCapacity = halved(u.FreeCapacity, longest)
 	u.FinishedJobs = halved(u.FinishedJobs, longest)
@@ -30,6 +31,7 @@
 	u.MachinesToTerminate = halved(u.MachinesToTerminate, longest)
 	u.WaitingJobs = halved(u.WaitingJobs, longest)
 	u.ReleasedJobs = halved(u.ReleasedJobs, longest)
+	u.CopiedJobs = halved(u.CopiedJobs, longest)
 }
 
 // halved is the first half of a list that is more than half as long as the longest, else all of it.
