Shards: no machines are requested for a job that changes hands; an owner that came meanwhile logs no error

An owner of a version before reports demand for a job in transfer, none of whose tasks it places: the leader scaled out for it in vain for the length of an upgrade. And an owner that takes a shard over while the leader's records are being deleted found some missing and logged an error that operators are asked to report, though the owner's own are complete.

Change: the leader passes over the demand of jobs in transfer; the owner logs that the job is not taken over yet.

--- a/internal/controller/shard_owner_continue.go
+++ b/internal/controller/shard_owner_continue.go
@@ -89,10 +89,11 @@
 // holdJob keeps a job from being placed whose records are not all there: what is done could be
 // done again. It is reported as one that waits, so that the leader recalls it, whose records are.
 func (o *ShardOwner) holdJob(job *cluster.Job, now micro.Time) {
-	o.log.Error("job not continued: records of its tasks are missing", "job", job.Spec.ID)
-	if o.copies[job] != nil {
-		return // it waits already
+	if o.copies[job] != nil { // it waits already, and what is missing may be deleted
+		o.log.Info("job not taken over: the leader's records of its tasks are not all there", "job", job.Spec.ID)
+		return
 	}
+	o.log.Error("job not continued: records of its tasks are missing", "job", job.Spec.ID)
 	o.held[job] = true
 	o.cluster.PrepareTransfer(job, now)
 }
--- a/internal/shard/coordinator/coordinator.go
+++ b/internal/shard/coordinator/coordinator.go
@@ -172,7 +172,7 @@
 				(len(demand.Zones) == 0 || slices.Contains(demand.Zones, offer.Zone))
 		}
 		job := c.Cluster.Jobs[demand.Job]
-		if job != nil && job.State == cluster.Assigned && job.Shard == entry.Name {
+		if job != nil && job.State == cluster.Assigned && job.Shard == entry.Name && !c.inTransfer(demand.Job) {
 			demands = append(demands, autoscaler.ShardDemand{Job: job, Tasks: demand.Tasks, InShard: inShard})
 		}
 	}
--- a/internal/shard/coordinator/earlier_version_test.go
+++ b/internal/shard/coordinator/earlier_version_test.go
@@ -280,11 +280,26 @@
 		if left := site.keys(keys.ChunkPrefixFor("j-1")); len(left) != 2 {
 			t.Errorf("the leader has %v", left)
 		}
+		site.expectDemands(0)
 		site.takeOver()
 		site.sleep(5 * micro.Second)
 		if assignment, _ := site.assignment(); !assignment.InTransfer() {
 			t.Error("the next leader lets the owner place it")
 		}
+		site.copyRecords()
+		site.waitHandedOver()
+		site.expectDemands(1)
+	})
+}
+
+// expectDemands has the owner ask for capacity for j-1, and checks whether the leader scales out for it.
+func (s *handoverSite) expectDemands(want int) {
+	s.t.Helper()
+	s.tell(shard.ShardUpdate{Demand: []shard.Demand{{Job: "j-1", Tasks: 3}}})
+	s.do(func() {
+		if got := s.leader.ShardDemands(); len(got) != want {
+			s.t.Errorf("demand of %d jobs, want %d", len(got), want)
+		}
 	})
 }
 
--- a/internal/shard/coordinator/hand_over.go
+++ b/internal/shard/coordinator/hand_over.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// inTransfer reports whether a job changes hands. An owner of a version before does not know that, and
+// asks for capacity that it would not use.
+func (c *Coordinator) inTransfer(job string) bool {
+	assigned := c.assignedJobs[job]
+	return assigned != nil && assigned.assignment.InTransfer()
+}
+
 // reconcileHandovers brings the jobs on of which the owners have all records.
 func (c *Coordinator) reconcileHandovers(now micro.Time) {
 	for _, assigned := range c.assignedJobs {
