Test: records of a job that is handed over are written in fake time

Cause: the tests moved their clock while a commit read it (a race under -race, found before the landing).

--- a/internal/persist/hand_over_test.go
+++ b/internal/persist/hand_over_test.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 	"testing"
-	"time"
+	"testing/synctest"
 
 	"notchmux.dev/notchmux/internal/cluster"
 	"notchmux.dev/notchmux/internal/keys"
@@ -33,17 +33,21 @@
 		if condition() {
 			return
 		}
-		h.now += 2 * micro.Second
-		h.records.Flush(h.now)
-		select {
-		case event := <-h.events:
-			event.Apply()
-		case <-time.After(100 * time.Millisecond): // nothing was due
+		h.send()
+		for len(h.events) > 0 {
+			(<-h.events).Apply()
 		}
 	}
 	t.Fatal("never")
 }
 
+// send sends what is due, and waits until the store has answered.
+func (h *testHost) send() {
+	h.now += 2 * micro.Second
+	h.records.Flush(h.now)
+	synctest.Wait()
+}
+
 // putFirstForm stores a record of j-1 in the first form.
 func (h *testHost) putFirstForm(t *testing.T, record *cluster.ChunkRecord) {
 	t.Helper()
@@ -77,6 +81,10 @@
 // version before takes them for later ones than the owner's. Or those that are deleted are not written
 // anew once the job is the leader's again.
 func TestRecordsOfAJobThatIsHandedOverGoAndComeBack(t *testing.T) {
+	synctest.Test(t, checkRecordsGoAndComeBack)
+}
+
+func checkRecordsGoAndComeBack(t *testing.T) {
 	host, job := persistedJob(t)
 	if tasks := host.cluster.Assign(job, "east"); tasks != 2 {
 		t.Fatalf("%d tasks assigned", tasks)
@@ -100,12 +108,15 @@
 
 // A deletion that was sent before the job came back is carried out after it: the record is not there.
 func TestDeletionThatIsUnderWayAsAJobComesBackLosesNothing(t *testing.T) {
+	synctest.Test(t, checkDeletionUnderWay)
+}
+
+func checkDeletionUnderWay(t *testing.T) {
 	host, job := persistedJob(t)
 	host.cluster.Assign(job, "east")
 	host.commitUntil(t, func() bool { host.records.DeleteHandedOver(job); return len(host.storedChunks(t)) == 2 })
 	host.records.DeleteHandedOver(job)
-	host.now += 2 * micro.Second
-	host.records.Flush(host.now) // sent
+	host.send()
 	host.cluster.Unassign(job, host.now)
 	host.commitUntil(t, func() bool {
 		_, persisted := host.records.JobRevision(job)
