--- a/internal/shard/coordinator/assignment.go
+++ b/internal/shard/coordinator/assignment.go
@@ -107,7 +107,8 @@
 	view := c.viewOf(entry.Name)
 	total := job.UnfinishedTasks()
 	fitting := c.tasksThatFit(view.freeCapacity, &job.Spec)
-	partial := job.UnallocatedFor(now) > partialAssignDelay && job.Spec.Kind != wire.Gang && !job.Spec.Spread && fitting > 0
+	divisible := job.Spec.Kind != wire.Gang && !job.Spec.Spread
+	partial := job.UnallocatedFor(now) > partialAssignDelay && divisible && fitting > 0
 	if fitting < total && !partial {
 		return false
 	}
--- a/internal/shard/coordinator/form_warnings_test.go
+++ b/internal/shard/coordinator/form_warnings_test.go
@@ -45,10 +45,14 @@
 		declared []shard.Selector
 		want     string // "": nothing is told
 	}{
-		"the rest of two zones":         {"ab", []shard.Selector{{Zone: "a"}}, "hold every offer"},
-		"a second zone of four":         {"abcd", []shard.Selector{{Zone: "a"}}, "zone a lies in share s-0, zone c, d outside"},
+		"the rest of two zones": {"ab", []shard.Selector{{Zone: "a"}}, "hold every offer"},
+		"a second zone of four": {
+			"abcd", []shard.Selector{{Zone: "a"}}, "zone a lies in share s-0, zone c, d outside",
+		},
 		"no more than the shard before": {"abcd", []shard.Selector{{Type: "g", Zone: "a"}}, ""},
-		"with another that is declared": {"ab", []shard.Selector{{Type: "g", Zone: "a"}, {Type: "m", Zone: "a"}}, "every offer"},
+		"with another that is declared": {
+			"ab", []shard.Selector{{Type: "g", Zone: "a"}, {Type: "m", Zone: "a"}}, "every offer",
+		},
 	} {
 		test := newTestCoordinator(t)
 		test.setZones(strings.Split(c.zones, "")...)
@@ -62,7 +66,8 @@
 		test.Cluster.CompactRecords = true
 		test.formDeclaredShards()
 		lines := strings.Count(out.String(), "shard leaves work without a place")
-		if c.want == "" && lines > 0 || c.want != "" && (lines != len(c.declared) || !strings.Contains(out.String(), c.want)) {
+		told := lines == len(c.declared) && strings.Contains(out.String(), c.want)
+		if c.want == "" && lines > 0 || c.want != "" && !told {
 			t.Errorf("%s: %s", name, out.String())
 		}
 	}
--- a/internal/shard/coordinator/hand_over.go
+++ b/internal/shard/coordinator/hand_over.go
@@ -56,7 +56,8 @@
 	default:
 		assigned.recordsCopied = false
 		assigned.assignment = assigned.assignment.EndTransfer()
-		c.Log.Info("job handed over", "job", assigned.job.Spec.ID, "shard", assigned.shardName, "done", assigned.job.DoneTasks)
+		job := assigned.job
+		c.Log.Info("job handed over", "job", job.Spec.ID, "shard", assigned.shardName, "done", job.DoneTasks)
 	}
 	assigned.storeRecord.MarkDirty(now, statestore.PriorityHigh)
 }
--- a/internal/shard/coordinator/handover_faults_test.go
+++ b/internal/shard/coordinator/handover_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"notchmux.dev/notchmux/internal/cluster"
@@ -230,47 +231,58 @@
 func TestAssignmentIsNotCreatedLateWhileItsReleasedShardIsTakenBack(t *testing.T) {
 	for late := 1100 * micro.Millisecond; late <= 2400*micro.Millisecond; late += 100 * micro.Millisecond {
 		t.Run(fmt.Sprint(int64(late/micro.Millisecond), "ms"), func(t *testing.T) {
-			runHandover(t, func(site *handoverSite) {
-				site.submit()
-				site.runTask(0, wire.CauseDone)
-				site.failWrites(shard.AssignmentPrefix, fake.CommitFault{Refused: true})
-				site.waitUntil("it is assigned in memory", func() bool {
-					site.tellFree()
-					return site.job().Shard != ""
-				})
-				site.releaseEast()
-				released := wire.Count(site.version(shard.RecordKey("east")))
-				held := 0
-				site.setFault(func(transaction wire.Transaction) fake.CommitFault {
-					if !meets(transaction, shard.AssignmentPrefix) || held > 0 {
-						return fake.CommitFault{}
-					}
-					for _, condition := range transaction.If {
-						if condition.Key == shard.RecordKey("east") && condition.Version == released {
-							held++
-							return fake.CommitFault{Unanswered: true, ExecuteAfter: late}
-						}
-					}
-					return fake.CommitFault{Refused: true}
-				})
-				site.sleep(micro.Minute)
-				if left := site.keys(shard.AssignmentPrefix); len(left) > 0 && len(site.leader.assignedJobs) == 0 {
-					t.Errorf("the leader has the job, state %v, shard records %v, and the store has %v", site.job().State,
-						site.keys(shard.RecordPrefix), left)
-					site.takeOver()
-					site.sleep(micro.Minute)
-					if job := site.job(); job.State == cluster.Assigned {
-						t.Errorf("for the next leader it is in %q, which does not exist", job.Shard)
-					}
-				}
-				if held == 0 {
-					t.Log("no creation under the released record")
-				}
-			})
+			runHandover(t, func(site *handoverSite) { site.checkLateCreation(late) })
 		})
 	}
 }
 
+// checkLateCreation has the creation of an assignment under the released record carried out so late.
+func (s *handoverSite) checkLateCreation(late micro.Time) {
+	s.t.Helper()
+	s.submit()
+	s.runTask(0, wire.CauseDone)
+	s.failWrites(shard.AssignmentPrefix, fake.CommitFault{Refused: true})
+	s.waitUntil("it is assigned in memory", func() bool {
+		s.tellFree()
+		return s.job().Shard != ""
+	})
+	s.releaseEast()
+	held := s.holdCreation(late)
+	s.sleep(micro.Minute)
+	if left := s.keys(shard.AssignmentPrefix); len(left) > 0 && len(s.leader.assignedJobs) == 0 {
+		s.t.Errorf("the leader has the job, state %v, shard records %v, and the store has %v", s.job().State,
+			s.keys(shard.RecordPrefix), left)
+		s.takeOver()
+		s.sleep(micro.Minute)
+		if job := s.job(); job.State == cluster.Assigned {
+			s.t.Errorf("for the next leader it is in %q, which does not exist", job.Shard)
+		}
+	}
+	if *held == 0 {
+		s.t.Log("no creation under the released record")
+	}
+}
+
+// holdCreation has the first creation of an assignment under the shard's record as it is carried out late and
+// without an answer, and others refused until then. It counts those.
+func (s *handoverSite) holdCreation(late micro.Time) (held *int) {
+	underRecord := wire.Precondition{
+		Key: shard.RecordKey("east"), Version: wire.Count(s.version(shard.RecordKey("east"))),
+	}
+	held = new(int)
+	s.setFault(func(transaction wire.Transaction) fake.CommitFault {
+		switch {
+		case !meets(transaction, shard.AssignmentPrefix) || *held > 0:
+			return fake.CommitFault{}
+		case slices.Contains(transaction.If, underRecord):
+			*held++
+			return fake.CommitFault{Unanswered: true, ExecuteAfter: late}
+		}
+		return fake.CommitFault{Refused: true}
+	})
+	return held
+}
+
 // A controller that was set back to the version before, and is away for a moment, counts as one that
 // goes on with jobs which had allocations: its former version said so.
 func TestAnnouncementEndsWithASessionThatDoesNotMakeIt(t *testing.T) {
--- a/internal/shard/coordinator/handover_test.go
+++ b/internal/shard/coordinator/handover_test.go
@@ -229,7 +229,7 @@
 	leader.Coordinator = New(Dependencies{
 		Host: handoverHost{&leadingHost{}, leader}, Config: handoverConfig(), Cluster: state,
 		Records: leader.records.Writer, Table: follower, Store: link, Term: term, Loop: loop,
-		RenewalBound: leasekeeper.NewRenewalBound(uint64(term.FencingRevision), 0, 0, map[string]string{}, "a"),
+		RenewalBound: leasekeeper.NewRenewalBound(term.FencingRevision, 0, 0, map[string]string{}, "a"),
 		Now:          s.now, Wall: s.now, Log: log,
 	})
 	state.Ownership = leader.ClassifyMachine
@@ -274,8 +274,8 @@
 func (l *testLeader) restore() {
 	s := l.site
 	assignments, ok := l.RecoverAssignments(
-		context.Background(), func(_ context.Context, prefix string, each func(wire.Item)) (uint64, bool) {
-			page, err := s.store.Range(s.t.Context(), store.Routine, prefix, "", 1000)
+		s.t.Context(), func(ctx context.Context, prefix string, each func(wire.Item)) (uint64, bool) {
+			page, err := s.store.Range(ctx, store.Routine, prefix, "", 1000)
 			for _, item := range page.Items {
 				each(item)
 			}
@@ -353,11 +353,10 @@
 func (s *handoverSite) job() *cluster.Job { return s.leader.Cluster.Jobs["j-1"] }
 
 // submit adds j-1, an array of four tasks of one CPU: two chunks.
-func (s *handoverSite) submit() *cluster.Job {
+func (s *handoverSite) submit() {
 	spec := wire.Job{ID: "j-1", Team: "team", Class: "c", Kind: wire.JobArray, Tasks: 4, CPUs: 1, MemoryGB: 1}
 	s.specs = append(s.specs, spec)
 	s.do(func() { s.leader.Cluster.AddJob(spec, s.now(), s.now()) })
-	return s.job()
 }
 
 // runTask runs a task of j-1 on a machine of the leader; done, or to be done again.
--- a/internal/shard/coordinator/serving_side.go
+++ b/internal/shard/coordinator/serving_side.go
@@ -182,7 +182,9 @@
 	case job.AllocationCount > 0:
 		return fmt.Sprintf("it has allocations at the leader, and goes to shard %s as a whole", entry.Name)
 	case !c.mayBeAssigned(job):
-		return fmt.Sprintf("a task of it had an allocation, and not all controllers could go on with it in shard %s", entry.Name)
+		return fmt.Sprintf(
+			"a task of it had an allocation, and not all controllers could go on with it in shard %s", entry.Name,
+		)
 	}
 	return ""
 }
--- a/internal/shard/coordinator/serving_side_test.go
+++ b/internal/shard/coordinator/serving_side_test.go
@@ -28,15 +28,11 @@
 	closed := tableOf(shardOf("east", inB, "vision"))
 	parted := tableOf(shardOf("east", inB), shardOf("west", shard.Selector{Zone: "a"}))
 	gpu := tableOf(shardOf("gpu", shard.Selector{Type: "g"}))
-	closedGPU := tableOf(shardOf("gpu", shard.Selector{Type: "g"}, "vision"), shardOf("m", shard.Selector{Type: "m", Zone: "b"}))
+	closedGPU := tableOf(
+		shardOf("gpu", shard.Selector{Type: "g"}, "vision"), shardOf("m", shard.Selector{Type: "m", Zone: "b"}),
+	)
 	any1, bound, spread := wire.Job{Tasks: 1}, wire.Job{Tasks: 1, Zone: &zone}, wire.Job{Tasks: 2, Spread: true}
-	for name, c := range map[string]struct {
-		zones     string
-		table     shard.Snapshot
-		spec      wire.Job
-		allocated int
-		want      string // the leader's offers, the shards', and the sides in words
-	}{
+	for name, c := range map[string]servingSideCase{
 		"no shard":        {"ab", none, any1, 0, "4 map[] the leader"},
 		"both sides":      {"ab", east, any1, 0, "2 map[east:2] the leader, shard east"},
 		"spot too":        {"ab", east, wire.Job{Tasks: 1, Spot: true}, 0, "4 map[east:4] the leader, shard east"},
@@ -74,16 +70,29 @@
 				"holds zone b only",
 		},
 	} {
-		test := newTestCoordinator(t)
-		test.setZones(strings.Split(c.zones, "")...)
-		job := test.addJob("j-1", c.spec)
-		job.AllocationCount = c.allocated
-		catalog := DivideCatalog(test.Cluster.CatalogOrder, c.table, true)
-		side := catalog.ServingSideOf(job)
-		if got := fmt.Sprint(side.LeaderOffers, " ", side.ShardOffers, " ", side); got != c.want ||
-			catalog.Served(job) != (len(side.ServedBy) > 0) {
-			t.Errorf("%s: %q, want %q; served %v", name, got, c.want, catalog.Served(job))
-		}
+		t.Run(name, c.check)
+	}
+}
+
+// servingSideCase is a job and the shards that may serve it.
+type servingSideCase struct {
+	zones     string
+	table     shard.Snapshot
+	spec      wire.Job
+	allocated int
+	want      string // the leader's offers, the shards', and the sides in words
+}
+
+func (c servingSideCase) check(t *testing.T) {
+	test := newTestCoordinator(t)
+	test.setZones(strings.Split(c.zones, "")...)
+	job := test.addJob("j-1", c.spec)
+	job.AllocationCount = c.allocated
+	catalog := DivideCatalog(test.Cluster.CatalogOrder, c.table, true)
+	side := catalog.ServingSideOf(job)
+	if got := fmt.Sprint(side.LeaderOffers, " ", side.ShardOffers, " ", side); got != c.want ||
+		catalog.Served(job) != (len(side.ServedBy) > 0) {
+		t.Errorf("%q, want %q; served %v", got, c.want, catalog.Served(job))
 	}
 }
 
--- a/internal/shard/coordinator/status.go
+++ b/internal/shard/coordinator/status.go
@@ -82,6 +82,11 @@
 	c.recallWaitingJobs(entry.Name, update.WaitingJobs, now)
 	c.applyReleasedJobs(entry, update.ReleasedJobs)
 	c.applyProgress(entry.Name, update.Progress)
+	c.applyMachines(view, update, term, now)
+}
+
+// applyMachines takes in which machines an owner says are up, and which are to be terminated.
+func (c *Coordinator) applyMachines(view *shardView, update *shard.ShardUpdate, term uint64, now micro.Time) {
 	if term == c.Term.FencingRevision && update.LoopStartedAt == view.loopStartedAt {
 		for _, name := range update.ReadyMachines {
 			view.readyMachines[name] = true // also one that this leader does not know yet
--- a/internal/shard/coordinator/waiting_jobs_test.go
+++ b/internal/shard/coordinator/waiting_jobs_test.go
@@ -19,7 +19,8 @@
 		test.addJob(fmt.Sprint("j-", i), wire.Job{Tasks: 1, Team: "vision"}).WaitingSince = micro.Time(i) * micro.Second
 	}
 	test.addJob("spread", wire.Job{Tasks: 2, Spread: true}).WaitingSince = 50 * micro.Second
-	waiting := test.detailReply(&shard.Command{Operation: shard.OperationShow, Shard: "east"}, shard.CommandReply{}).WaitingJobs
+	show := &shard.Command{Operation: shard.OperationShow, Shard: "east"}
+	waiting := test.detailReply(show, shard.CommandReply{}).WaitingJobs
 	if len(waiting) != maxWaitingJobs || waiting[0].ID != "spread" || waiting[0].UnservedReason == "" ||
 		waiting[0].WaitingS != 10 || waiting[0].Tasks != 2 {
 		t.Fatalf("%+v", waiting)
