Shard owners: a copy of the leader's records counts once those versions are stored

Cause: the owner said that it had copied the leader's records only at a moment at which nothing at all of the job was to be written. An array that goes on under the form of the version before may not have such a moment until it ends, and would stay in that form (found by reading).

Change: it remembers which versions of its chunks hold them, and waits for those.

Result: TestOwnerTellsOfCopiesOfAJobThatGoesOn, extended by a later change that is not stored, fails on the code before.

--- a/internal/controller/guards_owner_copies_test.go
+++ b/internal/controller/guards_owner_copies_test.go
@@ -143,6 +143,7 @@
 	o.recover()
 	o.expectCopied(0, false)
 	o.persist()
+	o.cluster.Jobs["j-1"].Chunks[2].MemoryVersion++ // its tasks go on, and there is always something to write
 	o.expectCopied(version, false)
 	want := map[int]uint64{1: 8, 2: 1, 3: 1, 4: 1, 5: 1}
 	o.expectAllocated(o.place(), want)
--- a/internal/controller/shard_owner_copies.go
+++ b/internal/controller/shard_owner_copies.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"maps"
+
 	"notchmux.dev/notchmux/internal/cluster"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/shard"
@@ -12,10 +14,10 @@
 
 // recordsCopy is how far an owner is with the records of a job that came with records of the leader's.
 type recordsCopy struct {
-	since  micro.Time // when the job came
-	read   bool       // all of the leader's records were read
-	stored bool       // the owner's records have held all of them in the store
-	waits  bool       // the job changes hands: none of its tasks is placed
+	since   micro.Time                    // when the job came
+	read    bool                          // all of the leader's records were read
+	pending map[*cluster.TaskChunk]uint64 // which versions of the owner's records hold them, until they are stored
+	waits   bool                          // the job changes hands: none of its tasks is placed
 }
 
 // beginTransferred notes that a job came that changes hands, and keeps it from being placed.
@@ -30,9 +32,11 @@
 	if o.copies[job] == nil { // it goes on meanwhile
 		o.copies[job], priority = &recordsCopy{since: now}, statestore.PriorityLow
 	}
-	o.copies[job].read = true
+	progress := o.copies[job]
+	progress.read, progress.pending = true, map[*cluster.TaskChunk]uint64{}
 	for _, chunk := range job.Chunks {
 		if chunk.MemoryVersion > chunk.StoredVersion {
+			progress.pending[chunk] = chunk.MemoryVersion
 			o.records.ChunkRecord(chunk).MarkDirty(now, priority)
 		}
 	}
@@ -60,7 +64,7 @@
 		if o.recalled[job] || o.cancelling[job] || o.assignments[id] == nil {
 			continue
 		}
-		if o.copyStored(job, progress) && len(report.CopiedJobs) < shard.MaxStatusItems {
+		if progress.stored() && len(report.CopiedJobs) < shard.MaxStatusItems {
 			report.CopiedJobs = append(
 				report.CopiedJobs, shard.CopiedJob{Job: id, Version: o.assignments[id].Version()},
 			)
@@ -72,10 +76,10 @@
 	}
 }
 
-// copyStored reports whether all that was read of the leader's records is in the store in the owner's.
-func (o *ShardOwner) copyStored(job *cluster.Job, progress *recordsCopy) bool {
-	if progress.read && !progress.stored {
-		_, progress.stored = o.records.JobRevision(job)
-	}
-	return progress.stored
+// stored reports whether the store holds all of the leader's records in the owner's.
+func (c *recordsCopy) stored() bool {
+	maps.DeleteFunc(c.pending, func(chunk *cluster.TaskChunk, version uint64) bool {
+		return chunk.StoredVersion >= version
+	})
+	return c.read && len(c.pending) == 0
 }
