Scheduler: services in part give their team's quota to one that becomes whole by it

Cause: replicas are placed one by one, and a service that has begun keeps no quota for the rest of them. While one waits for a machine, withinQuota lets the next job take what is left of the limit; reserveQuota saves nothing up for a job that has an allocation; and services end only when they are cancelled.

Four spread services want twice the limit, and zone b boots nothing.

Change: once a second, services of a team that waited 30 s for quota are looked at. Replicas of those that come last are stopped if another becomes whole by that, its machines are there, and it comes before them. The machines are requested beyond the limit first. What comes free is kept for it, also from shards. A whole service never gives, so each transfer leaves one more whole, and they end.

--- a/internal/autoscaler/demand.go
+++ b/internal/autoscaler/demand.go
@@ -85,9 +85,13 @@
 		if !p.isUrgent(job, latestStart, now) {
 			continue
 		}
+		eligible := p.eligibleOffers(job)
+		if receivesQuota(job) {
+			eligible = p.OwnsOffer
+		}
 		demands = append(demands, taskDemand{
 			job: job, spec: &job.Spec, tasks: tasks, latestStart: latestStart, priorityLevel: job.PriorityLevel,
-			eligible: p.eligibleOffers(job),
+			eligible: eligible,
 		})
 		if job.PriorityLevel == 0 {
 			topPriorityTasks[job.Class] += tasks
@@ -106,7 +110,7 @@
 // for, which it returns; 0: none, or too few for a gang.
 func (q plannedQuota) take(job *cluster.Job, tasks int) int {
 	team, spec := job.Team, &job.Spec
-	if tasks == 0 || team == nil {
+	if tasks == 0 || team == nil || receivesQuota(job) {
 		return tasks
 	}
 	planned := q[team]
@@ -125,6 +129,12 @@
 	return tasks
 }
 
+// receivesQuota reports whether other services of its team give a service the quota that it lacks,
+// once there are machines for it.
+func receivesQuota(job *cluster.Job) bool {
+	return job.Team != nil && job.Team.Transfer.Recipient == job
+}
+
 // shardDemands lists the tasks that wait for capacity in shards: their owners request no
 // instances.
 func (p *Planner) shardDemands(now micro.Time) []taskDemand {
--- a/internal/cluster/assignment.go
+++ b/internal/cluster/assignment.go
@@ -47,7 +47,7 @@
 // capacity for: all that are not done, or some of an array's; 0: it was not assigned.
 func (s *State) Assign(job *Job, shard string) int {
 	tasks := job.UnfinishedTasks()
-	if tasks == 0 || !s.MayChangeHands(job) {
+	if tasks == 0 || !s.MayChangeHands(job) || job.Team != nil && job.Team.QuotaKeptFrom(job) {
 		return 0
 	}
 	if job.Team != nil && !job.Team.WithinLimit(job.Spec.CPUs, job.Spec.GPUs, tasks) {
@@ -160,7 +160,7 @@
 // ReserveQuota reserves quota for up to so many more tasks of a job in a shard, and says for how
 // many there was some.
 func (s *State) ReserveQuota(job *Job, tasks int) int {
-	if job.Shard == "" || tasks <= 0 {
+	if job.Shard == "" || tasks <= 0 || job.Team != nil && job.Team.QuotaKeptFrom(job) {
 		return 0
 	}
 	if job.Team != nil {
--- a/internal/cluster/quarantine.go
+++ b/internal/cluster/quarantine.go
@@ -29,6 +29,9 @@
 // submission: it is tried seldom, and no machine is held responsible for it.
 func (j *Job) failsEverywhere(now micro.Time) bool { return j.FailedWidely() && !j.proven(now) }
 
+// FailsUnproven reports whether tasks of the job failed, and none shows that it does well elsewhere.
+func (j *Job) FailsUnproven(now micro.Time) bool { return j.Failures > 0 && !j.proven(now) }
+
 // InBackoff reports whether the job waits for its next try, as one that fails everywhere does.
 func (j *Job) InBackoff(now micro.Time) bool { return j.NotBefore > now && !j.proven(now) }
 
--- a/internal/cluster/team.go
+++ b/internal/cluster/team.go
@@ -18,9 +18,26 @@
 	QuotaReservedAt          micro.Time
 	QuotaReservableAfter     micro.Time // nothing is saved up before, so that its other jobs get their turn
 	LastPlacedAt             micro.Time // when one of its tasks was last placed
+	Transfer                 QuotaTransfer
 	unfinished               []*Job
 }
 
+// QuotaTransfer is quota that services placed in part give to another service of their team, so
+// that it becomes whole. Of a team there is one at a time.
+type QuotaTransfer struct {
+	Recipient      *Job // nil: there is none
+	Since          micro.Time
+	StopsRequested bool // replicas were stopped for it; before that, it waits for machines
+}
+
+// QuotaKeptFrom reports whether the quota that comes free is kept from a job: replicas were stopped
+// for a service that comes before it, or is of the same priority.
+func (t *Team) QuotaKeptFrom(job *Job) bool {
+	recipient := t.Transfer.Recipient
+	return t.Transfer.StopsRequested && recipient != job && recipient.PriorityLevel <= job.PriorityLevel &&
+		(t.CPULimit > 0 || recipient.Spec.GPUs > 0 && job.Spec.GPUs > 0)
+}
+
 // WithinLimit reports whether the team's limits allow so many more such tasks.
 func (t *Team) WithinLimit(cpus, gpus float64, tasks int) bool {
 	const eps = 1e-9
--- a/internal/scheduler/allocation.go
+++ b/internal/scheduler/allocation.go
@@ -98,6 +98,12 @@
 	if team == nil {
 		return true
 	}
+	if transfer := &team.Transfer; transfer.StopsRequested && transfer.Recipient == job {
+		return team.WithinLimit(job.Spec.CPUs, job.Spec.GPUs, job.PendingTasks()) // whole, or not yet
+	}
+	if team.QuotaKeptFrom(job) {
+		return false
+	}
 	if holder := team.QuotaReservedFor; holder != nil && holder != job && job.PriorityLevel > highestPriorityLevel &&
 		(holder.Spec.GPUs > 0 && job.Spec.GPUs > 0 || team.CPULimit > 0) {
 		return false
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -22,6 +22,7 @@
 func (s *Scheduler) Schedule(now micro.Time) int {
 	s.Cluster.MarkGuarantees()
 	s.expireReservations(now)
+	s.expireQuotaTransfers(now)
 	s.countHeadroom(now)
 	s.fillReservations(now)
 	overloaded := s.overloadedClasses()
@@ -29,6 +30,7 @@
 	s.sampling = s.Overloaded && waiting > s.Properties.SampleAbovePending
 	placed, starved := s.allocateQueue(queue, now)
 	s.startReservations(starved, len(overloaded) > 0, now)
+	s.transferQuota(now)
 	return placed
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -30,6 +30,9 @@
 	reservations     map[*cluster.Job]zoneReservation
 	maxTasksByClass  map[string]int // the most tasks that a class's jobs have
 	headroom         []gpuHeadroom  // machines kept free for GPU jobs, as this pass finds them
+	nextQuotaReview  micro.Time
+	transferRecords  map[*cluster.Job]transferRecord
+	stoppingQuota    map[*cluster.Team]resources // quota that is coming free, by the last review
 }
 
 // resources is what a task asks for, or what a plan has taken of a machine beyond what
