Scheduler: an urgent service that just came is before idle ones; preemption counts as machines

And on a site full of work of lower priority no machine was ever there for a service in part, though it would preempt that work.

Change: a service that lacks quota holds transfers to lower priorities back from its first second. Machines that lower priorities can be preempted on count, and are cleared by the ordinary path once the service has its quota.

--- a/internal/autoscaler/planner_test.go
+++ b/internal/autoscaler/planner_test.go
@@ -267,3 +267,24 @@
 		t.Errorf("rented though room for both is coming up: %+v", scaleOuts)
 	}
 }
+
+// A service that other services of its team will give quota to has machines requested beyond the
+// limit, and none where only a shard could use them.
+func TestMachinesForAServiceThatReceivesQuotaAreRequestedBeyondTheLimit(t *testing.T) {
+	planner := newTestPlanner()
+	team := &cluster.Team{Name: "team", CPULimit: 8, UsedCPU: 8}
+	planner.Cluster.Teams["team"] = team
+	service := planner.Cluster.AddJob(wire.Job{
+		ID: "j-1", Team: "team", Class: "c", Kind: wire.Service, Priority: wire.Normal, Tasks: 2, CPUs: 4, MemoryGB: 1,
+	}, now-micro.Minute, now)
+	planner.OwnsOffer = func(offer InstanceOffer) bool { return offer.Zone == "b" }
+	planner.ShardTakesJob = func(*cluster.Job, InstanceOffer) bool { return true }
+	if scaleOuts, _ := planner.Plan(now); len(scaleOuts) > 0 {
+		t.Fatalf("requested beyond the limit: %+v", scaleOuts)
+	}
+	team.Transfer = cluster.QuotaTransfer{Recipient: service, Since: now}
+	scaleOuts, _ := planner.Plan(now)
+	if len(scaleOuts) != 1 || scaleOuts[0].Zone != "b" || scaleOuts[0].Count != 2 {
+		t.Fatalf("%+v, want two machines in zone b", scaleOuts)
+	}
+}
--- a/internal/scheduler/quota_transfer.go
+++ b/internal/scheduler/quota_transfer.go
@@ -66,7 +66,7 @@
 			delete(s.transferRecords, job)
 		}
 	}
-	teams := s.servicesWithoutQuota(now)
+	teams := s.servicesWithoutQuota()
 	if len(teams) == 0 {
 		return
 	}
@@ -78,11 +78,11 @@
 	}
 }
 
-// servicesWithoutQuota lists the services that have waited for quota for long, by team and in order.
-func (s *Scheduler) servicesWithoutQuota(now micro.Time) [][]*cluster.Job {
+// servicesWithoutQuota lists the services that wait for quota, by team and in order.
+func (s *Scheduler) servicesWithoutQuota() [][]*cluster.Job {
 	byTeam := map[*cluster.Team][]*cluster.Job{}
 	for job := range s.Cluster.PendingJobs {
-		if job.Spec.Kind == wire.Service && lacksQuota(job) && s.Cluster.WaitingTime(job, now) >= quotaTransferAfter {
+		if job.Spec.Kind == wire.Service && lacksQuota(job) {
 			byTeam[job.Team] = append(byTeam[job.Team], job)
 		}
 	}
@@ -117,9 +117,11 @@
 }
 
 // transferToLevel begins a transfer to one of the services of a priority, and reports whether those
-// of lower ones have to wait. Where none of them has machines yet, they are requested for the first.
+// of lower ones have to wait: also for one that has not waited for long. Where none of them has
+// machines yet, they are requested for the first.
 func (s *Scheduler) transferToLevel(recipients, services []*cluster.Job, now micro.Time) bool {
 	var next *cluster.Job
+	tooSoon := false
 	passedOver := map[*cluster.Job]bool{}
 	for _, recipient := range recipientsToTry(recipients, now) {
 		transfer := s.planQuotaTransfer(recipient, services, passedOver, now)
@@ -127,6 +129,10 @@
 			passedOver[recipient] = true
 			continue
 		}
+		if !s.waitedForQuota(recipient, now) {
+			tooSoon = true
+			continue
+		}
 		if s.planMachines(transfer) {
 			s.startQuotaTransfer(transfer)
 			return true
@@ -140,13 +146,18 @@
 		return true
 	}
 	if next == nil {
-		return false
+		return tooSoon
 	}
 	*current = cluster.QuotaTransfer{Recipient: next, Since: now}
 	s.Cluster.Log("quota transfer", "job", next.Spec.ID, "reason", "waits for machines")
 	return true
 }
 
+// waitedForQuota reports whether a service has waited for so long that it takes part in transfers.
+func (s *Scheduler) waitedForQuota(job *cluster.Job, now micro.Time) bool {
+	return s.Cluster.WaitingTime(job, now) >= quotaTransferAfter
+}
+
 // recipientsToTry is a part of many services, another one each time.
 func recipientsToTry(recipients []*cluster.Job, now micro.Time) []*cluster.Job {
 	if len(recipients) <= maxRecipientsTried {
@@ -199,7 +210,7 @@
 	missing := s.missingQuota(recipient)
 	transfer := &plannedTransfer{recipient: recipient, now: now}
 	for _, donor := range slices.Backward(services) {
-		if !s.mayGive(donor, recipient, passedOver) {
+		if !s.waitedForQuota(donor, now) || !s.mayGive(donor, recipient, passedOver) {
 			continue
 		}
 		for _, allocation := range s.reachableReplicas(donor) {
@@ -232,7 +243,8 @@
 }
 
 // planMachines chooses machines for all replicas that the service lacks, and reports whether there
-// are: those that have capacity, then those on which replicas are stopped for it.
+// are: those that have capacity, then those on which replicas are stopped for it, then those that
+// work of lower priority is preempted on once it has the quota.
 func (s *Scheduler) planMachines(transfer *plannedTransfer) bool {
 	job, now := transfer.recipient, transfer.now
 	count := job.PendingTasks()
@@ -241,7 +253,7 @@
 	for len(transfer.machines) < count {
 		machine := s.machineOfStopped(transfer, &placement)
 		if machine == nil {
-			return false
+			return s.couldPreempt(&placement, count-len(transfer.machines))
 		}
 		placement.plan.add(job, machine)
 		transfer.machines = append(transfer.machines, machine)
@@ -275,6 +287,16 @@
 	return nil
 }
 
+// couldPreempt reports whether work of lower priority could be preempted for so many more replicas.
+func (s *Scheduler) couldPreempt(placement *placementRequest, replicas int) bool {
+	if placement.job.PriorityLevel >= lowestPriorityLevel {
+		return false
+	}
+	preemption := preemptionPlan{job: placement.job, now: placement.now, planned: placement.plan}
+	s.planPreemption(&preemption, replicas)
+	return len(preemption.targets) == replicas
+}
+
 // startQuotaTransfer stops the replicas that were chosen. What comes free is kept for the service.
 func (s *Scheduler) startQuotaTransfer(transfer *plannedTransfer) {
 	job, now := transfer.recipient, transfer.now
