Scheduler: a service of one zone gets quota only if one zone has machines for all of it

Cause (found by reading): the look for machines counted those of all zones for a service that has none yet and must be in one zone, so others could be stopped for it in vain.

Change: zones are looked at one by one for such a service. The benchmark has a second case, in which all machines are full.

Result: the new case of TestNoReplicaIsStoppedForQuotaInVain failed before.

--- a/internal/scheduler/quota_transfer.go
+++ b/internal/scheduler/quota_transfer.go
@@ -243,12 +243,25 @@
 }
 
 // planMachines chooses machines for all replicas that the service lacks, and reports whether there
-// are: those that have capacity, then those on which replicas are stopped for it, then those that
-// work of lower priority is preempted on once it has the quota.
+// are, in one of the zones if it has to be one.
 func (s *Scheduler) planMachines(transfer *plannedTransfer) bool {
+	for _, zone := range s.candidateZones(transfer.recipient) {
+		if s.planMachinesIn(zone, transfer) {
+			return true
+		}
+	}
+	return false
+}
+
+// planMachinesIn chooses machines in a zone, or in all if it is "": those that have capacity, then
+// those on which replicas are stopped for the service, then those that work of lower priority is
+// preempted on once it has the quota.
+func (s *Scheduler) planMachinesIn(zone string, transfer *plannedTransfer) bool {
 	job, now := transfer.recipient, transfer.now
 	count := job.PendingTasks()
-	placement := placementRequest{job: job, anyPrice: job.PriorityLevel == highestPriorityLevel, now: now}
+	placement := placementRequest{
+		job: job, zone: zone, anyPrice: job.PriorityLevel == highestPriorityLevel, now: now,
+	}
 	transfer.machines = s.planGang(&placement, count, s.relaxationLimit(job, now))
 	for len(transfer.machines) < count {
 		machine := s.machineOfStopped(transfer, &placement)
@@ -273,7 +286,8 @@
 	}
 	for _, allocation := range transfer.stopped {
 		machine := allocation.Machine
-		if machine.Type == nil || !Allowed(&job.Spec, machine.Type, machine.Zone, machine.Spot) ||
+		if machine.Type == nil || placement.zone != "" && placement.zone != machine.Zone ||
+			!Allowed(&job.Spec, machine.Type, machine.Zone, machine.Spot) ||
 			!ZoneAllowed(job, machine.Zone, placement.plan.tasksByZone) || !machine.Schedulable(transfer.now) ||
 			!placement.anyPrice && s.WithinPrice != nil && !s.WithinPrice(job, machine.Type, machine.Spot, transfer.now) {
 			continue
@@ -292,7 +306,9 @@
 	if placement.job.PriorityLevel >= lowestPriorityLevel {
 		return false
 	}
-	preemption := preemptionPlan{job: placement.job, now: placement.now, planned: placement.plan}
+	preemption := preemptionPlan{
+		job: placement.job, zone: placement.zone, now: placement.now, planned: placement.plan,
+	}
 	s.planPreemption(&preemption, replicas)
 	return len(preemption.targets) == replicas
 }
--- a/internal/scheduler/quota_transfer_test.go
+++ b/internal/scheduler/quota_transfer_test.go
@@ -316,6 +316,17 @@
 			qc.hung[machine.Name] = true
 			qc.service(wire.Normal, 2, 1, wire.Job{CPUs: 4, Spread: true})
 		}},
+		{"machines in two zones for one that has to be in one", 28, func(qc *quotaCluster) {
+			zoneA, zoneB := "a", "b"
+			qc.service(wire.Production, 3, 3, fourCPUs)
+			qc.addMachine(zoneB)
+			qc.addMachine(zoneB)
+			qc.addMachine(zoneB)
+			for _, zone := range []*string{&zoneA, &zoneA, &zoneB, &zoneB} { // none can become whole
+				qc.service(wire.Low, 2, 1, wire.Job{CPUs: 4, Spread: true, Zone: zone})
+			}
+			qc.service(wire.Normal, 4, 0, wire.Job{CPUs: 4, OneZone: true})
+		}},
 		{"the one that comes first fails", 2, func(qc *quotaCluster) {
 			qc.service(wire.Normal, 2, 0, oneCPU).RecordFailure("i-1", 0)
 			qc.service(wire.Low, 2, 1, spread)
@@ -549,14 +560,38 @@
 // BenchmarkQuotaReview is a look at 300 services in part, none of which has a machine to become
 // whole with, on a site of 4,000 machines.
 func BenchmarkQuotaReview(b *testing.B) {
-	qc := newQuotaCluster(b, 300, 0, 4000, 0)
-	for range 300 {
-		qc.service(wire.Normal, 2, 1, spread)
-	}
-	qc.now += micro.Minute
-	b.ResetTimer()
-	for range b.N {
-		qc.now += quotaReviewInterval
-		qc.scheduler.transferQuota(qc.now)
+	for _, tt := range []struct {
+		name     string
+		inA, inB int
+	}{{"no machine in the other zone", 4000, 0}, {"all machines are full", 150, 3850}} {
+		b.Run(tt.name, func(b *testing.B) {
+			qc := newQuotaCluster(b, 1200, 0, tt.inA, tt.inB)
+			for range 300 {
+				qc.service(wire.Normal, 2, 1, wire.Job{CPUs: 2, Spread: true})
+			}
+			if tt.inB > 0 {
+				qc.fillMachines()
+			}
+			qc.team.CPULimit = qc.team.UsedCPU
+			qc.now += 2 * micro.Minute
+			b.ResetTimer()
+			for range b.N {
+				qc.now += quotaReviewInterval
+				qc.scheduler.transferQuota(qc.now)
+			}
+		})
+	}
+}
+
+// fillMachines has work of another team, of the same priority, take all machines.
+func (qc *quotaCluster) fillMachines() {
+	spec := wire.Job{ID: "j-9", Class: "c", Kind: wire.JobArray, Priority: wire.Normal, Tasks: 5000, CPUs: 4}
+	array := qc.state.AddJob(spec, qc.now, qc.now)
+	next := 0
+	for _, machine := range qc.state.SortedMachines() {
+		if len(machine.Allocations) == 0 {
+			qc.state.Allocate(array, next, machine, 1, 4, qc.now)
+			next++
+		}
 	}
 }
