--- a/internal/autoscaler/demand.go
+++ b/internal/autoscaler/demand.go
@@ -114,13 +114,8 @@
 		return tasks
 	}
 	planned := q[team]
-	if team.CPULimit > 0 && spec.CPUs > 0 {
-		tasks = min(tasks, int((team.CPULimit-team.UsedCPU-planned.CPU)/spec.CPUs+1e-9))
-	}
-	if team.GPULimit > 0 && spec.GPUs > 0 {
-		tasks = min(tasks, int((team.GPULimit-team.UsedGPU-planned.GPU)/spec.GPUs+1e-9))
-	}
-	if tasks <= 0 || spec.Kind == wire.Gang && tasks < len(job.Tasks) {
+	tasks = min(tasks, team.TaskHeadroomBeside(planned, spec.CPUs, spec.GPUs))
+	if tasks == 0 || spec.Kind == wire.Gang && tasks < len(job.Tasks) {
 		return 0
 	}
 	planned.CPU += float64(tasks) * spec.CPUs
--- a/internal/cluster/team.go
+++ b/internal/cluster/team.go
@@ -48,11 +48,17 @@
 
 // TaskHeadroom is how many more such tasks the team's limits allow.
 func (t *Team) TaskHeadroom(cpus, gpus float64) int {
+	return t.TaskHeadroomBeside(Resources{}, cpus, gpus)
+}
+
+// TaskHeadroomBeside is how many more such tasks the team's limits allow beside what is planned for
+// others.
+func (t *Team) TaskHeadroomBeside(planned Resources, cpus, gpus float64) int {
 	const eps = 1e-9
 	tasks := math.MaxInt32
 	for _, quota := range []struct{ most, used, each float64 }{
-		{t.CPULimit, t.UsedCPU, cpus},
-		{t.GPULimit, t.UsedGPU, gpus},
+		{t.CPULimit, t.UsedCPU + planned.CPU, cpus},
+		{t.GPULimit, t.UsedGPU + planned.GPU, gpus},
 	} {
 		if quota.most > 0 && quota.each > 0 {
 			tasks = min(tasks, int((quota.most-quota.used)/quota.each+eps))
