--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -16,7 +16,7 @@
 	tierScoreZero                   // the design: only when no higher score has capacity
 )
 
-// poolRank priorities what all machines of a pool share: the exceptions' tier, then the
+// poolRank ranks what all machines of a pool share: the exceptions' tier, then the
 // design's score.
 type poolRank struct {
 	tier  tier
--- a/internal/scheduler/sampling_test.go
+++ b/internal/scheduler/sampling_test.go
@@ -32,7 +32,7 @@
 	job := state.AddJob(
 		wire.Job{ID: "j-1", Class: "c", Kind: wire.JobArray, Priority: wire.Normal, Tasks: wire.MaxTasks, CPUs: 1}, 0, 0,
 	)
-	job.DoneTasks = 1 // it is known not to fail everywhere, see model.Job.Openings
+	job.DoneTasks = 1 // it is known not to fail everywhere, see cluster.Job.SchedulableTasks
 	properties := config.Defaults()
 	return &Scheduler{
 		Cluster: state, Objectives: NewObjectives(nil), Properties: &properties, Rand: rand.New(rand.NewPCG(1, 2)),
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -59,7 +59,7 @@
 	return queue, waiting
 }
 
-// putShortestFirst priorities a job of an overloaded class by the work that it is, not by its latest
+// putShortestFirst ranks a job of an overloaded class by the work that it is, not by its latest
 // start: in the order of latest starts, all of a burst start just too late. A job whose
 // image is nowhere at hand is as good as one that runs for longer.
 func (s *Scheduler) putShortestFirst(
