--- a/internal/scheduler/quota_transfer_test.go
+++ b/internal/scheduler/quota_transfer_test.go
@@ -418,6 +418,30 @@
 	qc.expectPlaced(3, 0, 0)
 }
 
+// The machine that a replica was stopped for is kept until the quota is free, and a replica that
+// takes long to save is not waited for.
+func TestMachineIsKeptUntilTheQuotaIsFree(t *testing.T) {
+	qc := newQuotaCluster(t, 8, 0, 2, 1)
+	zoneA, zoneB := "a", "b"
+	qc.service(wire.Normal, 2, 1, wire.Job{CPUs: 4, Zone: &zoneA})
+	donor := qc.service(wire.Normal, 2, 1, wire.Job{
+		CPUs: 4, Zone: &zoneB, Spread: true, CheckpointIntervalS: 10, CheckpointDurationS: 3600,
+	})
+	stopped := donor.Allocations()[0]
+	qc.run(quotaTransferAfter - 2*micro.Second)
+	qc.hung[stopped.Machine.Name] = true
+	qc.run(4 * micro.Second)
+	if !stopped.Stopping || stopped.GraceS != maxTransferGraceS {
+		t.Fatalf("stopping %v, within %v s", stopped.Stopping, stopped.GraceS)
+	}
+	other := wire.Job{ID: "j-9", Class: "other", Kind: wire.JobArray, Priority: wire.Normal, Tasks: 1, CPUs: 4}
+	qc.state.AddJob(other, qc.now, qc.now)
+	qc.run(5 * micro.Second)
+	qc.hung[stopped.Machine.Name] = false
+	qc.run(2 * micro.Second)
+	qc.expectPlaced(2, 0)
+}
+
 // A service takes the machine of the replica that is stopped for it, if there is no other.
 func TestServiceTakesTheMachineOfAStoppedReplica(t *testing.T) {
 	qc := newQuotaCluster(t, 8, 0, 2, 0)
