Status: the leader and all other nodes derive a job's state by one rule

Cause: two derivations of one answer. A node that reads the store reports a job as aborted as soon as a job that it needs, directly or not, is stored as aborted. The leader did so only for jobs in state Blocked. It went wrong for - a job whose own cancellation has begun (Aborting, its end not yet written) when its direct dependency is stored as aborted; - the jobs behind such a job; - a job whose own cancellation has begun while the end of its dependency was sent and has no response; - a job that needs one that the leader does not know (looked up in the store).

Change: package jobstatus holds the rule. The leader and the store's reader only provide stored states to it (Source); the leader refuses to where a state may be stored without its knowledge, and the node reads the store. An abort also reaches the jobs behind one whose cancellation has begun, and final statuses are kept while the status of any unfinished job follows from them. Both nodes list at most ten unmet dependencies.

--- a/internal/cancellation/cancellation.go
+++ b/internal/cancellation/cancellation.go
@@ -99,7 +99,7 @@
 		e.reply.Send(httpapi.Reply{Status: http.StatusNotFound})
 		return
 	case job.State == cluster.Done || job.State == cluster.Aborted:
-		e.reply.Send(httpapi.Reply{Status: http.StatusOK, Body: job.Status()})
+		e.reply.Send(httpapi.Reply{Status: http.StatusOK, Body: job.OwnStatus()})
 		return
 	}
 	m.waiters[e.job] = append(m.waiters[e.job], e.reply)
@@ -180,7 +180,7 @@
 // JobEnded replies to the cancel requests of a job whose final state has been stored.
 func (m *Manager) JobEnded(job *cluster.Job) {
 	for _, reply := range m.waiters[job.Spec.ID] {
-		reply.Send(httpapi.Reply{Status: http.StatusOK, Body: job.Status()})
+		reply.Send(httpapi.Reply{Status: http.StatusOK, Body: job.OwnStatus()})
 	}
 	delete(m.waiters, job.Spec.ID)
 }
--- a/internal/cluster/dependencies.go
+++ b/internal/cluster/dependencies.go
@@ -1,6 +1,10 @@
 package cluster
 
-import "notchmux.dev/notchmux/internal/micro"
+import (
+	"notchmux.dev/notchmux/internal/jobstatus"
+	"notchmux.dev/notchmux/internal/micro"
+	"notchmux.dev/notchmux/wire"
+)
 
 // FinalStatus is how a job ended, according to the store.
 type FinalStatus struct {
@@ -8,6 +12,27 @@
 	EndedAt micro.Time // monotonic clock
 }
 
+// state returns the final state that is stored.
+func (f FinalStatus) state() wire.JobState {
+	if f.Aborted {
+		return wire.JobAborted
+	}
+	return wire.JobDone
+}
+
+// StoredState returns what is known to be stored about a job, or false if the job is unknown. A write
+// of its final state that has no response yet is not taken into account.
+func (s *State) StoredState(id string) (jobstatus.StoredState, bool) {
+	if status, final := s.FinalStatuses[id]; final {
+		return jobstatus.StoredState{Final: status.state()}, true
+	}
+	job := s.Jobs[id]
+	if job == nil {
+		return jobstatus.StoredState{}, false
+	}
+	return jobstatus.StoredState{Dependencies: job.Spec.Dependencies}, true
+}
+
 // awaitDependencies counts a job's dependencies that have not ended. Whether a dependency completed
 // is taken from its stored final status only: a job that is no longer in the list of live jobs may
 // have been cancelled.
@@ -54,10 +79,9 @@
 	for _, job := range dependents {
 		job.UnmetDependencies--
 		switch {
-		case job.State != Blocked:
 		case status.Aborted:
 			s.cascadeAbort(job)
-		case job.UnmetDependencies == 0:
+		case job.UnmetDependencies == 0 && job.State == Blocked:
 			job.EligibleSince = max(job.SubmittedAt, status.EndedAt)
 			s.transitionJob(job, Active)
 			s.Log("job dependencies are met", "job", job.Spec.ID)
@@ -69,17 +93,20 @@
 }
 
 // cascadeAbort aborts a job and all its direct and indirect dependents. None of them has ever
-// started.
+// started. A job whose own cancellation has begun is already being written as aborted; its dependents
+// do not wait for that write.
 func (s *State) cascadeAbort(job *Job) {
 	for stack := []*Job{job}; len(stack) > 0; {
 		next := stack[len(stack)-1]
 		stack = stack[:len(stack)-1]
-		if next.DependencyAborted || next.IsTerminal() || next.State != Blocked && next.State != Aborting {
+		if next.DependencyAborted || next.State != Blocked && next.State != Aborting {
 			continue
 		}
 		next.DependencyAborted = true
-		s.transitionJob(next, Aborting)
-		s.DependencyAborted(next)
+		if next.State == Blocked {
+			s.transitionJob(next, Aborting)
+			s.DependencyAborted(next)
+		}
 		stack = append(stack, s.dependents[next.Spec.ID]...)
 	}
 }
@@ -127,7 +154,7 @@
 		inherited.deadline = job.SubmittedAt + micro.FromSeconds(*job.Spec.DeadlineS)
 	}
 	for _, dependent := range s.dependents[job.Spec.ID] {
-		if dependent.IsTerminal() || dependent.DependencyAborted || dependent.State == Aborting {
+		if dependent.IsTerminal() || dependent.State == Aborting {
 			continue
 		}
 		inherited.level = min(inherited.level, dependent.PriorityLevel)
--- a/internal/cluster/dependencies_test.go
+++ b/internal/cluster/dependencies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"notchmux.dev/notchmux/internal/cluster"
@@ -33,7 +34,7 @@
 		t.Fatalf("dependencies are %v and %v, want finishing", first.State, second.State)
 	}
 	tc.expectScheduled(0)
-	if dependent.State != cluster.Blocked || dependent.AllocationCount > 0 || dependent.Status().State != wire.JobPending {
+	if dependent.State != cluster.Blocked || dependent.AllocationCount > 0 || tc.status(dependent).State != wire.JobPending {
 		t.Fatalf(
 			"dependent starts on a final status that is not stored: %v with %d allocations",
 			dependent.State, dependent.AllocationCount,
@@ -67,8 +68,8 @@
 	}
 	tc.cluster.ApplyFinalStatus("j-1", cluster.FinalStatus{Aborted: true, EndedAt: tc.now}, tc.now)
 	tc.expectScheduled(0)
-	if job.AllocationCount > 0 || job.Status().State != wire.JobAborted {
-		t.Fatalf("dependent is %v with %d allocations, want aborted", job.Status().State, job.AllocationCount)
+	if job.AllocationCount > 0 || tc.status(job).State != wire.JobAborted {
+		t.Fatalf("dependent is %v with %d allocations, want aborted", tc.status(job).State, job.AllocationCount)
 	}
 }
 
@@ -85,13 +86,13 @@
 		t.Fatal("dependents were aborted before the cancellation was stored: the last task may still complete first")
 	}
 	tc.cluster.FinalizeJob(first, true, tc.now)
-	if len(tc.dependencyAborted) != 20 || both.Status().State != wire.JobAborted {
-		t.Fatalf("%d dependents aborted, want 20; the last is %v", len(tc.dependencyAborted), both.Status().State)
+	if len(tc.dependencyAborted) != 20 || tc.status(both).State != wire.JobAborted {
+		t.Fatalf("%d dependents aborted, want 20; the last is %v", len(tc.dependencyAborted), tc.status(both).State)
 	}
 	if other.State != cluster.Active {
 		t.Fatalf("%v: a job that does not depend on the cancelled one was aborted", other.State)
 	}
-	if late := tc.submitSpec(pipelineJob("j-102", "j-101")); late.Status().State != wire.JobAborted ||
+	if late := tc.submitSpec(pipelineJob("j-102", "j-101")); tc.status(late).State != wire.JobAborted ||
 		late.State != cluster.Aborting {
 		t.Fatalf("dependent submitted after the abort is %v, want aborting", late.State)
 	}
@@ -100,6 +101,32 @@
 	}
 }
 
+// The abort of a job ended at a dependent whose own cancellation had begun: it and the jobs behind it were still reported
+// as pending.
+func TestAbortCascadesBeyondAJobWhoseOwnCancellationHasBegun(t *testing.T) {
+	tc := newTestCluster(t)
+	first, second := tc.submitSpec(pipelineJob("j-1")), tc.submitSpec(pipelineJob("j-2", "j-1"))
+	third, fourth := tc.submitSpec(pipelineJob("j-3", "j-2")), tc.submitSpec(pipelineJob("j-4", "j-3"))
+	tc.cluster.BeginAbort(second)
+	tc.cluster.BeginAbort(first)
+	if got := tc.status(third).State; got != wire.JobPending {
+		t.Fatalf("the third job is %q before any abort is stored, want pending", got)
+	}
+	tc.cluster.FinalizeJob(first, true, tc.now)
+	for _, job := range []*cluster.Job{second, third, fourth} {
+		if got := tc.status(job).State; got != wire.JobAborted || job.State != cluster.Aborting {
+			t.Errorf("%s is %q in state %v, want aborted and aborting", job.Spec.ID, got, job.State)
+		}
+	}
+	if want := []string{"j-3", "j-4"}; !slices.Equal(tc.dependencyAborted, want) {
+		t.Errorf("final states to be written for %v, want %v: the second one's write has begun", tc.dependencyAborted, want)
+	}
+	tc.cluster.FinalizeJob(second, true, tc.now)
+	if len(tc.dependencyAborted) != 2 {
+		t.Errorf("final states to be written for %v: the later end of the second job added some", tc.dependencyAborted)
+	}
+}
+
 // The cancellation of a job is answered with `done`, so its dependents may start.
 func TestCancellationAfterCompletionLetsDependentsStart(t *testing.T) {
 	tc := newTestCluster(t)
@@ -120,9 +147,9 @@
 	third, second := tc.submitSpec(pipelineJob("j-3", "j-2")), tc.submitSpec(
 		pipelineJob("j-2", "j-1"),
 	) // jobs are read in no particular order
-	if second.Status().State != wire.JobAborted || third.Status().State != wire.JobAborted ||
+	if tc.status(second).State != wire.JobAborted || tc.status(third).State != wire.JobAborted ||
 		len(tc.dependencyAborted) != 2 {
-		t.Fatalf("dependents are %v and %v, want aborted", second.Status().State, third.Status().State)
+		t.Fatalf("dependents are %v and %v, want aborted", tc.status(second).State, tc.status(third).State)
 	}
 	tc.now += 5 * micro.Second
 	if job := tc.cluster.AddJob(pipelineJob("j-6", "j-5"), tc.now-60*micro.Second, tc.now); job.State != cluster.Active ||
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -158,8 +158,9 @@
 	return out
 }
 
-// Status returns the job's status as shown to users.
-func (j *Job) Status() wire.JobStatus {
+// OwnStatus returns the status that follows from the state of the job itself. Unless it is final,
+// the status that is reported to users also depends on the job's dependencies, see jobstatus.Derive.
+func (j *Job) OwnStatus() wire.JobStatus {
 	status := wire.JobStatus{
 		ID: j.Spec.ID, State: wire.JobPending, Done: max(j.DoneTasks, j.ShardDoneTasks),
 		Running: j.RunningTasks + j.ShardRunningTasks,
@@ -169,30 +170,10 @@
 		status.State = wire.JobRunning
 	case j.State == Done:
 		status.State, status.Done, status.Running = wire.JobDone, len(j.Tasks), 0
-	case j.State == Aborted, j.DependencyAborted:
+	case j.State == Aborted:
 		status.State = wire.JobAborted
 	case j.RunningTasks > 0 || j.Started && j.AllocationCount > 0:
 		status.State = wire.JobRunning
 	}
 	return status
 }
-
-// maxListedDependencies is the maximum number of unmet dependencies listed to a job's user.
-const maxListedDependencies = 10
-
-// PendingDependencies returns up to maxListedDependencies of the jobs that a blocked job still
-// waits for.
-func (s *State) PendingDependencies(job *Job) []string {
-	var ids []string
-	if job.State != Blocked {
-		return nil
-	}
-	for _, id := range job.Spec.Dependencies {
-		if _, final := s.FinalStatuses[id]; !final {
-			if ids = append(ids, id); len(ids) == maxListedDependencies {
-				break
-			}
-		}
-	}
-	return ids
-}
--- a/internal/cluster/retention.go
+++ b/internal/cluster/retention.go
@@ -40,9 +40,9 @@
 }
 
 // pruneFinalStatuses removes old final statuses, except those of jobs that are still in memory or
-// that a blocked job depends on.
+// that a job without a final status depends on: its status is derived from them.
 func (s *State) pruneFinalStatuses(now micro.Time) {
-	dependencies := s.awaitedJobs()
+	dependencies := s.dependenciesOfUnfinished()
 	for id, status := range s.FinalStatuses {
 		if now-status.EndedAt > finalStatusRetention && s.Jobs[id] == nil && !dependencies[id] {
 			delete(s.FinalStatuses, id)
@@ -50,14 +50,11 @@
 	}
 }
 
-// awaitedJobs returns the jobs on which blocked jobs depend.
-func (s *State) awaitedJobs() map[string]bool {
+// dependenciesOfUnfinished returns the direct dependencies of all jobs without a final status.
+func (s *State) dependenciesOfUnfinished() map[string]bool {
 	dependencies := map[string]bool{}
-	if s.BlockedJobs == 0 {
-		return dependencies
-	}
 	for _, job := range s.Jobs {
-		if job.State != Blocked {
+		if job.IsTerminal() {
 			continue
 		}
 		for _, id := range job.Spec.Dependencies {
--- a/internal/cluster/retention_test.go
+++ b/internal/cluster/retention_test.go
@@ -57,10 +57,10 @@
 	if tc.cluster.Jobs["j-4"] == nil {
 		t.Error("a job with unwritten changes was pruned")
 	}
-	if _, ok := tc.cluster.FinalStatuses["j-2"]; !ok || len(tc.cluster.PendingDependencies(blocked)) != 1 {
+	if _, ok := tc.cluster.FinalStatuses["j-2"]; !ok || len(tc.status(blocked).Dependencies) != 1 {
 		t.Errorf(
 			"the final status of a dependency was pruned: blocked job waits for %v",
-			tc.cluster.PendingDependencies(blocked),
+			tc.status(blocked).Dependencies,
 		)
 	}
 	if tc.cluster.Jobs["j-3"] != nil || tc.cluster.Jobs["j-5"] == nil {
@@ -71,6 +71,28 @@
 	}
 }
 
+// The status of a job whose own cancellation has begun, and of a job that has not started, is still derived from the
+// final statuses of their dependencies.
+func TestPruneKeepsFinalStatusesThatStatusesAreDerivedFrom(t *testing.T) {
+	tc := newTestCluster(t)
+	tc.cluster.FinalizeJob(tc.submit("j-1", wire.JobArray, 1, 1), true, tc.now)
+	tc.cluster.FinalizeJob(tc.submit("j-2", wire.JobArray, 1, 1), false, tc.now)
+	cancelled, eligible := tc.submitSpec(pipelineJob("j-3", "j-1")), tc.submitSpec(pipelineJob("j-4", "j-2"))
+	if cancelled.State != cluster.Aborting || eligible.State != cluster.Active {
+		t.Fatalf("dependents are %v and %v, want aborting and active", cancelled.State, eligible.State)
+	}
+	tc.now += 2 * 60 * micro.Minute
+	tc.cluster.Prune(tc.now, alwaysSettled)
+	for id, want := range map[string]wire.JobState{"j-1": wire.JobAborted, "j-2": wire.JobDone} {
+		if stored, ok := tc.cluster.StoredState(id); !ok || stored.Final != want {
+			t.Errorf("stored state of %s: got %+v, known %v, want %s", id, stored, ok, want)
+		}
+	}
+	if got := tc.status(cancelled).State; got != wire.JobAborted {
+		t.Errorf("a job whose dependency was aborted is %q, want aborted", got)
+	}
+}
+
 // A single record holds the images of only about 200 machines, so those of a larger fleet were not
 // known to the next leader.
 func TestImagesOfThousandsOfMachinesAreRestoredByTheNextLeader(t *testing.T) {
--- a/internal/cluster/scenario_test.go
+++ b/internal/cluster/scenario_test.go
@@ -177,8 +177,8 @@
 	if len(agent.Tasks) != 1 {
 		t.Fatal("attempt forgotten before its completion was stored")
 	}
-	if job.Status().State == wire.JobDone || len(tc.finishedJobs) != 1 {
-		t.Fatalf("state %v before the final status is stored, requested for %v", job.Status().State, tc.finishedJobs)
+	if tc.status(job).State == wire.JobDone || len(tc.finishedJobs) != 1 {
+		t.Fatalf("state %v before the final status is stored, requested for %v", tc.status(job).State, tc.finishedJobs)
 	}
 	tc.failOver(2)
 	tc.heartbeat(agent)
--- a/internal/cluster/testcluster_test.go
+++ b/internal/cluster/testcluster_test.go
@@ -7,6 +7,7 @@
 	"notchmux.dev/notchmux/internal/cluster"
 	"notchmux.dev/notchmux/internal/config"
 	"notchmux.dev/notchmux/internal/fake"
+	"notchmux.dev/notchmux/internal/jobstatus"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/scheduler"
 	"notchmux.dev/notchmux/wire"
@@ -100,6 +101,22 @@
 	tc.cluster.FinishRestore(tc.now)
 }
 
+// StoredState implements jobstatus.Source. A job that the state does not know counts as not ended.
+func (tc *testCluster) StoredState(id string) (jobstatus.StoredState, error) {
+	stored, _ := tc.cluster.StoredState(id)
+	return stored, nil
+}
+
+// status returns the status of a job as a leader reports it.
+func (tc *testCluster) status(job *cluster.Job) wire.JobStatus {
+	tc.t.Helper()
+	derived, err := jobstatus.Derive(job.OwnStatus(), job.Spec.Dependencies, tc)
+	if err != nil {
+		tc.t.Fatal(err)
+	}
+	return derived.Status
+}
+
 // submit submits a job of the team and class that all tests share.
 func (tc *testCluster) submit(id string, kind wire.JobKind, tasks int, cpus float64) *cluster.Job {
 	spec := wire.Job{
--- a/internal/controller/leader_jobs.go
+++ b/internal/controller/leader_jobs.go
@@ -48,9 +48,7 @@
 func (e statusesQueried) Apply() {
 	found := make([]wire.JobStatus, 0, len(e.ids))
 	for _, id := range e.ids {
-		if job := e.leader.cluster.Jobs[id]; job != nil && !e.leader.endUncertain(job) {
-			status := job.Status()
-			status.Dependencies = e.leader.cluster.PendingDependencies(job)
+		if status, ok := e.leader.status(id); ok {
 			found = append(found, status)
 		}
 	}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -27,7 +27,7 @@
 // queries for such a job are answered from the node's cache of final statuses, or from the store.
 func (l *Leader) prune(pruned []*cluster.Job) {
 	for _, job := range pruned {
-		l.node.jobs.FinalStatuses().Put(job.Status())
+		l.node.jobs.FinalStatuses().Put(job.OwnStatus())
 		l.intake.Forget(job.Spec.ID)
 	}
 }
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -173,6 +173,7 @@
 	}
 	s.reader = &statusReader{
 		store: deps.Store, jobs: deps.Jobs, finalStatuses: s.finalStatuses, budget: s.budget, now: deps.Now,
+		log: deps.Log,
 	}
 	s.lookups = newStatusLookups(s, s.acceptedIDs, s.budget, deps.Now, s.maxIDsPerRequest)
 	return s
--- a/internal/jobapi/status_reader.go
+++ b/internal/jobapi/status_reader.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 
 	"notchmux.dev/notchmux/internal/cluster"
 	"notchmux.dev/notchmux/internal/httpapi"
+	"notchmux.dev/notchmux/internal/jobstatus"
 	"notchmux.dev/notchmux/internal/keys"
 	"notchmux.dev/notchmux/internal/micro"
 	"notchmux.dev/notchmux/internal/store"
@@ -29,6 +31,7 @@
 	finalStatuses *FinalStatusCache
 	budget        *lookupBudget
 	now           func() micro.Time
+	log           *slog.Logger
 }
 
 // read returns the status of a job as stored: the job's own keys tell whether it exists and how it ended, the records
@@ -52,26 +55,29 @@
 	case !job.Ended && !job.DependenciesComplete:
 		return httpapi.Reply{}, fmt.Errorf("stored dependency list of job %s is incomplete: %w", id, store.ErrUncertain)
 	}
-	status := wire.JobStatus{ID: id, State: wire.JobPending, Done: done, Running: running}
-	if job.Ended {
-		status.State = job.FinalStatus.State
-	} else if len(job.Spec.Dependencies) > 0 && done+running == 0 {
-		unmet, aborted, err := r.dependencyStatus(job.Spec.Dependencies, class)
-		if err != nil {
-			return httpapi.Reply{}, fmt.Errorf("read dependencies of job %s: %w", id, err)
-		}
-		if aborted {
-			return r.finalReply(id, wire.JobAborted, &job), nil
-		}
-		status.Dependencies = unmet
+	own := wire.JobStatus{ID: id, State: wire.JobPending, Done: done, Running: running}
+	switch {
+	case job.Ended:
+		own.State = job.FinalStatus.State
+	case running > 0:
+		own.State = wire.JobRunning
+	}
+	derived, err := jobstatus.Derive(own, job.Spec.Dependencies, &storedDependencies{reader: r, class: class})
+	if err != nil {
+		return httpapi.Reply{}, fmt.Errorf("read dependencies of job %s: %w", id, err)
+	}
+	if derived.AbortedDependency != "" {
+		r.log.Debug(
+			"job status follows from an aborted dependency", "job", id, "dependency",
+			derived.AbortedDependency,
+		)
+		r.finalStatuses.Put(derived.Status)
+		return statusReply(derived.Status), nil
 	}
 	if r.now()-readAt > MaxReadAge {
 		return httpapi.Reply{}, fmt.Errorf("read of unfinished job %s took too long: %w", id, store.ErrUncertain)
 	}
-	if running > 0 {
-		status.State = wire.JobRunning
-	}
-	return statusReply(status), nil
+	return statusReply(derived.Status), nil
 }
 
 // countTasks reads the task records of a job and returns how many tasks are done and how many are running.
@@ -97,38 +103,27 @@
 	return statusReply(status)
 }
 
-// dependencyStatus reports whether any of the dependencies, direct or transitive, is stored as aborted: then the job
-// that depends on it is aborted too, although a leader may not have written its final status yet. Otherwise unmet holds
-// direct dependencies without a stored final status.
-func (r *statusReader) dependencyStatus(
-	dependencies []string, class store.Class,
-) (unmet []string, aborted bool, err error) {
-	visited := map[string]bool{}
-	for queue := dependencies; len(queue) > 0; {
-		id := queue[0]
-		queue = queue[1:]
-		if visited[id] {
-			continue
-		}
-		if visited[id] = true; len(visited) > maxDependencyReads {
-			return nil, false, store.ErrBudgetExhausted
-		}
-		job, err := r.readDependency(id, class)
-		if err != nil {
-			return nil, false, err
-		}
-		if job.Ended {
-			if job.FinalStatus.State == wire.JobAborted {
-				return nil, true, nil
-			}
-			continue
-		}
-		if len(visited) <= len(dependencies) {
-			unmet = append(unmet, id)
-		}
-		queue = append(queue[:len(queue):len(queue)], job.Spec.Dependencies...)
+// storedDependencies provides the stored states of dependencies for one status. It implements jobstatus.Source.
+type storedDependencies struct {
+	reader *statusReader
+	class  store.Class
+	reads  int
+}
+
+// StoredState returns the stored state of a job. It returns store.ErrBudgetExhausted if more than maxDependencyReads
+// jobs are needed for one status.
+func (d *storedDependencies) StoredState(id string) (jobstatus.StoredState, error) {
+	if d.reads++; d.reads > maxDependencyReads {
+		return jobstatus.StoredState{}, store.ErrBudgetExhausted
+	}
+	job, err := d.reader.readDependency(id, d.class)
+	if err != nil {
+		return jobstatus.StoredState{}, err
+	}
+	if job.Ended {
+		return jobstatus.StoredState{Final: job.FinalStatus.State}, nil
 	}
-	return unmet, false, nil
+	return jobstatus.StoredState{Dependencies: job.Spec.Dependencies}, nil
 }
 
 // readDependency reads a job on which another one depends, unless its final status is cached.
