--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -241,6 +241,9 @@
 	}
 }
 
+// peersRefused is the partition in which connections to other controllers are refused at once, and do not time out.
+const peersRefused = "peers refused"
+
 // controllerProcess is a controller across restarts of its process.
 type controllerProcess struct {
 	sim        *simCluster
@@ -254,7 +257,7 @@
 	cancel            context.CancelFunc
 	alive             bool
 	frozenUntil       time.Time         // end of its process pause
-	partitions        map[string]bool   // connections that are cut: state, peers, workers, users, cloud
+	partitions        map[string]bool   // connections that are cut: state, peers, peersRefused, workers, users, cloud
 	storeReachability fake.Reachability // while it is not partitioned from the store
 
 	peerDelay micro.Time // delay of each reply to another controller
@@ -507,7 +510,7 @@
 			continue
 		}
 		n := other.runningNode()
-		if n == nil {
+		if n == nil || c.process.partitionedFrom(peersRefused) {
 			return 0, nil, peer.ErrUnreachable
 		}
 		if other.partitionedFrom("peers") || c.process.partitionedFrom("peers") || c.process.runningNode() == nil ||
