--- a/internal/autoscaler/boot_test.go
+++ b/internal/autoscaler/boot_test.go
@@ -52,7 +52,6 @@
 			ID: "j-1", Class: "c", Kind: wire.JobArray, Priority: wire.Normal, Tasks: 4, CPUs: 1, MemoryGB: 1, EstimateS: 100,
 		},
 		now,
-		now,
 	)
 	properties := config.Defaults()
 	sched := &scheduler.Scheduler{Cluster: sim.Cluster, Objectives: sim.Objectives, Properties: &properties}
--- a/internal/autoscaler/decisions_test.go
+++ b/internal/autoscaler/decisions_test.go
@@ -164,7 +164,7 @@
 	if d.rng.IntN(5) == 0 {
 		waited += 3 * micro.Minute
 	}
-	job := d.state.AddJob(spec, d.now-waited, d.now)
+	job := d.state.AddJob(spec, d.now-waited)
 	d.jobs = append(d.jobs, job)
 	if d.planner.ShardDemands != nil && d.rng.IntN(4) == 0 {
 		d.state.Assign(job, "shard")
--- a/internal/autoscaler/planner_test.go
+++ b/internal/autoscaler/planner_test.go
@@ -44,7 +44,6 @@
 			EstimateS: 100,
 		},
 		now-micro.Minute,
-		now,
 	)
 }
 
@@ -171,7 +170,6 @@
 			ID: "j-1", Class: "c", Kind: wire.Service, Priority: wire.Normal, Tasks: 2, CPUs: 1, MemoryGB: 1, Spread: true,
 		},
 		now-micro.Minute,
-		now,
 	)
 	planner.Cluster.Allocate(job, 0, planner.Cluster.Machines["i-1"], 1, 1, now)
 	scaleOuts, _ := planner.Plan(now)
@@ -195,7 +193,6 @@
 			EstimateS: 100,
 		},
 		now-micro.Minute,
-		now,
 	)
 	planner.Cluster.Allocate(job, 0, planner.Cluster.Machines["i-1"], 1, 4, now)
 	scaleOuts, _ := planner.Plan(now)
@@ -213,7 +210,7 @@
 	planner.Cluster.TransitionMachine(machine, cluster.Up, "heartbeat")
 	planner.Cluster.SetCordoned(machine, true)
 	planner.Cluster.AddJob(
-		wire.Job{ID: "j-1", Class: "c", Kind: wire.JobArray, Priority: wire.Low, Tasks: 1, CPUs: 1, EstimateS: 10}, now, now,
+		wire.Job{ID: "j-1", Class: "c", Kind: wire.JobArray, Priority: wire.Low, Tasks: 1, CPUs: 1, EstimateS: 10}, now,
 	)
 	planner.Plan(now + micro.Second)
 	if !machine.Cordoned {
@@ -280,7 +277,7 @@
 	planner.Cluster.Teams["team"] = team
 	service := planner.Cluster.AddJob(wire.Job{
 		ID: "j-1", Team: "team", Class: "c", Kind: wire.Service, Priority: wire.Normal, Tasks: 2, CPUs: 4, MemoryGB: 1,
-	}, now-micro.Minute, now)
+	}, now-micro.Minute)
 	planner.OwnsOffer = func(offer InstanceOffer) bool { return offer.Zone == "b" }
 	planner.ShardAcceptsJob = func(*cluster.Job, InstanceOffer) bool { return true }
 	if scaleOuts, _ := planner.Plan(now); len(scaleOuts) > 0 {
--- a/internal/autoscaler/price_test.go
+++ b/internal/autoscaler/price_test.go
@@ -39,7 +39,6 @@
 			Spot: true, EstimateS: 300,
 		},
 		now-maxExpensiveDelay-micro.Second,
-		now,
 	)
 }
 
--- a/internal/cluster/compact_test.go
+++ b/internal/cluster/compact_test.go
@@ -45,7 +45,7 @@
 	state := cluster.New(effects)
 	state.MinFencingToken = 2 << 24
 	state.EnableCompactRecords(tasks)
-	job := state.AddJob(spec, now, now)
+	job := state.AddJob(spec, now)
 	for index, record := range s.compact {
 		state.RestoreCompactChunk(job, index, &record, 5, now)
 	}
--- a/internal/cluster/dependencies.go
+++ b/internal/cluster/dependencies.go
@@ -69,7 +69,7 @@
 // ApplyFinalStatus applies a job's stored final status. It unblocks the job's dependents or, if the
 // job was aborted, aborts all direct and indirect dependents. The aborts follow from that one
 // status alone, so any other leader or controller reaches the same result.
-func (s *State) ApplyFinalStatus(id string, status FinalStatus, _ micro.Time) {
+func (s *State) ApplyFinalStatus(id string, status FinalStatus) {
 	if _, known := s.FinalStatuses[id]; known {
 		return
 	}
--- a/internal/cluster/dependencies_test.go
+++ b/internal/cluster/dependencies_test.go
@@ -66,7 +66,7 @@
 	if job.State != cluster.Blocked || len(tc.unknownDependencies) != 1 || tc.unknownDependencies[0] != "j-1" {
 		t.Fatalf("dependent is %v, looked up: %v", job.State, tc.unknownDependencies)
 	}
-	tc.cluster.ApplyFinalStatus("j-1", cluster.FinalStatus{Aborted: true, EndedAt: tc.now}, tc.now)
+	tc.cluster.ApplyFinalStatus("j-1", cluster.FinalStatus{Aborted: true, EndedAt: tc.now})
 	tc.expectScheduled(0)
 	if job.AllocationCount > 0 || tc.status(job).State != wire.JobAborted {
 		t.Fatalf("dependent is %v with %d allocations, want aborted", tc.status(job).State, job.AllocationCount)
@@ -152,7 +152,7 @@
 		t.Fatalf("dependents are %v and %v, want aborted", tc.status(second).State, tc.status(third).State)
 	}
 	tc.now += 5 * micro.Second
-	if job := tc.cluster.AddJob(pipelineJob("j-6", "j-5"), tc.now-60*micro.Second, tc.now); job.State != cluster.Active ||
+	if job := tc.cluster.AddJob(pipelineJob("j-6", "j-5"), tc.now-60*micro.Second); job.State != cluster.Active ||
 		job.EligibleSince != tc.now-14*micro.Second {
 		t.Fatalf(
 			"dependent is %v, eligible for %v s, want active and 14 s", job.State, (tc.now - job.EligibleSince).Seconds(),
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -93,7 +93,7 @@
 // AddJob adds a job, or returns the existing one if it is known already. A job with dependencies
 // uses none of its team's guarantee and is not scheduled until the final statuses of all of them
 // are known to be in the store.
-func (s *State) AddJob(spec wire.Job, submitted, _ micro.Time) *Job {
+func (s *State) AddJob(spec wire.Job, submitted micro.Time) *Job {
 	if job := s.Jobs[spec.ID]; job != nil {
 		return job
 	}
--- a/internal/cluster/job_lifecycle.go
+++ b/internal/cluster/job_lifecycle.go
@@ -56,6 +56,6 @@
 	for _, allocation := range job.Allocations() {
 		s.StopAllocation(allocation, "job over", 0, now)
 	}
-	s.ApplyFinalStatus(job.Spec.ID, FinalStatus{Aborted: aborted, EndedAt: now}, now)
+	s.ApplyFinalStatus(job.Spec.ID, FinalStatus{Aborted: aborted, EndedAt: now})
 	s.ScheduleSoon()
 }
--- a/internal/cluster/quota_test.go
+++ b/internal/cluster/quota_test.go
@@ -31,7 +31,7 @@
 func (tc *testCluster) failOverWithAgent(revision uint64, agent *fake.Agent) {
 	tc.startTerm(revision)
 	for _, spec := range tc.jobs {
-		job := tc.cluster.AddJob(spec, tc.now, tc.now)
+		job := tc.cluster.AddJob(spec, tc.now)
 		if spec.ID == "j-1" {
 			tc.cancel()
 		}
--- a/internal/cluster/testcluster_test.go
+++ b/internal/cluster/testcluster_test.go
@@ -93,7 +93,7 @@
 func (tc *testCluster) failOver(revision uint64) {
 	tc.startTerm(revision)
 	for _, spec := range tc.jobs {
-		job := tc.cluster.AddJob(spec, tc.now, tc.now)
+		job := tc.cluster.AddJob(spec, tc.now)
 		for index, record := range tc.storedRecords[spec.ID] {
 			tc.cluster.RestoreChunk(job, index, &record, 1, tc.now)
 		}
@@ -123,7 +123,7 @@
 		ID: id, Team: "team", Class: "c", Kind: kind, Priority: wire.Normal, Tasks: tasks, CPUs: cpus, MemoryGB: 1,
 	}
 	tc.jobs = append(tc.jobs, spec)
-	return tc.cluster.AddJob(spec, tc.now, tc.now)
+	return tc.cluster.AddJob(spec, tc.now)
 }
 
 // submitScheduled submits a job, schedules the given number of its tasks in one pass and stores the
@@ -242,7 +242,7 @@
 }
 
 func (tc *testCluster) submitSpec(spec wire.Job) *cluster.Job {
-	return tc.cluster.AddJob(spec, tc.now, tc.now)
+	return tc.cluster.AddJob(spec, tc.now)
 }
 
 // cancel finalizes j-1 as cancelled.
--- a/internal/controller/fleet_bench_test.go
+++ b/internal/controller/fleet_bench_test.go
@@ -246,7 +246,6 @@
 						ID: id, Class: "c", Team: "team", Kind: wire.JobArray, Priority: wire.Low, Tasks: 1, CPUs: 1, EstimateS: 20,
 					},
 					fleet.now,
-					fleet.now,
 				)
 				fleet.leader.cluster.AddJob(
 					wire.Job{
@@ -254,7 +253,6 @@
 						Dependencies: []string{id},
 					},
 					fleet.now,
-					fleet.now,
 				)
 				fleet.leader.cluster.FinalizeJob(j, false, fleet.now)
 			}
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -107,7 +107,7 @@
 }
 
 func (test *testDispatcher) addJob(spec wire.Job) *cluster.Job {
-	return test.cluster.AddJob(spec, test.at, test.at)
+	return test.cluster.AddJob(spec, test.at)
 }
 
 // An overloaded leader sends directly only commands that cannot wait for the machine's next heartbeat.
--- a/internal/persist/records_test.go
+++ b/internal/persist/records_test.go
@@ -92,7 +92,7 @@
 }
 
 func (h *testHost) addJob(tasks int) *cluster.Job {
-	return h.cluster.AddJob(wire.Job{ID: "j-1", Kind: wire.JobArray, Tasks: tasks, CPUs: 1}, h.now, h.now)
+	return h.cluster.AddJob(wire.Job{ID: "j-1", Kind: wire.JobArray, Tasks: tasks, CPUs: 1}, h.now)
 }
 
 // commit flushes the writes that are due and applies the store's response.
--- a/internal/provision/provisioner_test.go
+++ b/internal/provision/provisioner_test.go
@@ -146,7 +146,7 @@
 func (h *harness) submit(tasks int) {
 	h.state.AddJob(wire.Job{
 		ID: "j-1", Class: "c", Kind: wire.JobArray, Priority: wire.Normal, Tasks: tasks, CPUs: 4, MemoryGB: 1, EstimateS: 100,
-	}, h.Now()-micro.Minute, h.Now())
+	}, h.Now()-micro.Minute)
 }
 
 // runInFakeTime runs a scenario in fake time with a new harness whose leader holds its lease.
--- a/internal/recovery/dependencies.go
+++ b/internal/recovery/dependencies.go
@@ -98,7 +98,7 @@
 	for _, id := range e.jobs {
 		if end, ended := e.snapshot.Ends[id]; ended {
 			delete(e.intake.lookups.unresolved, id)
-			e.intake.Cluster.ApplyFinalStatus(id, finalStatus(end, now, wall), now)
+			e.intake.Cluster.ApplyFinalStatus(id, finalStatus(end, now, wall))
 			continue
 		}
 		if job, ok := e.snapshot.Specs[id]; ok && e.snapshot.CompleteDependencies(&job) {
--- a/internal/recovery/intake.go
+++ b/internal/recovery/intake.go
@@ -61,7 +61,7 @@
 func (i *Intake) InsertJob(spec wire.Job, now, wall micro.Time) *cluster.Job {
 	i.known.Store(spec.ID, true)
 	age := max(wall-micro.Time(spec.SubmittedAt), 0)
-	job := i.Cluster.AddJob(spec, now-age, now)
+	job := i.Cluster.AddJob(spec, now-age)
 	job.Class.StartObjective = i.Objectives.StartObjective(spec.Class)
 	return job
 }
--- a/internal/scheduler/best_effort_test.go
+++ b/internal/scheduler/best_effort_test.go
@@ -68,7 +68,7 @@
 	return b.cluster.AddJob(wire.Job{
 		ID: fmt.Sprint(healthyJobs, 10000+b.submitted), Team: team, Class: class, Kind: wire.JobArray, Priority: priority,
 		Tasks: tasks, CPUs: 1, MemoryGB: 1, EstimateS: simulatedRun.Seconds(),
-	}, b.now, b.now)
+	}, b.now)
 }
 
 // submitGuestJobs submits all jobs of the guest team except the single-task jobs.
--- a/internal/scheduler/decisions_test.go
+++ b/internal/scheduler/decisions_test.go
@@ -161,7 +161,7 @@
 	if d.rng.IntN(5) == 0 {
 		waited += 3 * micro.Minute
 	}
-	d.jobs = append(d.jobs, d.state.AddJob(spec, d.now-waited, d.now))
+	d.jobs = append(d.jobs, d.state.AddJob(spec, d.now-waited))
 }
 
 // setClassAndRequest sets the class, the number of tasks and the request of a job according to its kind.
--- a/internal/scheduler/failing_jobs_test.go
+++ b/internal/scheduler/failing_jobs_test.go
@@ -101,7 +101,6 @@
 			EstimateS: simulatedRun.Seconds(),
 		},
 		s.now,
-		s.now,
 	)
 }
 
--- a/internal/scheduler/headroom_test.go
+++ b/internal/scheduler/headroom_test.go
@@ -40,7 +40,6 @@
 			CPUs: 24 - cpusBesideGPUTask, GPUs: 4, MemoryGB: 150, ImageGB: 7,
 		},
 		testNow,
-		testNow,
 	)
 	for at := testNow - 2*micro.Minute; at < testNow; at += micro.Second {
 		gang.Class.Arrivals = append(gang.Class.Arrivals, at)
@@ -56,7 +55,6 @@
 			CPUs: 1, MemoryGB: 1, CheckpointIntervalS: 30, CheckpointDurationS: 3,
 		},
 		testNow,
-		testNow,
 	)
 	lowPriority.DoneTasks = 1 // proves that the array does not fail on every machine, so that it is not throttled
 	return scheduler, lowPriority
@@ -108,7 +106,6 @@
 			CheckpointIntervalS: 30, CheckpointDurationS: 3,
 		},
 		testNow,
-		testNow,
 	)
 	if scheduler.Schedule(testNow + micro.Second); overdueJob.AllocationCount > 0 {
 		t.Fatalf(
--- a/internal/scheduler/quota_transfer_test.go
+++ b/internal/scheduler/quota_transfer_test.go
@@ -63,7 +63,7 @@
 func (qc *quotaCluster) submitService(priority wire.Priority, replicas, running int, spec wire.Job) *cluster.Job {
 	spec.ID, spec.Team, spec.Class = fmt.Sprint("j-", 1000+len(qc.services)), "team", "c"
 	spec.Kind, spec.Priority, spec.Tasks = wire.Service, priority, replicas
-	job := qc.state.AddJob(spec, qc.now-micro.Minute+micro.Time(len(qc.services)), qc.now)
+	job := qc.state.AddJob(spec, qc.now-micro.Minute+micro.Time(len(qc.services)))
 	qc.services = append(qc.services, job)
 	for i := range running {
 		for _, machine := range qc.state.SortedMachines() {
@@ -287,7 +287,7 @@
 		qc.submitService(wire.Normal, 2, 1, wire.Job{CPUs: 1, Zone: &zone})
 	}
 	array := wire.Job{ID: "j-9", Class: "idle", Kind: wire.JobArray, Priority: wire.Low, Tasks: 9, CPUs: 1}
-	qc.services = append(qc.services, qc.state.AddJob(array, qc.now, qc.now))
+	qc.services = append(qc.services, qc.state.AddJob(array, qc.now))
 	qc.runFor(4 * micro.Minute)
 	qc.expectPlaced(2, 0, 6)
 }
@@ -447,7 +447,7 @@
 		)
 	}
 	other := wire.Job{ID: "j-9", Class: "other", Kind: wire.JobArray, Priority: wire.Normal, Tasks: 1, CPUs: 4}
-	qc.state.AddJob(other, qc.now, qc.now)
+	qc.state.AddJob(other, qc.now)
 	qc.runFor(5 * micro.Second)
 	qc.hung[stopped.Machine.Name] = false
 	qc.runFor(2 * micro.Second)
@@ -470,7 +470,7 @@
 	qc.submitService(wire.Normal, 4, 2, oneCPU)
 	qc.submitService(wire.Normal, 4, 2, oneCPU)
 	gang := wire.Job{ID: "j-9", Team: "team", Class: "c", Kind: wire.Gang, Priority: wire.Normal, Tasks: 3, CPUs: 1}
-	qc.team.QuotaReservedFor, qc.team.QuotaReservedAt = qc.state.AddJob(gang, qc.now, qc.now), qc.now
+	qc.team.QuotaReservedFor, qc.team.QuotaReservedAt = qc.state.AddJob(gang, qc.now), qc.now
 	qc.runFor(50 * micro.Second)
 	qc.expectPlaced(4, 0)
 	if free := qc.team.CPULimit - qc.team.UsedCPU; free != 1 {
@@ -627,7 +627,7 @@
 // fillMachines fills all empty machines with tasks without a team, of the same priority as the services.
 func (qc *quotaCluster) fillMachines() {
 	spec := wire.Job{ID: "j-9", Class: "c", Kind: wire.JobArray, Priority: wire.Normal, Tasks: 5000, CPUs: 4}
-	array := qc.state.AddJob(spec, qc.now, qc.now)
+	array := qc.state.AddJob(spec, qc.now)
 	next := 0
 	for _, machine := range qc.state.SortedMachines() {
 		if len(machine.Allocations) == 0 {
--- a/internal/scheduler/relaxation_test.go
+++ b/internal/scheduler/relaxation_test.go
@@ -53,7 +53,6 @@
 			ID: id, Class: "c", Kind: wire.JobArray, Priority: wire.Normal, Tasks: tasks, CPUs: cpus, MemoryGB: 1, EstimateS: 10,
 		},
 		at,
-		at,
 	)
 }
 
@@ -102,7 +101,7 @@
 		tc.addMachine("gpu-1", "gpu", "a")
 		tc.scheduler.WithinPrice = func(*cluster.Job, *cluster.MachineType, bool, micro.Time) bool { return false }
 		job := tc.cluster.AddJob(
-			wire.Job{ID: "j-1", Class: "c", Kind: kind, Priority: wire.Normal, Tasks: 2, CPUs: 1}, micro.Second, micro.Second,
+			wire.Job{ID: "j-1", Class: "c", Kind: kind, Priority: wire.Normal, Tasks: 2, CPUs: 1}, micro.Second,
 		)
 		at, _ := tc.runUntilAllocated(job, 2, micro.Second, nil)
 		tc.checkOverdueWait("expensive machine, "+string(kind), at-micro.Second)
@@ -181,7 +180,7 @@
 	tc.scheduler.Schedule(micro.Second) // one machine stays busy
 	tc.cluster.AddJob(
 		wire.Job{ID: "j-2", Class: "g", Kind: wire.Gang, Priority: wire.Normal, Tasks: 3, CPUs: 4, OneZone: true},
-		micro.Second, micro.Second,
+		micro.Second,
 	)
 	from := 3 * micro.Minute
 	for now := micro.Second; now < from; now += micro.Second {
@@ -212,7 +211,7 @@
 	}
 	submit := func(id string, kind wire.JobKind, tasks int, at micro.Time) *cluster.Job {
 		return tc.cluster.AddJob(
-			wire.Job{ID: id, Team: "team", Class: id, Kind: kind, Priority: wire.Normal, Tasks: tasks, CPUs: 4}, at, at,
+			wire.Job{ID: id, Team: "team", Class: id, Kind: kind, Priority: wire.Normal, Tasks: tasks, CPUs: 4}, at,
 		)
 	}
 	submit("j-1", wire.Service, 1, 0)
@@ -241,7 +240,7 @@
 	tc.addMachine("i-2", "small", "b")
 	gang := func(id string, oneZone bool) *cluster.Job {
 		return tc.cluster.AddJob(
-			wire.Job{ID: id, Class: "c", Kind: wire.Gang, Priority: wire.Normal, Tasks: 2, CPUs: 4, OneZone: oneZone}, 0, 0,
+			wire.Job{ID: id, Class: "c", Kind: wire.Gang, Priority: wire.Normal, Tasks: 2, CPUs: 4, OneZone: oneZone}, 0,
 		)
 	}
 	gang("j-1", true)
@@ -264,7 +263,6 @@
 			ID: "j-1", Class: "c", Kind: wire.JobArray, Priority: wire.Normal, Tasks: 1, CPUs: 1, MemoryGB: 1, DeadlineS: &due,
 		},
 		60*micro.Second,
-		60*micro.Second,
 	) // its deadline puts it before the overdue job in each pass
 	job := tc.submitArray("j-2", 1, 1, 10*micro.Second)
 	tc.scheduler.Schedule(70 * micro.Second)
--- a/internal/scheduler/sampling_test.go
+++ b/internal/scheduler/sampling_test.go
@@ -31,7 +31,7 @@
 		state.TransitionMachine(m, cluster.Up, "heartbeat")
 	}
 	job := state.AddJob(
-		wire.Job{ID: "j-1", Class: "c", Kind: wire.JobArray, Priority: wire.Normal, Tasks: wire.MaxTasks, CPUs: 1}, 0, 0,
+		wire.Job{ID: "j-1", Class: "c", Kind: wire.JobArray, Priority: wire.Normal, Tasks: wire.MaxTasks, CPUs: 1}, 0,
 	)
 	job.DoneTasks = 1 // proves that the job does not fail on every machine, see cluster.Job.SchedulableTasks
 	properties := config.Defaults()
@@ -154,7 +154,7 @@
 				ImageGB: float64(rng.IntN(9)), Spot: rng.IntN(2) == 0, Spread: rng.IntN(3) == 0,
 			}
 			spec.GPUs = randomGPUs(rng)
-			job := state.AddJob(spec, 0, 0)
+			job := state.AddJob(spec, 0)
 			want, got := fullSearch(scheduler, job, now), scheduler.bestMachine(&placementRequest{job: job, now: now})
 			if want != got {
 				t.Fatalf("seed %d, step %d: the bucket search chose %+v, the full search %+v", seed, step, got, want)
@@ -214,7 +214,6 @@
 				Spot: true, EstimateS: estimate, CheckpointIntervalS: checkpoint,
 			},
 			submitted,
-			submitted,
 		)
 		for i := range job.Tasks {
 			job.Tasks[i].Attempt = attempts
--- a/internal/scheduler/starvation_test.go
+++ b/internal/scheduler/starvation_test.go
@@ -51,7 +51,7 @@
 	if kind == wire.Gang {
 		spec.GPUs = 4
 	}
-	return cc.cluster.AddJob(spec, now, now)
+	return cc.cluster.AddJob(spec, now)
 }
 
 // finishOldJobs ends the other jobs once their run time is over, which is 3 to 6 seconds depending on the ID.
--- a/internal/shard/coordinator/coordinator_test.go
+++ b/internal/shard/coordinator/coordinator_test.go
@@ -169,7 +169,7 @@
 	if spec.Kind == "" {
 		spec.Kind = wire.JobArray
 	}
-	return test.Cluster.AddJob(spec, 0, 0)
+	return test.Cluster.AddJob(spec, 0)
 }
 
 func TestTasksThatFitCountsByResourcesAndZoneRules(t *testing.T) {
--- a/internal/shard/coordinator/handover_test.go
+++ b/internal/shard/coordinator/handover_test.go
@@ -289,7 +289,7 @@
 		s.t.Fatal("read of the assignments failed")
 	}
 	for _, spec := range s.specs {
-		l.RestoreAssignment(l.Cluster.AddJob(spec, s.now(), s.now()), assignments[spec.ID])
+		l.RestoreAssignment(l.Cluster.AddJob(spec, s.now()), assignments[spec.ID])
 	}
 	for _, item := range s.items(keys.ChunkPrefix) {
 		id, index, _, _ := keys.ParseChunk(item.Key)
@@ -359,7 +359,7 @@
 func (s *handoverEnv) submit() {
 	spec := wire.Job{ID: "j-1", Team: "team", Class: "c", Kind: wire.JobArray, Tasks: 4, CPUs: 1, MemoryGB: 1}
 	s.specs = append(s.specs, spec)
-	s.runOnLoop(func() { s.leader.Cluster.AddJob(spec, s.now(), s.now()) })
+	s.runOnLoop(func() { s.leader.Cluster.AddJob(spec, s.now()) })
 }
 
 // runTask runs a task of j-1 on a machine of the leader until it exits with a cause.
--- a/internal/shard/coordinator/unserved_jobs_test.go
+++ b/internal/shard/coordinator/unserved_jobs_test.go
@@ -51,7 +51,7 @@
 	}
 	state.SetCatalog(catalog)
 	for i := range maxJobsPerScanStep {
-		state.AddJob(wire.Job{ID: fmt.Sprint("j-", i), Kind: wire.Service, Tasks: 40, Spread: i%2 == 0, Spot: true}, 0, 0)
+		state.AddJob(wire.Job{ID: fmt.Sprint("j-", i), Kind: wire.Service, Tasks: 40, Spread: i%2 == 0, Spot: true}, 0)
 	}
 	for name, types := range map[string][]string{"all served": nil, "none served": {"t0"}} {
 		b.Run(name, func(b *testing.B) {
--- a/internal/shard/update/update_test.go
+++ b/internal/shard/update/update_test.go
@@ -63,7 +63,7 @@
 // addJobArray adds a job array of three tasks, one of which runs, that may have maxAllocations allocations at once.
 func addJobArray(state *cluster.State, spec wire.Job, maxAllocations int) {
 	spec.ID, spec.Kind, spec.Tasks = "j-1", wire.JobArray, 3
-	job := state.AddJob(spec, 0, 0)
+	job := state.AddJob(spec, 0)
 	job.MaxAllocations, job.AllocationCount = maxAllocations, 1
 }
 
