--- a/internal/controller/pipeline_bursts_test.go
+++ b/internal/controller/pipeline_bursts_test.go
@@ -242,14 +242,7 @@
 // runBurstSeeds runs cancelPipelinesInBursts with a quarter of the seeds of a random test, and passes on its result.
 func runBurstSeeds(t *testing.T, set func(*simCluster), countAssigned func(int)) {
 	t.Helper()
-	seeds := []uint64{}
-	for i := range max(1, *simulatedScenarios/4) {
-		seeds = append(seeds, *firstSeed+uint64(i))
-	}
-	if *onlySeed > 0 {
-		seeds = []uint64{*onlySeed}
-	}
-	for _, seed := range seeds {
+	for _, seed := range randomSeeds(max(1, *simulatedScenarios/4)) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			runScenario(t, seed, []int{3, 4, 5}[seed%3], func(sim *simCluster) {
--- a/internal/controller/random_test.go
+++ b/internal/controller/random_test.go
@@ -17,20 +17,26 @@
 	onlySeed           = flag.Uint64("sim.seed", 0, "the only seed to run; 0: run -sim.seeds seeds")
 )
 
+// randomSeeds returns the seeds that a random test runs: the always ones and n from the flag -sim.first on, or only the
+// seed of the flag -sim.seed.
+func randomSeeds(n int, always ...uint64) []uint64 {
+	if *onlySeed > 0 {
+		return []uint64{*onlySeed}
+	}
+	seeds := always
+	for i := range n {
+		seeds = append(seeds, *firstSeed+uint64(i))
+	}
+	return seeds
+}
+
 // Random scenarios: jobs of all kinds, and faults that overlap at random. After the
 // faults have ended, each accepted job that was not cancelled must be served within
 // the time that the users specify. The faults of a scenario are derived from its seed,
 // but the order of simultaneous events is not, so reproducing a failure may take
 // several runs (-sim.seed=N -count=20).
 func TestRandomScenariosKeepTheRules(t *testing.T) {
-	seeds := []uint64{}
-	for i := range *simulatedScenarios {
-		seeds = append(seeds, *firstSeed+uint64(i))
-	}
-	if *onlySeed > 0 {
-		seeds = []uint64{*onlySeed}
-	}
-	for _, seed := range seeds {
+	for _, seed := range randomSeeds(*simulatedScenarios) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			runScenario(t, seed, []int{3, 4, 5}[seed%3], func(sim *simCluster) {
@@ -172,14 +178,7 @@
 // the leader and the machines are subject to the same faults.
 func TestRandomScenariosWithShardsKeepTheRules(t *testing.T) {
 	// With seed 5326, four controllers passed the leadership round without end, as all machines were dead.
-	seeds := []uint64{5326}
-	for i := range *simulatedScenarios {
-		seeds = append(seeds, *firstSeed+uint64(i))
-	}
-	if *onlySeed > 0 {
-		seeds = []uint64{*onlySeed}
-	}
-	for _, seed := range seeds {
+	for _, seed := range randomSeeds(*simulatedScenarios, 5326) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			runScenario(t, seed, []int{3, 4, 5}[seed%3], func(sim *simCluster) {
