Status: each dependency is queued once; the reply for an unfinished job is a function

A pipeline whose layers each await the whole layer before put every edge into the list of jobs to visit; now each job is added once, as the leader's walk did before. statusReader.read gave its second half to unfinishedReply. Same replies: the tests of jobstatus, jobapi and of statuses in controller pass.

--- a/internal/jobapi/status_reader.go
+++ b/internal/jobapi/status_reader.go
@@ -62,20 +62,27 @@
 	case running > 0:
 		own.State = wire.JobRunning
 	}
-	derived, err := jobstatus.Derive(own, job.Spec.Dependencies, &storedDependencies{reader: r, class: class})
+	return r.unfinishedReply(own, job.Spec.Dependencies, class, readAt)
+}
+
+// unfinishedReply returns the reply for a job that had no final status when it was read at the time readAt. The status
+// also follows from the stored statuses of its dependencies.
+func (r *statusReader) unfinishedReply(
+	own wire.JobStatus, dependencies []string, class store.Class, readAt micro.Time,
+) (httpapi.Reply, error) {
+	derived, err := jobstatus.Derive(own, dependencies, &storedDependencies{reader: r, class: class})
 	if err != nil {
-		return httpapi.Reply{}, fmt.Errorf("read dependencies of job %s: %w", id, err)
+		return httpapi.Reply{}, fmt.Errorf("read dependencies of job %s: %w", own.ID, err)
 	}
 	if derived.AbortedDependency != "" {
 		r.log.Debug(
-			"job status follows from an aborted dependency", "job", id, "dependency",
-			derived.AbortedDependency,
+			"job status follows from an aborted dependency", "job", own.ID, "dependency", derived.AbortedDependency,
 		)
 		r.finalStatuses.Put(derived.Status)
 		return statusReply(derived.Status), nil
 	}
 	if r.now()-readAt > MaxReadAge {
-		return httpapi.Reply{}, fmt.Errorf("read of unfinished job %s took too long: %w", id, store.ErrUncertain)
+		return httpapi.Reply{}, fmt.Errorf("read of unfinished job %s took too long: %w", own.ID, store.ErrUncertain)
 	}
 	return statusReply(derived.Status), nil
 }
--- a/internal/jobstatus/jobstatus.go
+++ b/internal/jobstatus/jobstatus.go
@@ -8,7 +8,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"notchmux.dev/notchmux/wire"
 )
@@ -45,14 +44,10 @@
 	if own.State != wire.JobPending || own.Done > 0 {
 		return Derived{Status: own}, nil
 	}
-	visited := make(map[string]bool, len(dependencies))
-	queue := slices.Clip(dependencies) // the caller's array must not be appended to
-	for position := 0; position < len(queue); position++ {
-		id := queue[position]
-		if visited[id] {
-			continue
-		}
-		visited[id] = true
+	queue := newJobQueue(dependencies)
+	direct := len(queue.ids)
+	for position := 0; position < len(queue.ids); position++ {
+		id := queue.ids[position]
 		stored, err := source.StoredState(id)
 		switch {
 		case err != nil:
@@ -62,14 +57,37 @@
 		case stored.Final.Final():
 			continue
 		}
-		if position < len(dependencies) && len(own.Dependencies) < maxListedDependencies {
+		if position < direct && len(own.Dependencies) < maxListedDependencies {
 			own.Dependencies = append(own.Dependencies, id)
 		}
-		queue = append(queue, stored.Dependencies...)
+		queue.add(stored.Dependencies)
 	}
 	return Derived{Status: own}, nil
 }
 
+// jobQueue is a list of job IDs to which each ID is added at most once.
+type jobQueue struct {
+	ids   []string
+	added map[string]bool
+}
+
+// newJobQueue returns a queue of the given jobs.
+func newJobQueue(ids []string) *jobQueue {
+	queue := &jobQueue{ids: make([]string, 0, len(ids)), added: make(map[string]bool, len(ids))}
+	queue.add(ids)
+	return queue
+}
+
+// add appends the jobs that were not added before.
+func (q *jobQueue) add(ids []string) {
+	for _, id := range ids {
+		if !q.added[id] {
+			q.added[id] = true
+			q.ids = append(q.ids, id)
+		}
+	}
+}
+
 // abortedStatus returns the status of a job that is aborted and has never started.
 func abortedStatus(id string) wire.JobStatus {
 	return wire.JobStatus{ID: id, State: wire.JobAborted}
