review: no withdrawal is answered while controllers restart in a cloud outage

Cause: a new leader waits for the list of machine types before it serves anything, for as long as the cloud is out. Change: case 6; the verdict of a case covers its own rule only, and ports are drawn without repeats. No product code.

--- a/review/_rig2/cases.go
+++ b/review/_rig2/cases.go
@@ -13,6 +13,7 @@
 	scenarios["huge"] = huge
 	scenarios["mistakes"] = mistakes
 	scenarios["growth"] = growth
+	scenarios["cloud"] = cloudOutage
 }
 
 var trouble = os.Getenv("TROUBLE") != "0"
@@ -46,6 +47,7 @@
 // limits: the settings of a running deployment announce lower limits of the state service, the controllers are
 // restarted one after the other with them, and then the limits come into force.
 func limits(w *World, dir, root string, r *rand.Rand, secs float64) int {
+	w.rule = "left_waiting"
 	w.setup(dir, root, map[string]int{"klein-box": 46})
 	if !w.waitKey("fleet/format", 20*time.Second) {
 		return 2
@@ -211,7 +213,7 @@
 // growth: the deployment grows from three to five controllers, which are restarted one after the other with the new
 // settings; meanwhile a zone is cut off.
 func growth(w *World, dir, root string, r *rand.Rand, secs float64) int {
-	w.members = 3
+	w.members, w.rule = 3, "ran_twice"
 	w.setup(dir, root, map[string]int{"werk-node": 8, "klein-box": 8})
 	if !w.waitKey("fleet/format", 20*time.Second) {
 		return 2
@@ -254,3 +256,68 @@
 	time.Sleep(time.Duration(secs * float64(time.Second)))
 	return w.finish()
 }
+
+// cloudOutage: all controllers end while the cloud is out, and are back after some seconds.
+func cloudOutage(w *World, dir, root string, r *rand.Rand, secs float64) int {
+	w.rule = "unanswered"
+	w.setup(dir, root, map[string]int{"werk-node": 6, "klein-box": 4})
+	if !w.waitKey("fleet/format", 20*time.Second) {
+		return 2
+	}
+	var jobs []*jobRec
+	for i := range 3 {
+		j := newJob(
+			Job{
+				ID: fmt.Sprintf("j-%06d", i+1), Class: "live-convert", Team: "ml-lab", Shape: "daemon", Rank: "prod",
+				Pieces: 2, VCPUs: 4, RAM: 6.6, Scatter: true, Bundle: "img-1", Pull: 0.2,
+			}, 0,
+		)
+		if !w.submit(j) {
+			return 2
+		}
+		jobs = append(jobs, j)
+	}
+	time.Sleep(6 * time.Second)
+	running := func() (n int) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, set := range w.onMachine {
+			n += len(set)
+		}
+		return n
+	}
+	if running() != 6 {
+		return 2
+	}
+	if trouble {
+		w.note("the cloud is out")
+		for _, l := range w.cloudLink {
+			l.set(func(l *Link) { l.refuse = true })
+		}
+	}
+	time.Sleep(2 * time.Second)
+	for k := range w.nodes {
+		w.crash(k, root, 6*time.Second)
+	}
+	time.Sleep(12 * time.Second)
+	begin := time.Now()
+	answer := w.withdraw(jobs[2])
+	w.mu.Lock()
+	w.logf("withdraw of %s: %q after %.1f s", jobs[2].job.ID, answer, time.Since(begin).Seconds())
+	if answer == "" {
+		w.breach(
+			"unanswered", "the withdrawal of %s was repeated for %.0f s without an answer, with workers and state service well",
+			jobs[2].job.ID, time.Since(begin).Seconds(),
+		)
+	}
+	w.mu.Unlock()
+	time.Sleep(time.Until(begin.Add(45 * time.Second)))
+	for _, j := range jobs {
+		w.poll(w.pick(), j)
+	}
+	w.mu.Lock()
+	fmt.Printf("withdraw answered %q; leader %d\n", answer, w.leader())
+	w.mu.Unlock()
+	fmt.Println("replicas on machines:", running())
+	return w.finish()
+}
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -101,8 +101,11 @@
 	for _, l := range w.first {
 		fmt.Println("  ", l)
 	}
-	if len(w.broken) > 0 {
+	switch {
+	case w.rule != "" && w.broken[w.rule] > 0, w.rule == "" && len(w.broken) > 0:
 		return 1
+	case w.rule != "" && w.broken["crash"] > 0:
+		return 2 // as when a port was taken meanwhile
 	}
 	return 0
 }
--- a/review/_rig2/nodes.go
+++ b/review/_rig2/nodes.go
@@ -121,14 +121,18 @@
 // controller that is down must find its port free when it returns.
 func freeAddr() string {
 	for {
-		ln, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(22000)))
-		if err == nil {
+		port := 10000 + rand.IntN(22000)
+		ln, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil && !takenPorts[port] {
+			takenPorts[port] = true
 			defer ln.Close()
 			return ln.Addr().String()
 		}
 	}
 }
 
+var takenPorts = map[int]bool{}
+
 type quiet struct{}
 
 // Printf prints nothing: connections end at any time here.
--- a/review/_rig2/world.go
+++ b/review/_rig2/world.go
@@ -83,6 +83,7 @@
 	nodes     int
 	members   int    // the controllers in the settings
 	newTeam   string // a team that is not in the settings yet
+	rule      string // the rule of the case; "": all
 	zones     []string
 	nodeZone  []string
 	state     *State
