--- a/review/_rig2/cases.go
+++ b/review/_rig2/cases.go
@@ -13,6 +13,8 @@
 	scenarios["huge"] = huge
 	scenarios["mistakes"] = mistakes
 	scenarios["growth"] = growth
+	scenarios["gpuonly"] = gpuonly
+	scenarios["few"] = few
 	scenarios["cloud"] = cloudOutage
 }
 
@@ -321,3 +323,103 @@
 	fmt.Println("replicas on machines:", running())
 	return w.finish()
 }
+
+// few: jobs with a mistake and sound ones compete for the few machines of one type that the cloud has.
+func few(w *World, dir, root string, r *rand.Rand, secs float64) int {
+	w.rule = "left_waiting"
+	w.cap["lynx-gpu/cape-rack/false"], w.cap["lynx-gpu/gauteng-rack/false"] = 1, 1
+	w.cap["lynx-gpu/cape-rack/true"], w.cap["lynx-gpu/gauteng-rack/true"] = 0, 0
+	w.setup(dir, root, map[string]int{"klein-box": 4, "werk-node": 4, "lynx-gpu": 2})
+	if !w.waitKey("fleet/format", 20*time.Second) {
+		return 2
+	}
+	n := 0
+	train := func(team string, broken bool, run float64) *jobRec {
+		n++
+		j := newJob(Job{
+			ID: fmt.Sprintf("j-%06d", n), Class: "layout-train", Team: team, Shape: "ensemble", Rank: "urgent", Pieces: 1, VCPUs: 21, GPUs: 4, RAM: 150, OneZone: true, Rigs: []string{"lynx-gpu"},
+			Bookmark: 20, Stash: 4, Bundle: "img-1", Pull: 0.3,
+		}, run)
+		j.job.broken = broken
+		w.submit(j)
+		return j
+	}
+	train("ml-lab", false, 3)
+	time.Sleep(5 * time.Second)
+	if trouble {
+		for _, t := range []string{"platform-crew", "batch-desk", "ml-lab", "platform-crew"} {
+			train(t, true, 10)
+			time.Sleep(time.Second)
+		}
+	}
+	time.Sleep(6 * time.Second)
+	good := []*jobRec{train("ml-lab", false, 5), train("platform-crew", false, 5)}
+	begin := time.Now()
+	since := map[*jobRec]time.Time{}
+	for time.Since(begin).Seconds() < secs {
+		w.mu.Lock()
+		for _, j := range good {
+			switch {
+			case !w.waiting(j):
+				delete(since, j)
+			case since[j].IsZero():
+				since[j] = time.Now()
+			case time.Since(since[j]) > 90*time.Second:
+				w.breach("left_waiting", "%s waits", j.job.ID)
+				since[j] = time.Now().Add(time.Hour)
+			}
+		}
+		w.mu.Unlock()
+		for _, j := range good {
+			w.poll(w.pick(), j)
+		}
+		time.Sleep(time.Second)
+	}
+	w.mu.Lock()
+	for id, j := range w.jobs {
+		wait := -1.0
+		if !j.firstStart.IsZero() {
+			wait = j.firstStart.Sub(j.submitted).Seconds()
+		}
+		fmt.Println(id, "broken", j.job.broken, "starts", j.starts, "done", len(j.doneTasks), "waited", wait)
+	}
+	w.mu.Unlock()
+	return w.finish()
+}
+
+// gpuonly: the cloud has no machines to give but those with GPUs that are up.
+func gpuonly(w *World, dir, root string, r *rand.Rand, secs float64) int {
+	w.rule = "left_waiting"
+	for k := range w.cap {
+		w.cap[k] = 0
+	}
+	w.setup(dir, root, map[string]int{"lynx-gpu": 3, "klein-box": 1})
+	if !w.waitKey("fleet/format", 20*time.Second) {
+		return 2
+	}
+	var js []*jobRec
+	for i, rank := range []string{"idle", "standard", "urgent", "prod"} {
+		shape := "batch"
+		if rank == "prod" {
+			shape = "daemon"
+		}
+		j := newJob(Job{ID: fmt.Sprintf("j-%06d", i+1), Class: "c-" + rank, Team: "ml-lab", Shape: shape, Rank: rank, Pieces: 6, VCPUs: 2, RAM: 7, Bundle: "img-1", Pull: 0.2}, 8)
+		w.submit(j)
+		js = append(js, j)
+	}
+	begin := time.Now()
+	for time.Since(begin).Seconds() < secs {
+		for _, j := range js {
+			w.poll(w.pick(), j)
+		}
+		time.Sleep(time.Second)
+	}
+	for _, j := range js {
+		wait := -1.0
+		if !j.firstStart.IsZero() {
+			wait = j.firstStart.Sub(j.submitted).Seconds()
+		}
+		fmt.Println(j.job.ID, j.job.Rank, "starts", j.starts, "done", len(j.doneTasks), "waited", wait, "waiting", w.waiting(j))
+	}
+	return w.finish()
+}
--- a/review/_rig2/chaos.go
+++ b/review/_rig2/chaos.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"syscall"
 	"time"
 )
@@ -91,8 +92,15 @@
 	w.bootFail = 0.05
 	w.initialMachines(map[string]int{"klein-box": 4, "werk-node": 3, "olifant": 1, "lynx-gpu": 2})
 	go w.snapshotLoop()
-	w.startNodes(dir, root, "")
+	next := ""
+	if old := os.Getenv("OLD"); old != "" {
+		w.oldRoot, next = old, nextLimits
+	}
+	w.startNodes(dir, root, next)
 	go w.watchCancelled()
+	if w.oldRoot != "" {
+		go w.upgrade(root, r.Uint64())
+	}
 	time.Sleep(4 * time.Second)
 	end := time.Now().Add(time.Duration(secs * float64(time.Second)))
 	quiet := end.Add(-40 * time.Second)
@@ -105,7 +113,11 @@
 			n++
 			id := fmt.Sprintf("j-%06d", 1000+n)
 			w.mu.Lock()
-			j := randomJob(jr, id, open)
+			known := open
+			if w.oldRoot != "" {
+				known = nil // nothing new is asked before all have the new version
+			}
+			j := randomJob(jr, id, known)
 			w.mu.Unlock()
 			cancel := 0.0
 			if j.job.Shape == "daemon" || jr.Float64() < 0.3 {
@@ -142,6 +154,29 @@
 	return w.finish()
 }
 
+// upgrade restarts the controllers with the present version, one after the other, and then lowers the limits.
+func (w *World) upgrade(root string, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 9))
+	time.Sleep(20 * time.Second)
+	for _, k := range r.Perm(w.nodes) {
+		w.ctl[k].mu.Lock()
+		w.ctl[k].root = ""
+		w.ctl[k].mu.Unlock()
+		w.note("controller %d is upgraded", k)
+		w.crash(k, root, time.Duration(1+7*r.Float64())*time.Second)
+		time.Sleep(time.Duration(8+8*r.Float64()) * time.Second)
+	}
+	time.Sleep(5 * time.Second)
+	w.mu.Lock()
+	w.oldRoot = ""
+	w.mu.Unlock()
+	time.Sleep(time.Duration(10*r.Float64()) * time.Second)
+	w.note("the state service lowers its limits")
+	w.state.mu.Lock()
+	w.state.valueKB, w.state.txnOps, w.state.writeRPS = 2, 8, 21
+	w.state.mu.Unlock()
+}
+
 func (w *World) leader() int {
 	w.state.mu.Lock()
 	defer w.state.mu.Unlock()
--- a/review/_rig2/nodes.go
+++ b/review/_rig2/nodes.go
@@ -27,7 +27,8 @@
 	log          *os.File
 	mu           sync.Mutex
 	running      bool
-	ended        int // ended by itself
+	ended        int    // ended by itself
+	root         string // of the version that it runs; "": the present one
 	killing      bool
 	healthy      bool
 }
@@ -141,7 +142,7 @@
 // startNodes writes the settings and starts the controllers.
 func (w *World) startNodes(dir, root string, extra string) {
 	for k := range w.nodes {
-		w.ctl = append(w.ctl, &Controller{k: k, public: freeAddr(), peer: freeAddr(), healthy: true})
+		w.ctl = append(w.ctl, &Controller{k: k, public: freeAddr(), peer: freeAddr(), healthy: true, root: w.oldRoot})
 	}
 	w.peers = make([][]*PeerLink, w.nodes)
 	for i := range w.nodes {
@@ -212,6 +213,9 @@
 	if c.running {
 		return
 	}
+	if c.root != "" {
+		root = c.root
+	}
 	run := runCommand(root)
 	c.cmd = exec.Command(filepath.Join(root, run[0]), append(run[1:], c.config)...)
 	c.cmd.Dir = root
--- a/review/_rig2/world.go
+++ b/review/_rig2/world.go
@@ -84,6 +84,7 @@
 	members   int    // the controllers in the settings
 	newTeam   string // a team that is not in the settings yet
 	rule      string // the rule of the case; "": all
+	oldRoot   string // the version in production, while a node runs it
 	zones     []string
 	nodeZone  []string
 	state     *State
@@ -738,6 +739,10 @@
 			}
 		case "running":
 			if g := t.gang; g != nil {
+				if j.job.broken && now.Sub(g.since) > time.Second {
+					m.end(t, "error", false)
+					continue
+				}
 				if !g.lostAt.IsZero() {
 					if now.Sub(g.lostAt).Seconds() > w.gangPeer*0.6 {
 						m.end(t, "peers", false)
