--- a/review/_rig2/chaos.go
+++ b/review/_rig2/chaos.go
@@ -250,7 +250,7 @@
 	if l := w.leader(); l >= 0 && r.Float64() < 0.6 {
 		target = l
 	}
-	switch r.IntN(20) {
+	switch r.IntN(22) {
 	case 0, 1:
 		w.crash(target, root, sec(0.1, 8))
 	case 2:
@@ -391,6 +391,19 @@
 			}
 		}
 		w.mu.Unlock()
+	case 20, 21:
+		d := sec(8, 40)
+		stop := time.Duration(50+r.IntN(400)) * time.Millisecond
+		w.note("controller %d is slow for %v: it stands still for %v of each %v", target, d, stop, stop*4/3)
+		end := time.Now().Add(d)
+		go func() {
+			for time.Now().Before(end) {
+				w.signal(target, syscall.SIGSTOP)
+				time.Sleep(stop)
+				w.signal(target, syscall.SIGCONT)
+				time.Sleep(stop / 3)
+			}
+		}()
 	case 19:
 		for k := range w.nodes {
 			time.AfterFunc(time.Duration(k)*sec(1, 8), func() { w.crash(k, root, time.Duration(2+6*rand.Float64())*time.Second) })
